--- /dev/null
+++ b/Makefile
@@ -0,0 +1,103 @@
+# Builds the library, the programs and the tests.
+#
+#   make            programs in build/release
+#   make test       unit and integration tests (installs packages if missing)
+#   make demo       a small deployment on loopback with a failover in the middle
+#   make SAN=1 ...  the same with address and undefined-behaviour sanitizers
+#   make lint       formatter and linter
+
+ifdef SAN
+MODE = san
+SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	   -fno-omit-frame-pointer
+else
+MODE = release
+endif
+B = build/$(MODE)
+
+CC = gcc
+CXX = g++
+WARN = -Wall -Wextra -Werror -Wshadow -Wpointer-arith -Wvla
+PGINC := $(shell pg_config --includedir 2>/dev/null)
+COMMON = -O2 -g $(WARN) $(SANFLAGS) -iquote . -iquote t -I$(PGINC) -MMD -MP \
+	 -D_GNU_SOURCE
+CFLAGS = -std=gnu11 $(COMMON) -Wstrict-prototypes -Wmissing-prototypes
+CXXFLAGS = -std=gnu++17 $(COMMON) -Wno-missing-field-initializers
+LDLIBS = -lev -lmsgpackc -largtable2 -ljson-c -lpq -lpg_query \
+	 -lprotobuf-c -lxxhash -lsodium -lgsl -lgslcblas -lm -lpthread
+
+LIB = $(B)/libmarjoramlatch.a
+DAEMONS = marjoramlatchd marjoramlatch-control
+PROGRAMS = $(addprefix $(B)/,$(DAEMONS) marjoramlatch)
+HELPERS = $(patsubst t/helper/%.c,$(B)/helper/%,$(wildcard t/helper/*.c))
+
+MAINS = $(addsuffix .c,$(DAEMONS)) marjoramlatch.c
+LIBSRC = $(filter-out $(MAINS),$(wildcard *.c))
+BUILTIN = $(wildcard builtin/*.c)
+UNIT = $(wildcard t/unit_*.cc)
+SYSTEM = $(patsubst t/%.cc,$(B)/t/%,$(wildcard t/sys_*.cc))
+TESTLIB = $(wildcard t/lib_*.cc)
+
+obj = $(patsubst %,$(B)/obj/%.o,$(basename $(1)))
+
+all: $(PROGRAMS)
+
+$(B)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -c -o $@ $<
+
+$(B)/obj/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -c -o $@ $<
+
+$(LIB): $(call obj,$(LIBSRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(addprefix $(B)/,$(DAEMONS)): $(B)/%: $(B)/obj/%.o $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/marjoramlatch: $(call obj,marjoramlatch.c $(BUILTIN)) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/helper/%: $(B)/obj/t/helper/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANFLAGS) -o $@ $^ -lsqlite3 $(LDLIBS)
+
+$(B)/unit-tests: $(call obj,$(UNIT)) $(LIB)
+	$(CXX) $(SANFLAGS) -o $@ $^ -lgtest -lgtest_main $(LDLIBS)
+
+$(B)/t/%: $(B)/obj/t/%.o $(call obj,$(TESTLIB)) $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(SANFLAGS) -o $@ $^ -lgtest -lgtest_main -lsqlite3 $(LDLIBS)
+
+helpers: $(HELPERS)
+tests: all helpers $(B)/unit-tests $(SYSTEM)
+
+test: packages
+	$(MAKE) SAN=$(SAN) -j$(shell nproc) tests
+	t/run.sh $(B)
+
+packages:
+	@sh .ci/packages
+
+format:
+	clang-format -i $(CSRC)
+
+CSRC = $(wildcard *.c *.h builtin/*.c builtin/*.h t/*.cc t/*.h t/helper/*.c \
+	 t/helper/*.h)
+
+lint:
+	clang-format --dry-run -Werror $(CSRC)
+	cppcheck -q -j$(shell nproc) --std=c11 --language=c \
+		--enable=warning,performance,portability \
+		--inline-suppr --error-exitcode=1 -I. -D_GNU_SOURCE \
+		$(filter %.c,$(CSRC))
+
+clean:
+	rm -rf build
+
+-include $(shell find build -name '*.d' 2>/dev/null)
+
+.PHONY: all helpers tests test packages format lint clean
+.SECONDARY:
--- /dev/null
+++ b/counter.c
@@ -0,0 +1,62 @@
+#include "counter.h"
+
+#include <ctype.h>
+#include <stdio.h>
+
+#define RES_NUMBERS 100
+
+static uint64_t counters[CNT_MAX];
+static uint64_t refusals[RES_NUMBERS];
+
+static const char *const names[] = {
+#define X(name) #name,
+	CNT_TABLE(X)
+#undef X
+};
+
+void cnt_add(enum cnt c, uint64_t n)
+{
+	counters[c] += n;
+}
+
+void cnt_refusal(enum res r)
+{
+	refusals[r]++;
+}
+
+uint64_t cnt_get(enum cnt c)
+{
+	return counters[c];
+}
+
+uint64_t cnt_get_refusal(enum res r)
+{
+	return refusals[r];
+}
+
+static void cnt_show_refusal(void (*fn)(void *, const char *, uint64_t),
+			     void *arg, enum res r)
+{
+	char name[48];
+	int n = snprintf(name, sizeof(name), "refused_%s", res_name(r));
+
+	for (int i = 0; i < n; i++)
+		name[i] = (char)tolower((unsigned char)name[i]);
+	fn(arg, name, refusals[r]);
+}
+
+void cnt_each(void (*fn)(void *arg, const char *name, uint64_t value),
+	      void *arg)
+{
+	static const enum res codes[] = {
+#define X(name, num, state, ran, text) RES_##name,
+		RES_TABLE(X)
+#undef X
+	};
+
+	for (int c = 0; c < CNT_MAX; c++)
+		fn(arg, names[c], counters[c]);
+	for (size_t i = 0; i < sizeof(codes) / sizeof(codes[0]); i++)
+		if (codes[i] != RES_OK)
+			cnt_show_refusal(fn, arg, codes[i]);
+}
--- /dev/null
+++ b/counter.h
@@ -0,0 +1,49 @@
+#ifndef COUNTER_H
+#define COUNTER_H
+
+/*
+ * Counters of one process, one for each refusal reason, retry reason and
+ * event worth watching. A counter only grows. Refusals are counted by result
+ * code, so a new code gets its counter without further work.
+ */
+
+#include "result.h"
+
+#include <stdint.h>
+
+/* clang-format off */
+#define CNT_TABLE(X) \
+	X(callers_accepted) X(callers_closed) X(statements) \
+	X(reads_replica) X(reads_primary) X(reads_replica_eligible) \
+	X(writes) X(forwarded) X(config_applied) X(config_ignored_older) \
+	X(lease_granted) X(lease_lapsed) X(backend_connects) \
+	X(backend_connect_failures) X(backend_silent) X(late_answers) \
+	X(token_lost) X(dedup_hits) X(links_refused) \
+	X(retry_unreachable) X(retry_behind) X(retry_no_primary) \
+	X(retry_no_lease) X(retry_read_failed) X(retry_not_owner) \
+	X(retry_leaving) X(retry_plan) X(retry_wait) X(retry_denied) \
+	X(elections) X(leader_changes) X(promotions) X(snapshots) \
+	X(log_synced) X(log_torn) X(cfg_conflicts) X(cfg_resends) \
+	X(backends_announced) X(backends_silenced) X(bad_input)
+/* clang-format on */
+
+enum cnt {
+#define X(name) CNT_##name,
+	CNT_TABLE(X)
+#undef X
+		CNT_MAX
+};
+
+void cnt_add(enum cnt c, uint64_t n);
+
+/* Counts a refusal or failure by its result code. */
+void cnt_refusal(enum res r);
+
+uint64_t cnt_get(enum cnt c);
+uint64_t cnt_get_refusal(enum res r);
+
+/* Calls fn for every counter, refusals as "refused_<code name>". */
+void cnt_each(void (*fn)(void *arg, const char *name, uint64_t value),
+	      void *arg);
+
+#endif
--- /dev/null
+++ b/pgwire.h
@@ -0,0 +1,118 @@
+#ifndef PGWIRE_H
+#define PGWIRE_H
+
+/*
+ * Server side of the framing of PostgreSQL's protocol version 3.
+ *
+ * Debian has no library for the server side, so this module is the only
+ * hand-written codec of the project. It splits a byte stream into messages,
+ * reads the fields of messages that a client sends, and writes the messages
+ * that a server sends. It knows nothing of sessions. All lengths are bounded;
+ * a reader that runs past the end of its message sets its error flag and
+ * returns zero values from then on.
+ *
+ * The parser is fed from a struct buf. pgw_next() returns one complete
+ * message at a time without copying; the message is valid until the buffer
+ * changes. The caller consumes msg.total bytes when done with it.
+ */
+
+#include "buf.h"
+#include "error.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+	PGW_MAX_STARTUP = 10000, /* bytes, as in PostgreSQL */
+	PGW_MAX_MESSAGE = 4 << 20, /* bytes of one message */
+	PGW_VERSION_3 = 196608, /* 3.0 */
+	PGW_CANCEL = 80877102, /* CancelRequest */
+	PGW_SSL = 80877103, /* SSLRequest */
+	PGW_GSS = 80877104, /* GSSENCRequest */
+	PGW_MAX_PARAMS = 1024 /* parameters of one statement */
+};
+
+struct pgw_msg {
+	char type; /* 0 for messages of the startup phase */
+	int32_t code; /* startup phase: version or request code */
+	const char *body; /* after the length (and code) */
+	size_t len; /* bytes of body */
+	size_t total; /* bytes to consume from the buffer */
+};
+
+/*
+ * Looks at the next message. Returns 1 and fills in m, 0 if more bytes are
+ * needed, or -1 with e set if the stream is malformed or over its limit.
+ * startup selects the form without a type byte.
+ */
+int pgw_next(const struct buf *in, bool startup, struct pgw_msg *m,
+	     struct err *e);
+
+/* Field reader over one message. */
+struct pgw_reader {
+	const char *p;
+	const char *end;
+	bool bad;
+};
+
+void pgw_read(struct pgw_reader *r, const struct pgw_msg *m);
+int32_t pgw_get_int32(struct pgw_reader *r);
+int16_t pgw_get_int16(struct pgw_reader *r);
+char pgw_get_byte(struct pgw_reader *r);
+
+/* A zero-terminated string inside the message; "" after an error. */
+const char *pgw_get_string(struct pgw_reader *r);
+
+/* len bytes; NULL after an error. */
+const char *pgw_get_bytes(struct pgw_reader *r, size_t len);
+
+/* Field of an ErrorResponse. */
+struct pgw_error {
+	const char *severity; /* "ERROR" or "FATAL" */
+	const char *sqlstate;
+	const char *message;
+	const char *detail; /* may be NULL */
+	const char *hint; /* may be NULL */
+};
+
+struct pgw_column {
+	const char *name;
+	int32_t type; /* OID; 25 is text */
+	int16_t size; /* -1 for variable length */
+	int16_t format;
+	int32_t modifier; /* -1 for none */
+	int32_t table;
+	int16_t number;
+};
+
+/* Messages of a server, appended to out. */
+void pgw_put_auth_ok(struct buf *out);
+void pgw_put_auth_cleartext(struct buf *out);
+void pgw_put_parameter(struct buf *out, const char *name, const char *value);
+void pgw_put_key_data(struct buf *out, int32_t pid, int32_t secret);
+void pgw_put_ready(struct buf *out, char txn);
+void pgw_put_error(struct buf *out, const struct pgw_error *error);
+void pgw_put_notice(struct buf *out, const struct pgw_error *notice);
+void pgw_put_row_description(struct buf *out, const struct pgw_column *cols,
+			     int ncols);
+void pgw_put_complete(struct buf *out, const char *tag);
+
+/* One of '1' ParseComplete, '2' BindComplete, '3' CloseComplete,
+ * 'n' NoData, 'I' EmptyQueryResponse, 's' PortalSuspended. */
+void pgw_put_empty(struct buf *out, char type);
+void pgw_put_parameter_description(struct buf *out, const int32_t *types,
+				   int n);
+
+/* DataRow in steps: begin, one pgw_put_value() per column, end. */
+size_t pgw_begin_row(struct buf *out, int ncols);
+void pgw_put_value(struct buf *out, const char *value, int32_t len);
+void pgw_put_null(struct buf *out);
+void pgw_end_row(struct buf *out, size_t mark);
+
+/* A row of text values; NULL entries are SQL nulls. */
+void pgw_put_text_row(struct buf *out, const char *const *values, int n);
+
+/* A row description of text columns. */
+void pgw_put_text_columns(struct buf *out, const char *const *names, int n);
+
+#endif
--- /dev/null
+++ b/rng.h
@@ -0,0 +1,23 @@
+#ifndef RNG_H
+#define RNG_H
+
+/*
+ * Seeded random numbers, on GSL's taus2 generator. Decision modules are given
+ * one, so that a run repeats from its seed. Secrets and instance identities
+ * come from libsodium instead.
+ */
+
+#include <stdint.h>
+
+struct rng;
+
+struct rng *rng_new(uint64_t seed);
+void rng_free(struct rng *r);
+
+/* Uniform integer in [0, n); 0 if n is 0. */
+uint64_t rng_below(struct rng *r, uint64_t n);
+
+/* Uniform number in [0, 1). */
+double rng_unit(struct rng *r);
+
+#endif
