--- /dev/null
+++ b/link.c
@@ -0,0 +1,470 @@
+#include "link.h"
+
+#include <arpa/inet.h>
+#include <ev.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "counter.h"
+#include "log.h"
+#include "net.h"
+#include "settings.h"
+
+enum link_phase {
+	LINK_IDLE, /* between two attempts to connect */
+	LINK_HELLO, /* waits for the peer's HELLO */
+	LINK_PROOF, /* waits for the peer's PROOF */
+	LINK_UP
+};
+
+struct link {
+	struct ev_loop *loop;
+	const struct settings *set;
+	struct link_handler h;
+	struct link_server *server; /* NULL if this side opened it */
+	struct link *next; /* of the server's links */
+	struct net_conn *conn;
+	ev_timer timer;
+	enum link_phase phase;
+	clk_ms began; /* of this attempt */
+	clk_ms heard;
+	clk_ms pinged;
+	char role[MSG_ROLE_LEN];
+	char addr[ADDR_LEN];
+	int64_t uuid;
+	unsigned char nonce[MSG_NONCE_LEN];
+	struct msg_hello peer; /* nonce points nowhere after the handshake */
+	void *data;
+	bool freed;
+	int depth;
+};
+
+struct link_server {
+	struct ev_loop *loop;
+	const struct settings *set;
+	struct link_handler h;
+	struct net_listener *listener;
+	struct link *links;
+	char role[MSG_ROLE_LEN];
+	int64_t uuid;
+};
+
+static void link_start(struct link *l);
+
+static void link_release(struct link *l)
+{
+	free(l);
+}
+
+static void link_unlist(struct link *l)
+{
+	struct link **p;
+
+	if (!l->server)
+		return;
+	for (p = &l->server->links; *p; p = &(*p)->next) {
+		if (*p == l) {
+			*p = l->next;
+			break;
+		}
+	}
+	l->server = NULL;
+}
+
+/* Closes the connection. A link that this side opened tries again later; an
+ * accepted one ends. */
+static void link_drop(struct link *l)
+{
+	bool was_up = l->phase == LINK_UP;
+
+	if (!l->conn)
+		return;
+	net_free(l->conn);
+	l->conn = NULL;
+	l->phase = LINK_IDLE;
+	l->depth++;
+	if (was_up && l->h.on_down)
+		l->h.on_down(l->h.arg, l);
+	l->depth--;
+	if (l->server && !l->freed) {
+		link_free(l);
+		return;
+	}
+	if (l->freed && !l->depth)
+		link_release(l);
+}
+
+static void link_refuse(struct link *l, const struct err *e)
+{
+	cnt_add(CNT_links_refused, 1);
+	log_warn("link", "closing link peer=%s addr=%s reason=\"%s\"",
+		 l->peer.id, l->addr, e->text);
+	link_drop(l);
+}
+
+static void link_mac(const struct link *l, const char *nonce, const char *role,
+		     const char *id, unsigned char *mac)
+{
+	crypto_auth_hmacsha256_state st;
+
+	crypto_auth_hmacsha256_init(&st, l->set->key, SET_KEY_LEN);
+	crypto_auth_hmacsha256_update(&st, (const unsigned char *)nonce,
+				      MSG_NONCE_LEN);
+	crypto_auth_hmacsha256_update(&st, (const unsigned char *)role,
+				      strlen(role) + 1);
+	crypto_auth_hmacsha256_update(&st, (const unsigned char *)id,
+				      strlen(id) + 1);
+	crypto_auth_hmacsha256_final(&st, mac);
+}
+
+static void link_put(struct link *l, const struct msg *m)
+{
+	msg_encode_frame(m, net_out(l->conn));
+	net_flush(l->conn);
+}
+
+static void link_say_hello(struct link *l)
+{
+	struct msg m = {.type = MSG_HELLO,
+			.u.hello = {.version = MSG_VERSION, .uuid = l->uuid}};
+
+	randombytes_buf(l->nonce, sizeof(l->nonce));
+	snprintf(m.u.hello.role, sizeof(m.u.hello.role), "%s", l->role);
+	snprintf(m.u.hello.id, sizeof(m.u.hello.id), "%s", l->set->id);
+	snprintf(m.u.hello.zone, sizeof(m.u.hello.zone), "%s", l->set->zone);
+	m.u.hello.nonce =
+		(struct blob){.data = (char *)l->nonce, .len = MSG_NONCE_LEN};
+	link_put(l, &m);
+}
+
+static enum res link_take_hello(struct link *l, const struct msg *m,
+				struct err *e)
+{
+	unsigned char mac[MSG_MAC_LEN];
+	struct msg proof = {.type = MSG_PROOF};
+
+	if (m->type != MSG_HELLO)
+		return err_set(e, RES_BAD_MESSAGE, "%s before HELLO",
+			       msg_name(m->type));
+	if (m->u.hello.version != MSG_VERSION)
+		return err_set(e, RES_BAD_MESSAGE, "version %lld",
+			       (long long)m->u.hello.version);
+	if (m->u.hello.nonce.len != MSG_NONCE_LEN)
+		return err_set(e, RES_BAD_MESSAGE, "nonce of wrong length");
+	l->peer = m->u.hello;
+	/* A copied PROOF must not be accepted when it is sent back. */
+	if (!memcmp(m->u.hello.nonce.data, l->nonce, MSG_NONCE_LEN))
+		return err_set(e, RES_AUTH, "peer repeats the own nonce");
+	link_mac(l, m->u.hello.nonce.data, l->role, l->set->id, mac);
+	l->peer.nonce = (struct blob){.data = NULL, .len = 0};
+	proof.u.proof.mac =
+		(struct blob){.data = (char *)mac, .len = sizeof(mac)};
+	link_put(l, &proof);
+	l->phase = LINK_PROOF;
+	return RES_OK;
+}
+
+static enum res link_take_proof(struct link *l, const struct msg *m,
+				struct err *e)
+{
+	unsigned char mac[MSG_MAC_LEN];
+
+	if (m->type != MSG_PROOF || m->u.proof.mac.len != MSG_MAC_LEN)
+		return err_set(e, RES_BAD_MESSAGE, "%s in place of PROOF",
+			       msg_name(m->type));
+	link_mac(l, (char *)l->nonce, l->peer.role, l->peer.id, mac);
+	if (sodium_memcmp(mac, m->u.proof.mac.data, MSG_MAC_LEN))
+		return err_set(e, RES_AUTH, "peer has another shared key");
+	l->phase = LINK_UP;
+	l->pinged = l->heard;
+	if (l->h.on_up)
+		l->h.on_up(l->h.arg, l);
+	return RES_OK;
+}
+
+static enum res link_take(struct link *l, const char *data, size_t len,
+			  struct err *e)
+{
+	struct msg m;
+	enum res r;
+
+	if (len == 0) {
+		/* A ping: the side that accepted echoes it. */
+		if (l->server && l->phase == LINK_UP) {
+			uint32_t zero = 0;
+
+			buf_add(net_out(l->conn), &zero, sizeof(zero));
+			net_flush(l->conn);
+		}
+		return RES_OK;
+	}
+	r = msg_decode(&m, data, len, e);
+	if (r)
+		return r;
+	switch (l->phase) {
+	case LINK_HELLO:
+		r = link_take_hello(l, &m, e);
+		break;
+	case LINK_PROOF:
+		r = link_take_proof(l, &m, e);
+		break;
+	case LINK_UP:
+		l->h.on_message(l->h.arg, l, &m);
+		break;
+	case LINK_IDLE:
+		break;
+	}
+	msg_free(&m);
+	return r;
+}
+
+/* Returns false when no complete frame is there or the link was closed. */
+static bool link_take_frame(struct link *l)
+{
+	struct buf *in = net_in(l->conn);
+	struct net_conn *conn = l->conn;
+	struct err e = ERR_INIT;
+	uint32_t len;
+
+	if (buf_len(in) < sizeof(len))
+		return false;
+	memcpy(&len, buf_data(in), sizeof(len));
+	len = ntohl(len);
+	if (len > MSG_MAX_FRAME) {
+		err_set(&e, RES_BAD_FRAME, "frame of %u bytes", len);
+		link_refuse(l, &e);
+		return false;
+	}
+	if (buf_len(in) < sizeof(len) + len)
+		return false;
+	if (link_take(l, buf_data(in) + sizeof(len), len, &e)) {
+		if (l->conn == conn)
+			link_refuse(l, &e);
+		return false;
+	}
+	if (l->freed || l->conn != conn)
+		return false;
+	buf_consume(in, sizeof(len) + len);
+	return true;
+}
+
+static void link_read(void *arg)
+{
+	struct link *l = arg;
+
+	l->heard = clk_now();
+	l->depth++;
+	while (l->conn && !l->freed && link_take_frame(l))
+		;
+	l->depth--;
+	if (l->freed && !l->depth)
+		link_release(l);
+}
+
+static void link_closed(void *arg)
+{
+	link_drop(arg);
+}
+
+static bool link_overdue(const struct link *l, clk_ms now)
+{
+	if (l->phase == LINK_UP)
+		return now - l->heard > LINK_SILENT_MS;
+	return now - l->began > LINK_CONNECT_MS;
+}
+
+static void link_ping(struct link *l, clk_ms now)
+{
+	uint32_t zero = 0;
+
+	if (l->server || l->phase != LINK_UP || now - l->pinged < LINK_PING_MS)
+		return;
+	l->pinged = now;
+	buf_add(net_out(l->conn), &zero, sizeof(zero));
+	net_flush(l->conn);
+}
+
+static void link_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct link *l = w->data;
+	clk_ms now = clk_now();
+
+	(void)loop;
+	(void)events;
+	if (!l->conn) {
+		if (now - l->began >= LINK_RECONNECT_MS)
+			link_start(l);
+		return;
+	}
+	if (link_overdue(l, now)) {
+		if (l->phase == LINK_UP)
+			log_warn("link", "link is silent peer=%s addr=%s",
+				 l->peer.id, l->addr);
+		link_drop(l);
+		return;
+	}
+	link_ping(l, now);
+}
+
+static struct net_handler link_net_handler(struct link *l)
+{
+	return (struct net_handler){
+		.arg = l, .on_read = link_read, .on_close = link_closed};
+}
+
+static void link_start(struct link *l)
+{
+	struct net_handler h = link_net_handler(l);
+	struct err e = ERR_INIT;
+
+	l->began = clk_now();
+	l->heard = l->began;
+	l->conn = net_connect(l->loop, l->addr, &h, &e);
+	if (!l->conn)
+		return;
+	l->phase = LINK_HELLO;
+	link_say_hello(l);
+}
+
+static struct link *link_new(struct ev_loop *loop, const struct settings *set,
+			     const char *role, int64_t uuid,
+			     const struct link_handler *h)
+{
+	struct link *l = calloc(1, sizeof(*l));
+
+	if (!l)
+		abort();
+	l->loop = loop;
+	l->set = set;
+	l->h = *h;
+	l->uuid = uuid;
+	snprintf(l->role, sizeof(l->role), "%s", role);
+	ev_timer_init(&l->timer, link_tick, LINK_RECONNECT_MS / 1000.0,
+		      LINK_RECONNECT_MS / 1000.0);
+	l->timer.data = l;
+	ev_timer_start(loop, &l->timer);
+	return l;
+}
+
+struct link *link_open(struct ev_loop *loop, const struct settings *set,
+		       const char *role, const char *addr, int64_t uuid,
+		       const struct link_handler *h)
+{
+	struct link *l = link_new(loop, set, role, uuid, h);
+
+	snprintf(l->addr, sizeof(l->addr), "%s", addr);
+	link_start(l);
+	return l;
+}
+
+static void link_accept(void *arg, int fd)
+{
+	struct link_server *s = arg;
+	struct link *l = link_new(s->loop, s->set, s->role, s->uuid, &s->h);
+	struct net_handler h = link_net_handler(l);
+
+	l->server = s;
+	l->next = s->links;
+	s->links = l;
+	l->began = clk_now();
+	l->heard = l->began;
+	l->conn = net_accepted(s->loop, fd, &h);
+	l->phase = LINK_HELLO;
+	link_say_hello(l);
+}
+
+enum res link_serve(struct link_server **out, struct ev_loop *loop,
+		    const struct settings *set, const char *role, int64_t uuid,
+		    const struct link_handler *h, struct err *e)
+{
+	struct link_server *s = calloc(1, sizeof(*s));
+	enum res r;
+
+	if (!s)
+		abort();
+	s->loop = loop;
+	s->set = set;
+	s->h = *h;
+	s->uuid = uuid;
+	snprintf(s->role, sizeof(s->role), "%s", role);
+	r = net_listen(&s->listener, loop, set->link, link_accept, s, e);
+	if (r) {
+		free(s);
+		return r;
+	}
+	*out = s;
+	return RES_OK;
+}
+
+void link_server_free(struct link_server *s)
+{
+	if (!s)
+		return;
+	net_listener_free(s->listener);
+	while (s->links)
+		link_free(s->links);
+	free(s);
+}
+
+void link_send(struct link *l, const struct msg *m)
+{
+	if (l->phase == LINK_UP)
+		link_put(l, m);
+}
+
+bool link_is_up(const struct link *l)
+{
+	return l->phase == LINK_UP;
+}
+
+const char *link_peer_id(const struct link *l)
+{
+	return l->peer.id;
+}
+
+const char *link_peer_zone(const struct link *l)
+{
+	return l->peer.zone;
+}
+
+const char *link_peer_role(const struct link *l)
+{
+	return l->peer.role;
+}
+
+int64_t link_peer_uuid(const struct link *l)
+{
+	return l->peer.uuid;
+}
+
+void link_set_data(struct link *l, void *data)
+{
+	l->data = data;
+}
+
+void *link_data(const struct link *l)
+{
+	return l->data;
+}
+
+size_t link_backlog(const struct link *l)
+{
+	return l->conn ? buf_len(net_out(l->conn)) : 0;
+}
+
+void link_free(struct link *l)
+{
+	if (!l || l->freed)
+		return;
+	l->freed = true;
+	ev_timer_stop(l->loop, &l->timer);
+	link_unlist(l);
+	l->phase = LINK_IDLE;
+	if (l->conn)
+		net_free(l->conn);
+	l->conn = NULL;
+	if (!l->depth)
+		link_release(l);
+}
