--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 LIB = $(B)/libmarjoramlatch.a
 DAEMONS = marjoramlatchd marjoramlatch-control
 PROGRAMS = $(addprefix $(B)/,$(DAEMONS) marjoramlatch)
-HELPERS = $(patsubst t/helper/%.c,$(B)/helper/%,$(wildcard t/helper/*.c))
+HELPERS = $(patsubst t/helper/%.c,$(B)/helper/%,$(wildcard t/helper/*.c)) \
+	  $(B)/helper/backend
 
 MAINS = $(addsuffix .c,$(DAEMONS)) marjoramlatch.c
 LIBSRC = $(filter-out $(MAINS),$(wildcard *.c))
@@ -64,6 +65,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ -lsqlite3 $(LDLIBS)
 
+$(B)/helper/backend: $(call obj,$(wildcard t/helper/backend/*.c)) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANFLAGS) -o $@ $^ -lsqlite3 $(LDLIBS)
+
 $(B)/unit-tests: $(call obj,$(UNIT)) $(LIB)
 	$(CXX) $(SANFLAGS) -o $@ $^ -lgtest -lgtest_main $(LDLIBS)
 
@@ -85,7 +90,7 @@
 	clang-format -i $(CSRC)
 
 CSRC = $(wildcard *.c *.h builtin/*.c builtin/*.h t/*.cc t/*.h t/helper/*.c \
-	 t/helper/*.h)
+	 t/helper/*.h t/helper/backend/*.c t/helper/backend/*.h)
 
 lint:
 	clang-format --dry-run -Werror $(CSRC)
--- a/pgwire.c
+++ b/pgwire.c
@@ -147,7 +147,7 @@
 
 static void put_int16(struct buf *out, int v)
 {
-	char b[2] = {(char)(v >> 8), (char)v};
+	char b[2] = {(char)((unsigned)v >> 8), (char)v};
 
 	buf_add(out, b, sizeof(b));
 }
