--- a/t/helper/backend/backend.h
+++ b/t/helper/backend/backend.h
@@ -180,7 +180,7 @@
 void conn_abort_writers(void);
 bool conn_any_busy(void);
 
-/* ---- query.c: statements of one connection ---- */
+/* ---- session.c: statements of one connection ---- */
 
 struct session;
 
--- a/t/helper/backend/query.c
+++ b/t/helper/backend/query.c
@@ -17,7 +17,7 @@
 	return false;
 }
 
-static void put_error(struct session *s, const struct sqlerr *e)
+void ses_put_error(struct session *s, const struct sqlerr *e)
 {
 	struct pgw_error pe = {
 		.severity = "ERROR",
@@ -28,7 +28,7 @@
 	pgw_put_error(s->out, &pe);
 }
 
-static void simple_end(struct session *s)
+void ses_simple_end(struct session *s)
 {
 	free(s->simple);
 	s->simple = NULL;
@@ -37,15 +37,14 @@
 	pgw_put_ready(s->out, txn_status(s));
 }
 
-/* The current statement or message has failed. */
-static void failed(struct session *s, const struct sqlerr *e)
+void ses_failed(struct session *s, const struct sqlerr *e)
 {
 	s->state = S_IDLE;
 	ev_timer_stop(be.loop, &s->timeout);
-	put_error(s, e);
+	ses_put_error(s, e);
 	txn_failed(s);
 	if (s->simple)
-		simple_end(s);
+		ses_simple_end(s);
 	else
 		s->skip = true;
 	conn_wake(s->owner);
@@ -138,7 +137,7 @@
 	} else if (txn_commit(s, &e)) {
 		done(s, "COMMIT");
 	} else {
-		failed(s, &e);
+		ses_failed(s, &e);
 	}
 }
 
@@ -163,7 +162,7 @@
 
 	if (!store_exec(s->db, s->cur->t.sql)) {
 		store_error(s->db, &e);
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	s->savepoints = true;
@@ -231,7 +230,7 @@
 	if (!step_rows(s, st, &rows)) {
 		store_error(s->db, &e);
 		sqlite3_reset(st);
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	if (write) {
@@ -247,8 +246,7 @@
 	done(s, tag);
 }
 
-/* The statement's cost has passed while it held a slot. */
-static void on_cost(void *arg)
+void ses_cost_passed(void *arg)
 {
 	struct session *s = arg;
 
@@ -266,13 +264,13 @@
 	       !sqlite3_stmt_readonly(s->cur->st);
 }
 
-static void start_slot(struct session *s)
+void ses_start_slot(struct session *s)
 {
 	int64_t cost = s->cur->t.cost_us;
 	struct sqlerr e;
 
 	if (needs_lock(s) && !txn_begin_write(s, &e)) {
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	s->state = S_SLOT;
@@ -286,17 +284,17 @@
 
 	if (savepoint && !s->in_block) {
 		sql_fail(&e, "25P01", "no transaction in progress");
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	if (needs_lock(s) && !txn_check_primary(&e)) {
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	s->state = S_LOCK;
 	if (needs_lock(s) && !lock_take(&s->lock))
 		return;
-	start_slot(s);
+	ses_start_slot(s);
 }
 
 /* ---- marjoramlatch_ functions ---- */
@@ -307,7 +305,7 @@
 	char tag[32];
 
 	if (e) {
-		failed(s, e);
+		ses_failed(s, e);
 		return;
 	}
 	snprintf(tag, sizeof(tag), "SELECT %lld",
@@ -341,12 +339,12 @@
 	char tag[32];
 
 	if (!fill_args(s, &c, &e)) {
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	/* The writes pipelined in front of an await are what it waits for. */
 	if (c.fn == FN_AWAIT && !s->in_block && !txn_commit(s, &e)) {
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	if (s->simple)
@@ -358,7 +356,7 @@
 	case FN_WAIT:
 		return;
 	case FN_FAILED:
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	case FN_DONE:
 		snprintf(tag, sizeof(tag), "SELECT %lld", (long long)rows);
@@ -368,13 +366,6 @@
 
 /* ---- running ---- */
 
-static void on_timeout(struct ev_loop *loop, ev_timer *t, int events)
-{
-	(void)loop;
-	(void)events;
-	ses_cancel(t->data);
-}
-
 static bool allowed_in_failed(const struct session *s)
 {
 	const struct text *t = &s->cur->t;
@@ -383,7 +374,7 @@
 	       (t->kind == K_SAVEPOINT && !strcmp(t->word, "ROLLBACK"));
 }
 
-static void run(struct session *s, struct pstmt *ps, struct portal *portal)
+void ses_run(struct session *s, struct pstmt *ps, struct portal *portal)
 {
 	struct sqlerr e;
 
@@ -395,7 +386,7 @@
 	}
 	if (s->failed && !allowed_in_failed(s)) {
 		sql_fail(&e, "25P02", "current transaction is aborted");
-		failed(s, &e);
+		ses_failed(s, &e);
 		return;
 	}
 	switch (ps->t.kind) {
@@ -430,274 +421,6 @@
 		return;
 	case K_REFUSED:
 		sql_fail(&e, "0A000", "%s is not supported", ps->t.word);
-		failed(s, &e);
-	}
-}
-
-/* Commits what was done outside a transaction block. */
-static bool finish_implicit(struct session *s)
-{
-	struct sqlerr e;
-
-	if (s->in_block || txn_commit(s, &e))
-		return true;
-	put_error(s, &e);
-	return false;
-}
-
-static void simple_next(struct session *s)
-{
-	const char *p = s->simple + s->simple_off;
-	size_t len = text_split(p);
-	struct sqlerr e;
-
-	ps_free(s->simple_stmt);
-	s->simple_stmt = NULL;
-	s->simple_off += len;
-	if (!len) {
-		if (!s->simple_any)
-			pgw_put_empty(s->out, 'I');
-		finish_implicit(s);
-		simple_end(s);
-		return;
-	}
-	s->simple_stmt = ps_new(s, "", p, len, &e);
-	if (!s->simple_stmt) {
-		failed(s, &e);
-		return;
-	}
-	if (s->simple_stmt->t.kind == K_EMPTY)
-		return;
-	s->simple_any = true;
-	run(s, s->simple_stmt, NULL);
-}
-
-void ses_step(struct session *s)
-{
-	if (s->state == S_LOCK && s->lock.held)
-		start_slot(s);
-	while (s->simple && s->state == S_IDLE)
-		simple_next(s);
-}
-
-void ses_simple(struct session *s, const char *sql)
-{
-	s->simple = strdup(sql);
-	s->simple_off = 0;
-	s->simple_any = false;
-	ses_step(s);
-}
-
-/* ---- extended query ---- */
-
-static bool do_parse(struct session *s, struct pgw_reader *r, struct sqlerr *e)
-{
-	const char *name = pgw_get_string(r);
-	const char *sql = pgw_get_string(r);
-	size_t len = text_split(sql);
-	struct pstmt *ps;
-
-	if (sql[len] && sql[len + strspn(sql + len, " \t\r\n;")])
-		return sql_fail(e, "42601", "more than one statement");
-	if (*name && ps_find(s, name))
-		return sql_fail(e, "42P05", "prepared statement exists");
-	ps_drop(s, name);
-	ps = ps_new(s, name, sql, len, e);
-	if (!ps)
-		return false;
-	ps->next = s->stmts;
-	s->stmts = ps;
-	pgw_put_empty(s->out, '1');
-	return true;
-}
-
-static bool do_describe(struct session *s, struct pgw_reader *r,
-			struct sqlerr *e)
-{
-	char what = pgw_get_byte(r);
-	const char *name = pgw_get_string(r);
-	struct pstmt *ps = what == 'S' ? ps_find(s, name) : NULL;
-	struct portal *p = what == 'P' ? portal_find(s, name) : NULL;
-
-	if (!ps && !p)
-		return sql_fail(e, "26000", "nothing to describe");
-	if (ps)
-		ps_describe(s, ps);
-	else
-		ps_put_columns(s, p->ps);
-	return true;
-}
-
-static bool do_execute(struct session *s, struct pgw_reader *r,
-		       struct sqlerr *e)
-{
-	struct portal *p = portal_find(s, pgw_get_string(r));
-
-	if (!p)
-		return sql_fail(e, "34000", "no such portal");
-	run(s, p->ps, p);
-	return true;
-}
-
-static void do_close(struct session *s, struct pgw_reader *r)
-{
-	char what = pgw_get_byte(r);
-	const char *name = pgw_get_string(r);
-
-	if (what == 'S')
-		ps_drop(s, name);
-	else
-		portal_drop(s, name);
-	pgw_put_empty(s->out, '3');
-}
-
-static void do_sync(struct session *s)
-{
-	/* After an error everything outside a block is rolled back already. */
-	if (!s->skip)
-		finish_implicit(s);
-	s->skip = false;
-	pgw_put_ready(s->out, txn_status(s));
-}
-
-void ses_message(struct session *s, const struct pgw_msg *m)
-{
-	struct pgw_reader r;
-	struct sqlerr e;
-	bool ok = true;
-
-	if (m->type == 'S') {
-		do_sync(s);
-		return;
-	}
-	if (s->skip)
-		return;
-	pgw_read(&r, m);
-	switch (m->type) {
-	case 'P':
-		ok = do_parse(s, &r, &e);
-		break;
-	case 'B':
-		ok = portal_bind(s, &r, &e);
-		if (ok)
-			pgw_put_empty(s->out, '2');
-		break;
-	case 'D':
-		ok = do_describe(s, &r, &e);
-		break;
-	case 'E':
-		ok = do_execute(s, &r, &e);
-		break;
-	case 'C':
-		do_close(s, &r);
-		break;
-	case 'H':
-		break;
-	default:
-		ok = sql_fail(&e, "0A000", "message '%c'", m->type);
+		ses_failed(s, &e);
 	}
-	if (!ok)
-		failed(s, &e);
-}
-
-/* ---- life ---- */
-
-static void drop_waits(struct session *s)
-{
-	switch (s->state) {
-	case S_IDLE:
-		break;
-	case S_LOCK:
-		lock_drop(&s->lock);
-		break;
-	case S_SLOT:
-		slot_drop(&s->slot);
-		break;
-	case S_CALL:
-		fn_cancel(&s->call);
-		break;
-	}
-}
-
-void ses_cancel(struct session *s)
-{
-	struct sqlerr e;
-
-	if (s->state == S_IDLE)
-		return;
-	drop_waits(s);
-	sql_fail(&e, "57014", "canceling statement");
-	failed(s, &e);
-}
-
-void ses_abort_writer(struct session *s)
-{
-	bool in_block = s->in_block;
-	struct sqlerr e;
-
-	if (!s->writing && !s->lock.held && !s->lock.queued)
-		return;
-	if (s->state != S_IDLE) {
-		s->replaced = in_block;
-		drop_waits(s);
-		sql_fail(&e, "25006", "the primary was replaced");
-		failed(s, &e);
-		return;
-	}
-	txn_rollback(s);
-	s->in_block = in_block;
-	s->failed = in_block;
-	s->replaced = true;
-}
-
-static void on_lock(void *arg)
-{
-	struct session *s = arg;
-
-	conn_wake(s->owner);
-}
-
-struct session *ses_new(struct conn *owner, struct buf *out)
-{
-	struct session *s = calloc(1, sizeof(*s));
-
-	s->owner = owner;
-	s->out = out;
-	s->db = store_handle();
-	s->lock.fn = on_lock;
-	s->lock.arg = s;
-	s->slot.fn = on_cost;
-	s->slot.arg = s;
-	ev_init(&s->timeout, on_timeout);
-	s->timeout.data = s;
-	return s;
-}
-
-void ses_redirect(struct session *s, struct buf *out)
-{
-	s->out = out;
-}
-
-void ses_free(struct session *s)
-{
-	if (!s)
-		return;
-	drop_waits(s);
-	ev_timer_stop(be.loop, &s->timeout);
-	txn_rollback(s);
-	ps_drop_all(s);
-	ps_free(s->simple_stmt);
-	free(s->simple);
-	sqlite3_close(s->db);
-	free(s);
-}
-
-bool ses_busy(const struct session *s)
-{
-	return s->state != S_IDLE || s->simple;
-}
-
-bool ses_in_transaction(const struct session *s)
-{
-	return s->in_block || s->writing;
 }
--- /dev/null
+++ b/t/helper/backend/session.c
@@ -0,0 +1,279 @@
+#include "session.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Commits what was done outside a transaction block. */
+static bool finish_implicit(struct session *s)
+{
+	struct sqlerr e;
+
+	if (s->in_block || txn_commit(s, &e))
+		return true;
+	ses_put_error(s, &e);
+	return false;
+}
+
+static void simple_next(struct session *s)
+{
+	const char *p = s->simple + s->simple_off;
+	size_t len = text_split(p);
+	struct sqlerr e;
+
+	ps_free(s->simple_stmt);
+	s->simple_stmt = NULL;
+	s->simple_off += len;
+	if (!len) {
+		if (!s->simple_any)
+			pgw_put_empty(s->out, 'I');
+		finish_implicit(s);
+		ses_simple_end(s);
+		return;
+	}
+	s->simple_stmt = ps_new(s, "", p, len, &e);
+	if (!s->simple_stmt) {
+		ses_failed(s, &e);
+		return;
+	}
+	if (s->simple_stmt->t.kind == K_EMPTY)
+		return;
+	s->simple_any = true;
+	ses_run(s, s->simple_stmt, NULL);
+}
+
+void ses_step(struct session *s)
+{
+	if (s->state == S_LOCK && s->lock.held)
+		ses_start_slot(s);
+	while (s->simple && s->state == S_IDLE)
+		simple_next(s);
+}
+
+void ses_simple(struct session *s, const char *sql)
+{
+	s->simple = strdup(sql);
+	s->simple_off = 0;
+	s->simple_any = false;
+	ses_step(s);
+}
+
+/* ---- extended query ---- */
+
+static bool do_parse(struct session *s, struct pgw_reader *r, struct sqlerr *e)
+{
+	const char *name = pgw_get_string(r);
+	const char *sql = pgw_get_string(r);
+	size_t len = text_split(sql);
+	struct pstmt *ps;
+
+	if (sql[len] && sql[len + strspn(sql + len, " \t\r\n;")])
+		return sql_fail(e, "42601", "more than one statement");
+	if (*name && ps_find(s, name))
+		return sql_fail(e, "42P05", "prepared statement exists");
+	ps_drop(s, name);
+	ps = ps_new(s, name, sql, len, e);
+	if (!ps)
+		return false;
+	ps->next = s->stmts;
+	s->stmts = ps;
+	pgw_put_empty(s->out, '1');
+	return true;
+}
+
+static bool do_describe(struct session *s, struct pgw_reader *r,
+			struct sqlerr *e)
+{
+	char what = pgw_get_byte(r);
+	const char *name = pgw_get_string(r);
+	struct pstmt *ps = what == 'S' ? ps_find(s, name) : NULL;
+	struct portal *p = what == 'P' ? portal_find(s, name) : NULL;
+
+	if (!ps && !p)
+		return sql_fail(e, "26000", "nothing to describe");
+	if (ps)
+		ps_describe(s, ps);
+	else
+		ps_put_columns(s, p->ps);
+	return true;
+}
+
+static bool do_execute(struct session *s, struct pgw_reader *r,
+		       struct sqlerr *e)
+{
+	struct portal *p = portal_find(s, pgw_get_string(r));
+
+	if (!p)
+		return sql_fail(e, "34000", "no such portal");
+	ses_run(s, p->ps, p);
+	return true;
+}
+
+static void do_close(struct session *s, struct pgw_reader *r)
+{
+	char what = pgw_get_byte(r);
+	const char *name = pgw_get_string(r);
+
+	if (what == 'S')
+		ps_drop(s, name);
+	else
+		portal_drop(s, name);
+	pgw_put_empty(s->out, '3');
+}
+
+static void do_sync(struct session *s)
+{
+	/* After an error everything outside a block is rolled back already. */
+	if (!s->skip)
+		finish_implicit(s);
+	s->skip = false;
+	pgw_put_ready(s->out, txn_status(s));
+}
+
+void ses_message(struct session *s, const struct pgw_msg *m)
+{
+	struct pgw_reader r;
+	struct sqlerr e;
+	bool ok = true;
+
+	if (m->type == 'S') {
+		do_sync(s);
+		return;
+	}
+	if (s->skip)
+		return;
+	pgw_read(&r, m);
+	switch (m->type) {
+	case 'P':
+		ok = do_parse(s, &r, &e);
+		break;
+	case 'B':
+		ok = portal_bind(s, &r, &e);
+		if (ok)
+			pgw_put_empty(s->out, '2');
+		break;
+	case 'D':
+		ok = do_describe(s, &r, &e);
+		break;
+	case 'E':
+		ok = do_execute(s, &r, &e);
+		break;
+	case 'C':
+		do_close(s, &r);
+		break;
+	case 'H':
+		break;
+	default:
+		ok = sql_fail(&e, "0A000", "message '%c'", m->type);
+	}
+	if (!ok)
+		ses_failed(s, &e);
+}
+
+/* ---- life ---- */
+
+static void drop_waits(struct session *s)
+{
+	switch (s->state) {
+	case S_IDLE:
+		break;
+	case S_LOCK:
+		lock_drop(&s->lock);
+		break;
+	case S_SLOT:
+		slot_drop(&s->slot);
+		break;
+	case S_CALL:
+		fn_cancel(&s->call);
+		break;
+	}
+}
+
+void ses_cancel(struct session *s)
+{
+	struct sqlerr e;
+
+	if (s->state == S_IDLE)
+		return;
+	drop_waits(s);
+	sql_fail(&e, "57014", "canceling statement");
+	ses_failed(s, &e);
+}
+
+void ses_abort_writer(struct session *s)
+{
+	bool in_block = s->in_block;
+	struct sqlerr e;
+
+	if (!s->writing && !s->lock.held && !s->lock.queued)
+		return;
+	if (s->state != S_IDLE) {
+		s->replaced = in_block;
+		drop_waits(s);
+		sql_fail(&e, "25006", "the primary was replaced");
+		ses_failed(s, &e);
+		return;
+	}
+	txn_rollback(s);
+	s->in_block = in_block;
+	s->failed = in_block;
+	s->replaced = true;
+}
+
+static void on_timeout(struct ev_loop *loop, ev_timer *t, int events)
+{
+	(void)loop;
+	(void)events;
+	ses_cancel(t->data);
+}
+
+static void on_lock(void *arg)
+{
+	struct session *s = arg;
+
+	conn_wake(s->owner);
+}
+
+struct session *ses_new(struct conn *owner, struct buf *out)
+{
+	struct session *s = calloc(1, sizeof(*s));
+
+	s->owner = owner;
+	s->out = out;
+	s->db = store_handle();
+	s->lock.fn = on_lock;
+	s->lock.arg = s;
+	s->slot.fn = ses_cost_passed;
+	s->slot.arg = s;
+	ev_init(&s->timeout, on_timeout);
+	s->timeout.data = s;
+	return s;
+}
+
+void ses_redirect(struct session *s, struct buf *out)
+{
+	s->out = out;
+}
+
+void ses_free(struct session *s)
+{
+	if (!s)
+		return;
+	drop_waits(s);
+	ev_timer_stop(be.loop, &s->timeout);
+	txn_rollback(s);
+	ps_drop_all(s);
+	ps_free(s->simple_stmt);
+	free(s->simple);
+	sqlite3_close(s->db);
+	free(s);
+}
+
+bool ses_busy(const struct session *s)
+{
+	return s->state != S_IDLE || s->simple;
+}
+
+bool ses_in_transaction(const struct session *s)
+{
+	return s->in_block || s->writing;
+}
--- a/t/helper/backend/session.h
+++ b/t/helper/backend/session.h
@@ -76,6 +76,22 @@
 void portal_drop(struct session *s, const char *name);
 bool portal_bind(struct session *s, struct pgw_reader *r, struct sqlerr *e);
 
+/* ---- query.c ---- */
+
+/* Runs one statement; portal is NULL in a simple query. */
+void ses_run(struct session *s, struct pstmt *ps, struct portal *portal);
+
+/* Continues once the writer lock is held. */
+void ses_start_slot(struct session *s);
+
+/* The statement's cost has passed while it held a slot. */
+void ses_cost_passed(void *arg);
+
+/* The current statement or message has failed. */
+void ses_failed(struct session *s, const struct sqlerr *e);
+void ses_put_error(struct session *s, const struct sqlerr *e);
+void ses_simple_end(struct session *s);
+
 /* ---- txn.c ---- */
 
 char txn_status(const struct session *s);
