--- a/t/helper/backend/query.c
+++ b/t/helper/backend/query.c
@@ -333,7 +333,7 @@
 
 static void run_call(struct session *s)
 {
-	struct sqlerr e;
+	struct sqlerr e = {0};
 	struct call c;
 	int64_t rows = 0;
 	char tag[32];
