--- a/filter.h
+++ b/filter.h
@@ -80,8 +80,8 @@
 void flt_ended(struct flt *f, int64_t id, const struct msg_end *end,
 	       bool answered, clk_ms now);
 
-/* The caller has gone; a running request is still to be reported by
- * flt_ended(), but no FLT_DONE follows. */
+/* The caller has gone: the request is forgotten, flt_ended() is not to be
+ * called for it and no FLT_DONE follows. */
 void flt_abandon(struct flt *f, int64_t id);
 
 /* A transaction's pinned connection counts against the customer's units until
--- a/net.c
+++ b/net.c
@@ -275,6 +275,12 @@
 		net_release(c);
 }
 
+/*
+ * True while prepare watchers run. One that is started then would run only
+ * after the loop has blocked, so net_flush() waits for writability instead.
+ */
+static bool net_flushing;
+
 /* Writes before the loop blocks, so that one turn's output is one segment. */
 static void net_flush_ready(struct ev_loop *loop, ev_prepare *p, int events)
 {
@@ -282,10 +288,12 @@
 
 	(void)events;
 	ev_prepare_stop(loop, p);
+	net_flushing = true;
 	c->depth++;
 	if (!c->connecting)
 		net_write(c);
 	c->depth--;
+	net_flushing = false;
 	if (c->freed && !c->depth)
 		net_release(c);
 }
@@ -355,7 +363,11 @@
 
 void net_flush(struct net_conn *c)
 {
-	if (!c->closed && !c->connecting)
+	if (c->closed || c->connecting)
+		return;
+	if (net_flushing)
+		net_watch(c);
+	else
 		ev_prepare_start(c->loop, &c->flush);
 }
 
