--- a/filter.h
+++ b/filter.h
@@ -75,10 +75,10 @@
 /* Admits a request; returns its id, never 0. */
 int64_t flt_submit(struct flt *f, const struct flt_request *rq, clk_ms now);
 
-/* Result of the last FLT_RUN of a request. answered says that bytes of the
- * answer already went to the caller, so that it can't be retried. */
-void flt_ended(struct flt *f, int64_t id, const struct msg_end *end,
-	       bool answered, clk_ms now);
+/* Result of the last FLT_RUN of a request, on backend. answered says that bytes
+ * of the answer already went to the caller, so that it can't be retried. */
+void flt_ended(struct flt *f, int64_t id, const char *backend,
+	       const struct msg_end *end, bool answered, clk_ms now);
 
 /* The caller has gone: the request is forgotten, flt_ended() is not to be
  * called for it and no FLT_DONE follows. */
--- /dev/null
+++ b/request.c
@@ -0,0 +1,236 @@
+#include "request.h"
+
+#include <ev.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+struct req_run {
+	int64_t id;
+	int64_t run_id; /* 0 while nothing runs */
+	char backend[ID_LEN];
+	struct req_engine *engine;
+	struct exec_sink sink;
+	bool answered; /* bytes went to the caller */
+	UT_hash_handle hh;
+};
+
+struct req_engine {
+	struct ev_loop *loop;
+	struct flt *flt;
+	struct exec *exec;
+	struct req_run *runs;
+	ev_timer timer; /* flt_due() */
+	clk_ms timer_at;
+	ev_idle later; /* FLT_DONE actions made inside req_start() */
+	void (*on_quota)(void *arg);
+	void *quota_arg;
+	bool draining;
+};
+
+static void req_drain(struct req_engine *q);
+
+static struct req_run *req_find(struct req_engine *q, int64_t id)
+{
+	struct req_run *r;
+
+	HASH_FIND(hh, q->runs, &id, sizeof(id), r);
+	return r;
+}
+
+static void req_on_data(void *arg, const char *bytes, size_t len)
+{
+	struct req_run *r = arg;
+
+	r->answered = true;
+	r->sink.on_data(r->sink.arg, bytes, len);
+}
+
+static void req_on_end(void *arg, const struct msg_end *end)
+{
+	struct req_run *r = arg;
+	struct req_engine *q = r->engine;
+
+	r->run_id = 0;
+	flt_ended(q->flt, r->id, r->backend, end, r->answered, clk_now());
+	req_drain(q);
+}
+
+static void req_run(struct req_engine *q, const struct flt_action *a)
+{
+	struct req_run *r = req_find(q, a->id);
+	struct exec_sink sink = {
+		.arg = r, .on_data = req_on_data, .on_end = req_on_end};
+
+	if (!r)
+		return;
+	snprintf(r->backend, sizeof(r->backend), "%s", a->u.run.backend);
+	r->run_id = exec_start(q->exec, &a->u.run, &sink);
+}
+
+static void req_done(struct req_engine *q, const struct flt_action *a)
+{
+	struct req_run *r = req_find(q, a->id);
+	struct exec_sink sink;
+
+	if (!r)
+		return;
+	sink = r->sink;
+	HASH_DEL(q->runs, r);
+	free(r);
+	sink.on_end(sink.arg, &a->u.end);
+}
+
+static void req_arm(struct req_engine *q)
+{
+	clk_ms due = flt_due(q->flt);
+	clk_ms now;
+
+	if (due == CLK_NEVER) {
+		ev_timer_stop(q->loop, &q->timer);
+		return;
+	}
+	if (ev_is_active(&q->timer) && q->timer_at == due)
+		return;
+	now = clk_now();
+	ev_timer_stop(q->loop, &q->timer);
+	ev_now_update(q->loop);
+	ev_timer_set(&q->timer,
+		     due > now ? (double)(due - now) / 1000.0 : 0.001, 0.);
+	ev_timer_start(q->loop, &q->timer);
+	q->timer_at = due;
+}
+
+/*
+ * Carries out the chain's actions. Ends are only reported from the loop, never
+ * from inside req_start(), so a caller never sees its answer before its id.
+ */
+static void req_drain(struct req_engine *q)
+{
+	struct flt_action a;
+
+	if (q->draining)
+		return;
+	q->draining = true;
+	while (flt_poll(q->flt, &a)) {
+		if (a.kind == FLT_RUN)
+			req_run(q, &a);
+		else
+			req_done(q, &a);
+	}
+	q->draining = false;
+	if (flt_wants_quota(q->flt) && q->on_quota)
+		q->on_quota(q->quota_arg);
+	req_arm(q);
+}
+
+static void req_later(struct ev_loop *loop, ev_idle *w, int events)
+{
+	(void)events;
+	ev_idle_stop(loop, w);
+	req_drain(w->data);
+}
+
+static void req_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	req_kick(w->data);
+}
+
+struct req_engine *req_new(struct ev_loop *loop, struct flt *flt,
+			   struct exec *exec)
+{
+	struct req_engine *q = calloc(1, sizeof(*q));
+
+	if (!q)
+		abort();
+	q->loop = loop;
+	q->flt = flt;
+	q->exec = exec;
+	ev_init(&q->timer, req_timer);
+	q->timer.data = q;
+	ev_idle_init(&q->later, req_later);
+	q->later.data = q;
+	return q;
+}
+
+void req_free(struct req_engine *q)
+{
+	struct req_run *r;
+	struct req_run *next;
+
+	if (!q)
+		return;
+	ev_timer_stop(q->loop, &q->timer);
+	ev_idle_stop(q->loop, &q->later);
+	HASH_ITER(hh, q->runs, r, next)
+	{
+		HASH_DEL(q->runs, r);
+		free(r);
+	}
+	free(q);
+}
+
+int64_t req_start(struct req_engine *q, const struct flt_request *rq,
+		  const struct exec_sink *sink)
+{
+	struct req_run *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		abort();
+	r->engine = q;
+	r->sink = *sink;
+	r->id = flt_submit(q->flt, rq, clk_now());
+	HASH_ADD(hh, q->runs, id, sizeof(r->id), r);
+	ev_idle_start(q->loop, &q->later);
+	return r->id;
+}
+
+void req_cancel(struct req_engine *q, int64_t id)
+{
+	struct req_run *r = req_find(q, id);
+
+	if (r && r->run_id)
+		exec_cancel(q->exec, r->run_id);
+}
+
+void req_abandon(struct req_engine *q, int64_t id)
+{
+	struct req_run *r = req_find(q, id);
+
+	if (!r)
+		return;
+	if (r->run_id)
+		exec_abandon(q->exec, r->run_id);
+	flt_abandon(q->flt, id);
+	HASH_DEL(q->runs, r);
+	free(r);
+	ev_idle_start(q->loop, &q->later);
+}
+
+void req_unpin(struct req_engine *q, const char *customer, const char *backend,
+	       int64_t pin)
+{
+	exec_unpin(q->exec, backend, pin);
+	flt_unpin(q->flt, customer);
+	ev_idle_start(q->loop, &q->later);
+}
+
+size_t req_running(const struct req_engine *q)
+{
+	return HASH_COUNT(q->runs);
+}
+
+void req_kick(struct req_engine *q)
+{
+	flt_tick(q->flt, clk_now());
+	req_drain(q);
+}
+
+void req_on_quota(struct req_engine *q, void (*fn)(void *arg), void *arg)
+{
+	q->on_quota = fn;
+	q->quota_arg = arg;
+}
