filter: find due requests first, since handling one may end another

Ending a request gives its unit to the next in the queue, which may end that one too, so an iteration over the records could touch freed memory. What may be retried moves to the retry module.

--- a/admit.c
+++ b/admit.c
@@ -33,8 +33,7 @@
 
 	if (!a)
 		return;
-	HASH_ITER(hh, a->slots, s, next)
-	{
+	HASH_ITER (hh, a->slots, s, next) {
 		HASH_DEL(a->slots, s);
 		free(s);
 	}
@@ -124,7 +123,7 @@
 	struct admit_slot *s;
 	struct admit_slot *next;
 
-	HASH_ITER(hh, a->slots, s, next)
-	if (s->customer.in_use || s->customer.queued)
-		fn(arg, &s->customer);
+	HASH_ITER (hh, a->slots, s, next)
+		if (s->customer.in_use || s->customer.queued)
+			fn(arg, &s->customer);
 }
--- a/filter.c
+++ b/filter.c
@@ -97,8 +97,7 @@
 
 	if (!f)
 		return;
-	HASH_ITER(hh, f->records, r, next)
-	{
+	HASH_ITER (hh, f->records, r, next) {
 		HASH_DEL(f->records, r);
 		free(r);
 	}
@@ -536,71 +535,12 @@
 	return id;
 }
 
-static void flt_count_retry(enum res res)
-{
-	switch (res) {
-	case RES_UNREACHABLE:
-		cnt_add(CNT_retry_unreachable, 1);
-		break;
-	case RES_BEHIND:
-		cnt_add(CNT_retry_behind, 1);
-		break;
-	case RES_NO_PRIMARY:
-		cnt_add(CNT_retry_no_primary, 1);
-		break;
-	case RES_NO_LEASE:
-		cnt_add(CNT_retry_no_lease, 1);
-		break;
-	case RES_NOT_OWNER:
-		cnt_add(CNT_retry_not_owner, 1);
-		break;
-	case RES_LEAVING:
-		cnt_add(CNT_retry_leaving, 1);
-		break;
-	default:
-		cnt_add(CNT_retry_read_failed, 1);
-		break;
-	}
-}
-
-/*
- * May the request be tried again after this result? What was certainly not run
- * may, whatever it is; what may have run only if it is repeatable. Overload is
- * never answered with a retry.
- */
-static bool flt_may_retry(const struct flt_record *r, const struct msg_end *end)
-{
-	switch ((enum res)end->res) {
-	case RES_UNREACHABLE:
-	case RES_BEHIND:
-	case RES_NO_PRIMARY:
-	case RES_NO_LEASE:
-	case RES_NOT_OWNER:
-	case RES_LEAVING:
-		return !r->rq.pin;
-	case RES_READ_FAILED:
-		return r->rq.kind == RUN_READ && !r->rq.pin;
-	case RES_UNKNOWN:
-	case RES_NOT_DURABLE:
-		return r->rq.repeatable && r->rq.kind == RUN_WRITE;
-	default:
-		return false;
-	}
-}
-
-/* Waiting for a change of primary to finish is no retry against a budget. */
-static bool flt_is_waiting(enum res res)
-{
-	return res == RES_NO_PRIMARY || res == RES_NO_LEASE ||
-	       res == RES_LEAVING;
-}
-
 static void flt_retry(struct flt *f, struct flt_record *r, enum res res,
 		      const char *backend, clk_ms now)
 {
 	clk_ms pause = FLT_PARK_MS;
 
-	if (!flt_is_waiting(res)) {
+	if (!retry_is_waiting(res)) {
 		if (!retry_spend(&r->customer->budget)) {
 			cnt_add(CNT_retry_denied, 1);
 			flt_refuse(f, r,
@@ -612,7 +552,7 @@
 		}
 		pause = retry_pause(f->rng, r->retries++);
 	}
-	flt_count_retry(res);
+	retry_count(res);
 	if (r->rq.kind == RUN_READ && !r->current && backend[0]) {
 		/* Another member can be tried at once. */
 		if (r->ntried == FLT_MAX_TRIED)
@@ -637,7 +577,9 @@
 	HASH_FIND(hh, f->records, &id, sizeof(id), r);
 	if (!r)
 		return;
-	if (end->res && !answered && flt_may_retry(r, end)) {
+	if (end->res && !answered &&
+	    retry_allowed((enum res)end->res, r->rq.kind, r->rq.pin,
+			  r->rq.repeatable)) {
 		flt_retry(f, r, (enum res)end->res, backend, now);
 		return;
 	}
@@ -676,35 +618,60 @@
 	flt_refuse(f, r, res ? res : RES_WAIT_EXCEEDED, NULL, now);
 }
 
-static void flt_tick_customer(void *arg, struct admit_customer *c)
+struct flt_pump_args {
+	struct flt *f;
+	clk_ms now;
+};
+
+static void flt_pump_one(void *arg, struct admit_customer *c)
 {
-	struct {
-		struct flt *f;
-		clk_ms now;
-	} *t = arg;
+	struct flt_pump_args *args = arg;
 
-	flt_pump(t->f, c, t->now);
+	flt_pump(args->f, c, args->now);
+}
+
+static bool flt_is_due(const struct flt_record *r, clk_ms now)
+{
+	if (!flt_waits(r->phase))
+		return false;
+	return now >= r->deadline || (r->phase == FLT_PARKED && now >= r->due);
+}
+
+/* Ids of the records that are due; handling one may end another. */
+static int64_t *flt_collect_due(const struct flt *f, clk_ms now, size_t *n)
+{
+	int64_t *ids = calloc((size_t)f->waiting + 1, sizeof(*ids));
+	const struct flt_record *r;
+
+	if (!ids)
+		abort();
+	*n = 0;
+	for (r = f->records; r; r = r->hh.next)
+		if (flt_is_due(r, now))
+			ids[(*n)++] = r->id;
+	return ids;
 }
 
 void flt_tick(struct flt *f, clk_ms now)
 {
-	struct {
-		struct flt *f;
-		clk_ms now;
-	} t = {f, now};
-	struct flt_record *r;
-	struct flt_record *next;
+	struct flt_pump_args args = {.f = f, .now = now};
+	size_t n;
+	int64_t *ids = flt_collect_due(f, now, &n);
+
+	f->ticked = now;
+	for (size_t i = 0; i < n; i++) {
+		struct flt_record *r;
 
-	HASH_ITER(hh, f->records, r, next)
-	{
-		if (r->phase != FLT_QUEUED && r->phase != FLT_PARKED)
+		HASH_FIND(hh, f->records, &ids[i], sizeof(ids[i]), r);
+		if (!r || !flt_is_due(r, now))
 			continue;
 		if (now >= r->deadline)
 			flt_expire(f, r, now);
-		else if (r->phase == FLT_PARKED && now >= r->due)
+		else
 			flt_route(f, r, now);
 	}
-	admit_each(f->admit, flt_tick_customer, &t);
+	free(ids);
+	admit_each(f->admit, flt_pump_one, &args);
 }
 
 clk_ms flt_due(const struct flt *f)
--- a/request.c
+++ b/request.c
@@ -165,8 +165,7 @@
 		return;
 	ev_timer_stop(q->loop, &q->timer);
 	ev_idle_stop(q->loop, &q->later);
-	HASH_ITER(hh, q->runs, r, next)
-	{
+	HASH_ITER (hh, q->runs, r, next) {
 		HASH_DEL(q->runs, r);
 		free(r);
 	}
--- a/retry.c
+++ b/retry.c
@@ -1,5 +1,6 @@
 #include "retry.h"
 
+#include "counter.h"
 #include "rng.h"
 
 struct retry_budget retry_new(void)
@@ -31,3 +32,62 @@
 		bound = (clk_ms)RETRY_BASE_MS << n;
 	return (clk_ms)rng_below(r, (uint64_t)bound + 1);
 }
+
+bool retry_allowed(enum res res, enum run_kind kind, int64_t pin,
+		   bool repeatable)
+{
+	if (pin)
+		return false;
+	switch (res) {
+	case RES_UNREACHABLE:
+	case RES_BEHIND:
+	case RES_NO_PRIMARY:
+	case RES_NO_LEASE:
+	case RES_NOT_OWNER:
+	case RES_LEAVING:
+		return true;
+	case RES_READ_FAILED:
+		return kind == RUN_READ || kind == RUN_DESCRIBE;
+	case RES_UNKNOWN:
+	case RES_NOT_DURABLE:
+		return repeatable && kind == RUN_WRITE;
+	default:
+		return false;
+	}
+}
+
+bool retry_is_waiting(enum res res)
+{
+	return res == RES_NO_PRIMARY || res == RES_NO_LEASE ||
+	       res == RES_LEAVING;
+}
+
+void retry_count(enum res res)
+{
+	switch (res) {
+	case RES_UNREACHABLE:
+		cnt_add(CNT_retry_unreachable, 1);
+		break;
+	case RES_BEHIND:
+		cnt_add(CNT_retry_behind, 1);
+		break;
+	case RES_NO_PRIMARY:
+		cnt_add(CNT_retry_no_primary, 1);
+		break;
+	case RES_NO_LEASE:
+		cnt_add(CNT_retry_no_lease, 1);
+		break;
+	case RES_NOT_OWNER:
+		cnt_add(CNT_retry_not_owner, 1);
+		break;
+	case RES_LEAVING:
+		cnt_add(CNT_retry_leaving, 1);
+		break;
+	case RES_READ_FAILED:
+		cnt_add(CNT_retry_read_failed, 1);
+		break;
+	default:
+		cnt_add(CNT_retry_unknown, 1);
+		break;
+	}
+}
--- a/retry.h
+++ b/retry.h
@@ -10,6 +10,7 @@
  */
 
 #include "clock.h"
+#include "msg.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -37,4 +38,19 @@
 /* Pause before retry number n (from 0): uniform in [0, min(cap, base 2^n)]. */
 clk_ms retry_pause(struct rng *r, int n);
 
+/*
+ * May a request be tried again after this result? What was certainly not run
+ * may, whatever it is; what may have run only if it is repeatable. Overload is
+ * never answered with a retry, and a statement of a transaction never moves to
+ * another connection.
+ */
+bool retry_allowed(enum res res, enum run_kind kind, int64_t pin,
+		   bool repeatable);
+
+/* Waiting for a change of primary to finish is no retry against a budget. */
+bool retry_is_waiting(enum res res);
+
+/* Counts a retry by its reason. */
+void retry_count(enum res res);
+
 #endif
