msg: carry the handover flag and the next term of a group

A leader that stops asks a follower to stand for election at once, and a change of primary that a new leader takes over needs the highest term used.

--- a/cluster.h
+++ b/cluster.h
@@ -31,6 +31,7 @@
 	struct term_start *starts; /* newest last */
 	int64_t nstarts;
 	int64_t version;
+	int64_t next_term; /* highest term that a change has used */
 };
 
 struct backend_info {
--- a/msg.c
+++ b/msg.c
@@ -71,7 +71,8 @@
 	S(group_info, primary),
 	B(group_info, changing),
 	L(group_info, starts, term_start, start_fields),
-	I(group_info, version)};
+	I(group_info, version),
+	I(group_info, next_term)};
 
 static const struct fld proxy_fields[] = {
 	S(proxy_info, id), S(proxy_info, addr), S(proxy_info, zone),
@@ -131,8 +132,8 @@
 					 L(msg_rows, cells, cell, cell_fields)};
 
 static const struct fld vote_fields[] = {
-	I(msg_vote, term), I(msg_vote, uuid), B(msg_vote, pre),
-	I(msg_vote, last_index), I(msg_vote, last_term)};
+	I(msg_vote, term),	 I(msg_vote, uuid),	 B(msg_vote, pre),
+	I(msg_vote, last_index), I(msg_vote, last_term), B(msg_vote, handover)};
 
 static const struct fld voted_fields[] = {I(msg_voted, term),
 					  I(msg_voted, uuid), B(msg_voted, pre),
@@ -149,7 +150,8 @@
 	I(msg_append, prev_index),
 	I(msg_append, prev_term),
 	I(msg_append, commit),
-	L(msg_append, entries, raft_entry, entry_fields)};
+	L(msg_append, entries, raft_entry, entry_fields),
+	B(msg_append, handover)};
 
 static const struct fld appended_fields[] = {
 	I(msg_appended, term), I(msg_appended, uuid), I(msg_appended, round),
--- a/msg.h
+++ b/msg.h
@@ -189,6 +189,7 @@
 	bool pre;
 	int64_t last_index;
 	int64_t last_term;
+	bool handover; /* the leader asked for this election */
 };
 
 struct msg_voted {
@@ -214,6 +215,7 @@
 	int64_t commit;
 	struct raft_entry *entries;
 	int64_t nentries;
+	bool handover; /* stand for election at once */
 };
 
 struct msg_appended {
