--- a/exec.h
+++ b/exec.h
@@ -21,6 +21,7 @@
 struct settings;
 struct view;
 struct link;
+struct peers;
 struct buf;
 
 struct exec_sink {
@@ -33,6 +34,9 @@
 		      struct view *view);
 void exec_free(struct exec *x);
 
+/* Where exec finds the link to an owner; NULL while there are no peers. */
+void exec_set_peers(struct exec *x, struct peers *p);
+
 /* Starts a request; run is copied. Returns the run id, never 0. on_end is
  * never called from inside exec_start(). */
 int64_t exec_start(struct exec *x, const struct msg_run *run,
