json, settings: read settings from JSON with checks

Others need set_load() to start a process. json-c keeps the last of two equal keys silently, so the tokener's state is read after every ':' to refuse them and to learn the line of each key.

--- /dev/null
+++ b/json.h
@@ -0,0 +1,85 @@
+#ifndef JSON_H
+#define JSON_H
+
+/*
+ * Checked access to JSON documents with comments, on json-c.
+ *
+ * Every error names the file, the line where it is known, the path of the
+ * key such as "plans[2].connections", what was found and what was expected.
+ * Duplicate keys are refused: json-c would silently keep the last one.
+ *
+ * The getters leave the output unchanged when the key is missing, so that
+ * callers set defaults first; js_need() refuses a missing key.
+ */
+
+#include "error.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+	JS_PATH_LEN = 96, /* bytes of the path of a node */
+	JS_MAX_FILE = 64 << 20 /* bytes of a file */
+};
+
+struct js_doc;
+
+/* An object or array inside a document; valid as long as the document. */
+struct js_node {
+	struct js_doc *doc;
+	struct json_object *obj;
+	char path[JS_PATH_LEN]; /* empty for the root */
+};
+
+/* Parses a text; name stands for the file in errors. NULL on failure. */
+struct js_doc *js_parse(const char *name, const char *text, size_t len,
+			struct err *e);
+struct js_doc *js_parse_file(const char *path, struct err *e);
+void js_free(struct js_doc *d);
+
+/* Reads a whole file into malloc'ed memory with a final zero. */
+char *js_read_file(const char *path, size_t *len, struct err *e);
+
+/* The root, which must be an object. */
+enum res js_root(struct js_doc *d, struct js_node *out, struct err *e);
+
+/* Refuses keys that are not in the NULL-terminated list. */
+enum res js_check_keys(const struct js_node *n, const char *const *keys,
+		       struct err *e);
+bool js_has(const struct js_node *n, const char *key);
+enum res js_need(const struct js_node *n, const char *key, struct err *e);
+
+/* A string that fits into size bytes with its final zero. */
+enum res js_string(const struct js_node *n, const char *key, char *out,
+		   size_t size, struct err *e);
+
+/* A non-empty name of letters, digits, '_', '-' and '.'. */
+enum res js_id(const struct js_node *n, const char *key, char *out, size_t size,
+	       struct err *e);
+enum res js_int(const struct js_node *n, const char *key, int64_t *out,
+		int64_t min, int64_t max, const char *unit, struct err *e);
+enum res js_bool(const struct js_node *n, const char *key, bool *out,
+		 struct err *e);
+
+/* Index of a string in a NULL-terminated list of choices. */
+enum res js_choice(const struct js_node *n, const char *key,
+		   const char *const *choices, int *out, struct err *e);
+
+/* An array; its length goes to len (0 if the key is missing). */
+enum res js_array(const struct js_node *n, const char *key, struct js_node *out,
+		  size_t max, size_t *len, struct err *e);
+
+/* Entry i of an array, which must be an object. */
+enum res js_object_at(const struct js_node *array, size_t i,
+		      struct js_node *out, struct err *e);
+
+/* Entry i of an array, which must be a name as for js_id(). */
+enum res js_id_at(const struct js_node *array, size_t i, char *out, size_t size,
+		  struct err *e);
+
+/* Fills in e for a key of n, for checks that the caller makes itself. */
+enum res js_fail(const struct js_node *n, const char *key, struct err *e,
+		 const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/settings.c
@@ -0,0 +1,341 @@
+#include "settings.h"
+#include "json.h"
+#include "log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+enum {
+	SET_MIN_KEY = 16, /* bytes of the key file */
+	SET_MIN_SECRET = 8, /* bytes of a password */
+	SET_MAX_MS = 600000,
+	SET_MAX_CALLERS = 1000000
+};
+
+enum res set_check_addr(const char *addr, const char *key, struct err *e)
+{
+	char host[ADDR_LEN];
+	struct in_addr ip;
+	const char *colon = strrchr(addr, ':');
+	char *end;
+	long port;
+
+	if (!colon || (size_t)(colon - addr) >= sizeof(host))
+		goto bad;
+	memcpy(host, addr, (size_t)(colon - addr));
+	host[colon - addr] = '\0';
+	if (inet_pton(AF_INET, host, &ip) != 1)
+		goto bad;
+	port = strtol(colon + 1, &end, 10);
+	if (colon[1] >= '0' && colon[1] <= '9' && !*end && port >= 0 &&
+	    port <= 65535)
+		return RES_OK;
+bad:
+	return err_set(e, RES_BAD_LIST,
+		       "%s: found \"%s\", expected \"ip:port\" with an IPv4 "
+		       "address and a port from 0 to 65535",
+		       key, addr);
+}
+
+static enum res set_addr(const struct js_node *n, const char *key, char *out,
+			 struct err *e)
+{
+	if (js_string(n, key, out, ADDR_LEN, e))
+		return RES_BAD_LIST;
+	if (js_has(n, key) && set_check_addr(out, key, NULL))
+		return js_fail(n, key, e,
+			       "found \"%s\", expected \"ip:port\" with an "
+			       "IPv4 address and a port from 0 to 65535",
+			       out);
+	return RES_OK;
+}
+
+static void set_defaults(struct settings *s)
+{
+	*s = (struct settings){
+		.log_level = "info",
+		.scheduling = SET_OWNER,
+		.admission = true,
+		.short_first = true,
+		.max_callers = 10000,
+		.ask_ms = 400,
+		.lease_ms = 1000,
+		.grant_ms = 2000,
+		.poll_ms = 100,
+		.suspect_ms = 500,
+		.silent_ms = 2500,
+		.heartbeat_ms = 100,
+		.election_min_ms = 500,
+		.stop_ms = 5000,
+	};
+}
+
+static const char *const set_keys[] = {"id",
+				       "zone",
+				       "link",
+				       "listen",
+				       "data",
+				       "key_file",
+				       "log_level",
+				       "controls",
+				       "operator_password",
+				       "backend_password",
+				       "scheduling",
+				       "admission",
+				       "short_first",
+				       "max_callers",
+				       "ask_ms",
+				       "lease_ms",
+				       "grant_ms",
+				       "poll_ms",
+				       "suspect_ms",
+				       "silent_ms",
+				       "heartbeat_ms",
+				       "election_min_ms",
+				       "stop_ms",
+				       "seed",
+				       NULL};
+
+static enum res set_required(const struct js_node *n, enum set_role role,
+			     struct err *e)
+{
+	static const char *const both[] = {"id",       "zone",
+					   "link",     "key_file",
+					   "controls", "backend_password",
+					   NULL};
+	static const char *const proxy[] = {"listen", "operator_password",
+					    NULL};
+	static const char *const control[] = {"data", NULL};
+
+	for (int i = 0; both[i]; i++)
+		if (js_need(n, both[i], e))
+			return RES_BAD_LIST;
+	for (const char *const *k = role == SET_PROXY ? proxy : control; *k;
+	     k++)
+		if (js_need(n, *k, e))
+			return RES_BAD_LIST;
+	return RES_OK;
+}
+
+static enum res set_control_at(struct settings *s, const struct js_node *list,
+			       size_t i, struct err *e)
+{
+	static const char *const keys[] = {"id", "addr", NULL};
+	struct set_control *c = &s->controls[i];
+	struct js_node n;
+
+	if (js_object_at(list, i, &n, e) || js_check_keys(&n, keys, e) ||
+	    js_need(&n, "id", e) || js_need(&n, "addr", e) ||
+	    js_id(&n, "id", c->id, sizeof(c->id), e) ||
+	    set_addr(&n, "addr", c->addr, e))
+		return RES_BAD_LIST;
+	for (size_t j = 0; j < i; j++) {
+		if (!strcmp(s->controls[j].id, c->id))
+			return js_fail(&n, "id", e,
+				       "\"%s\" is listed twice, expected each "
+				       "control instance once",
+				       c->id);
+		if (!strcmp(s->controls[j].addr, c->addr))
+			return js_fail(&n, "addr", e,
+				       "\"%s\" is listed twice, expected each "
+				       "address once",
+				       c->addr);
+	}
+	return RES_OK;
+}
+
+static enum res set_controls(struct settings *s, const struct js_node *n,
+			     enum set_role role, struct err *e)
+{
+	struct js_node list;
+	size_t len;
+	bool self = role != SET_CONTROL;
+
+	if (js_array(n, "controls", &list, SET_MAX_CONTROLS, &len, e))
+		return RES_BAD_LIST;
+	if (!len)
+		return js_fail(n, "controls", e,
+			       "found no entry, expected 1 to %d",
+			       SET_MAX_CONTROLS);
+	for (size_t i = 0; i < len; i++) {
+		if (set_control_at(s, &list, i, e))
+			return RES_BAD_LIST;
+		self |= !strcmp(s->controls[i].id, s->id);
+	}
+	s->ncontrols = (int64_t)len;
+	if (!self)
+		return js_fail(n, "controls", e,
+			       "the own id \"%s\" is missing from the list",
+			       s->id);
+	return RES_OK;
+}
+
+static enum res set_secret(const struct js_node *n, const char *key, char *out,
+			   struct err *e)
+{
+	if (js_string(n, key, out, SET_SECRET_LEN, e))
+		return RES_BAD_LIST;
+	if (js_has(n, key) && strlen(out) < SET_MIN_SECRET)
+		return js_fail(n, key, e,
+			       "found %zu bytes, expected at least %d",
+			       strlen(out), SET_MIN_SECRET);
+	return RES_OK;
+}
+
+static enum res set_strings(struct settings *s, const struct js_node *n,
+			    struct err *e)
+{
+	if (js_id(n, "id", s->id, sizeof(s->id), e) ||
+	    js_id(n, "zone", s->zone, sizeof(s->zone), e) ||
+	    set_addr(n, "link", s->link, e) ||
+	    set_addr(n, "listen", s->listen, e) ||
+	    js_string(n, "data", s->data, sizeof(s->data), e) ||
+	    js_string(n, "key_file", s->key_file, sizeof(s->key_file), e) ||
+	    js_id(n, "log_level", s->log_level, sizeof(s->log_level), e) ||
+	    set_secret(n, "operator_password", s->operator_password, e) ||
+	    set_secret(n, "backend_password", s->backend_password, e))
+		return RES_BAD_LIST;
+	if (log_parse_level(s->log_level) < 0)
+		return js_fail(n, "log_level", e,
+			       "found \"%s\", expected \"error\", \"warning\", "
+			       "\"info\" or \"debug\"",
+			       s->log_level);
+	return RES_OK;
+}
+
+static enum res set_numbers(struct settings *s, const struct js_node *n,
+			    struct err *e)
+{
+	const struct {
+		const char *key;
+		clk_ms *value;
+		int64_t min;
+	} times[] = {
+		{"ask_ms", &s->ask_ms, 10},
+		{"lease_ms", &s->lease_ms, 50},
+		{"grant_ms", &s->grant_ms, 50},
+		{"poll_ms", &s->poll_ms, 10},
+		{"suspect_ms", &s->suspect_ms, 50},
+		{"silent_ms", &s->silent_ms, 100},
+		{"heartbeat_ms", &s->heartbeat_ms, 5},
+		{"election_min_ms", &s->election_min_ms, 20},
+		{"stop_ms", &s->stop_ms, 0},
+	};
+
+	for (size_t i = 0; i < sizeof(times) / sizeof(times[0]); i++)
+		if (js_int(n, times[i].key, times[i].value, times[i].min,
+			   SET_MAX_MS, "ms", e))
+			return RES_BAD_LIST;
+	if (js_int(n, "max_callers", &s->max_callers, 1, SET_MAX_CALLERS,
+		   "connections", e))
+		return RES_BAD_LIST;
+	return js_int(n, "seed", &s->seed, 0, INT64_MAX - 1, "", e);
+}
+
+static enum res set_options(struct settings *s, const struct js_node *n,
+			    struct err *e)
+{
+	static const char *const names[] = {"owner", "pools", NULL};
+	int choice = s->scheduling;
+
+	if (js_choice(n, "scheduling", names, &choice, e) ||
+	    js_bool(n, "admission", &s->admission, e) ||
+	    js_bool(n, "short_first", &s->short_first, e))
+		return RES_BAD_LIST;
+	s->scheduling = (enum set_scheduling)choice;
+	return RES_OK;
+}
+
+/* Durations that only work in relation to each other. */
+static enum res set_relations(const struct settings *s, const struct js_node *n,
+			      struct err *e)
+{
+	/* One lost ask must not end a lease. */
+	if (s->lease_ms < 2 * s->ask_ms)
+		return js_fail(n, "lease_ms", e,
+			       "found %lld ms, expected at least twice ask_ms "
+			       "(%lld ms)",
+			       (long long)s->lease_ms, (long long)s->ask_ms);
+	if (s->grant_ms < s->lease_ms)
+		return js_fail(n, "grant_ms", e,
+			       "found %lld ms, expected at least lease_ms "
+			       "(%lld ms)",
+			       (long long)s->grant_ms, (long long)s->lease_ms);
+	if (s->suspect_ms < 2 * s->poll_ms)
+		return js_fail(n, "suspect_ms", e,
+			       "found %lld ms, expected at least twice poll_ms "
+			       "(%lld ms)",
+			       (long long)s->suspect_ms, (long long)s->poll_ms);
+	if (s->election_min_ms < 2 * s->heartbeat_ms)
+		return js_fail(n, "election_min_ms", e,
+			       "found %lld ms, expected at least twice "
+			       "heartbeat_ms (%lld ms)",
+			       (long long)s->election_min_ms,
+			       (long long)s->heartbeat_ms);
+	return RES_OK;
+}
+
+static enum res set_key(struct settings *s, const struct js_node *n,
+			struct err *e)
+{
+	struct stat st;
+	size_t len;
+	char *mem;
+
+	if (stat(s->key_file, &st))
+		return js_fail(n, "key_file", e, "%s: %s", s->key_file,
+			       strerror(errno));
+	if (st.st_mode & (S_IROTH | S_IWOTH))
+		return js_fail(n, "key_file", e,
+			       "%s has mode %04o, expected one that others "
+			       "can't read or write (0600)",
+			       s->key_file, (unsigned)(st.st_mode & 07777));
+	mem = js_read_file(s->key_file, &len, e);
+	if (!mem)
+		return RES_IO;
+	if (len >= SET_MIN_KEY)
+		crypto_generichash(s->key, sizeof(s->key), (unsigned char *)mem,
+				   len, NULL, 0);
+	sodium_memzero(mem, len);
+	free(mem);
+	if (len < SET_MIN_KEY)
+		return js_fail(n, "key_file", e,
+			       "%s holds %zu bytes, expected at least %d",
+			       s->key_file, len, SET_MIN_KEY);
+	return RES_OK;
+}
+
+static enum res set_take(struct settings *s, struct js_doc *d,
+			 enum set_role role, struct err *e)
+{
+	struct js_node n;
+
+	if (js_root(d, &n, e) || js_check_keys(&n, set_keys, e) ||
+	    set_required(&n, role, e) || set_strings(s, &n, e) ||
+	    set_numbers(s, &n, e) || set_options(s, &n, e) ||
+	    set_relations(s, &n, e) || set_controls(s, &n, role, e))
+		return RES_BAD_LIST;
+	return set_key(s, &n, e);
+}
+
+enum res set_load(struct settings *s, const char *path, enum set_role role,
+		  struct err *e)
+{
+	struct err local = ERR_INIT;
+	struct js_doc *d;
+	enum res r;
+
+	set_defaults(s);
+	if (sodium_init() < 0)
+		return err_set(e, RES_INTERNAL, "libsodium can't start");
+	d = js_parse_file(path, &local);
+	if (!d)
+		return err_set(e, local.code, "%s", local.text);
+	r = set_take(s, d, role, e);
+	js_free(d);
+	return r;
+}
