--- a/t/helper/backend/func.c
+++ b/t/helper/backend/func.c
@@ -262,7 +262,7 @@
 void fn_progress(void)
 {
 	struct fn_wait *w;
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	while ((w = next_ready())) {
 		fn_cancel(w);
--- a/t/helper/backend/query.c
+++ b/t/helper/backend/query.c
@@ -129,7 +129,7 @@
 
 static void run_commit(struct session *s)
 {
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	if (s->failed && !s->replaced) {
 		txn_rollback(s);
@@ -158,7 +158,7 @@
 static void run_savepoint(struct session *s)
 {
 	const char *word = s->cur->t.word;
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	if (!store_exec(s->db, s->cur->t.sql)) {
 		store_error(s->db, &e);
@@ -223,7 +223,7 @@
 	sqlite3_stmt *st = s->cur->st;
 	bool write = !sqlite3_stmt_readonly(st);
 	int64_t rows = 0;
-	struct sqlerr e;
+	struct sqlerr e = {0};
 	char tag[64];
 
 	bind_values(s, st);
@@ -267,7 +267,7 @@
 void ses_start_slot(struct session *s)
 {
 	int64_t cost = s->cur->t.cost_us;
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	if (needs_lock(s) && !txn_begin_write(s, &e)) {
 		ses_failed(s, &e);
@@ -280,7 +280,7 @@
 static void start_sql(struct session *s)
 {
 	bool savepoint = s->cur->t.kind == K_SAVEPOINT;
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	if (savepoint && !s->in_block) {
 		sql_fail(&e, "25P01", "no transaction in progress");
@@ -376,7 +376,7 @@
 
 void ses_run(struct session *s, struct pstmt *ps, struct portal *portal)
 {
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	s->cur = ps;
 	s->cur_portal = portal;
--- a/t/helper/backend/session.c
+++ b/t/helper/backend/session.c
@@ -6,7 +6,7 @@
 /* Commits what was done outside a transaction block. */
 static bool finish_implicit(struct session *s)
 {
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	if (s->in_block || txn_commit(s, &e))
 		return true;
@@ -18,7 +18,7 @@
 {
 	const char *p = s->simple + s->simple_off;
 	size_t len = text_split(p);
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	ps_free(s->simple_stmt);
 	s->simple_stmt = NULL;
@@ -132,7 +132,7 @@
 void ses_message(struct session *s, const struct pgw_msg *m)
 {
 	struct pgw_reader r;
-	struct sqlerr e;
+	struct sqlerr e = {0};
 	bool ok = true;
 
 	if (m->type == 'S') {
@@ -190,7 +190,7 @@
 
 void ses_cancel(struct session *s)
 {
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	if (s->state == S_IDLE)
 		return;
@@ -202,7 +202,7 @@
 void ses_abort_writer(struct session *s)
 {
 	bool in_block = s->in_block;
-	struct sqlerr e;
+	struct sqlerr e = {0};
 
 	if (!s->writing && !s->lock.held && !s->lock.queued)
 		return;
