--- a/t/helper/backend/backend.h
+++ b/t/helper/backend/backend.h
@@ -22,17 +22,11 @@
 	MAX_MEMBERS = 16,
 	MAX_ARGS = 8, /* arguments of a marjoramlatch_ function */
 	ARG_LEN = 64,
-	STATE_LEN = 6, /* SQLSTATE with the final zero */
-	MAX_VIA = 16
+	STATE_LEN = 6 /* SQLSTATE with the final zero */
 };
 
 enum role { ROLE_REPLICA, ROLE_PRIMARY };
 
-struct via {
-	char from[ADDR_LEN];
-	char to[ADDR_LEN];
-};
-
 struct options {
 	char id[ID_LEN];
 	char group[ID_LEN];
@@ -50,8 +44,6 @@
 	int64_t cost_us;
 	int ship_ms;
 	int lag_ms;
-	struct via via[MAX_VIA];
-	int nvia;
 };
 
 /* What this member is and holds. store.c keeps it durable. */
--- a/t/helper/backend/main.c
+++ b/t/helper/backend/main.c
@@ -64,20 +64,6 @@
 	return a->count ? a->ival[0] : otherwise;
 }
 
-static void take_via(struct options *o, const struct arg_str *a)
-{
-	for (int i = 0; i < a->count && i < MAX_VIA; i++) {
-		const char *eq = strchr(a->sval[i], '=');
-
-		if (!eq)
-			continue;
-		snprintf(o->via[o->nvia].from, ADDR_LEN, "%.*s",
-			 (int)(eq - a->sval[i]), a->sval[i]);
-		snprintf(o->via[o->nvia].to, ADDR_LEN, "%s", eq + 1);
-		o->nvia++;
-	}
-}
-
 static void parse_options(struct options *o, int argc, char **argv)
 {
 	struct arg_str *id = arg_str1(NULL, "id", "ID", NULL);
@@ -99,12 +85,10 @@
 	struct arg_int *cost = arg_int0(NULL, "cost-us", "N", NULL);
 	struct arg_int *ship = arg_int0(NULL, "ship-ms", "N", NULL);
 	struct arg_int *lag = arg_int0(NULL, "lag-ms", "N", NULL);
-	struct arg_str *via = arg_strn(NULL, "via", "FROM=TO", 0, MAX_VIA,
-				       "reach FROM by TO when following");
 	struct arg_end *end = arg_end(8);
 	void *table[] = {id,	  listen, group, zone,	adv,   data,
 			 pass,	  ann,	  apass, slots, conns, members,
-			 connect, cost,	  ship,	 lag,	via,   end};
+			 connect, cost,	  ship,	 lag,	end};
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "backend");
@@ -128,7 +112,6 @@
 	o->cost_us = number(cost, 200);
 	o->ship_ms = number(ship, 0);
 	o->lag_ms = number(lag, 0);
-	take_via(o, via);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 }
 
--- a/t/helper/backend/repl.c
+++ b/t/helper/backend/repl.c
@@ -293,14 +293,6 @@
 	pull_later(PULL_RETRY_MS);
 }
 
-static const char *address_of(const char *addr)
-{
-	for (int i = 0; i < be.opt.nvia; i++)
-		if (!strcmp(be.opt.via[i].from, addr))
-			return be.opt.via[i].to;
-	return addr;
-}
-
 static void on_pull_timer(struct ev_loop *loop, ev_timer *t, int events)
 {
 	struct client_handler h = {
@@ -316,7 +308,7 @@
 	if (puller || m->role != ROLE_REPLICA || !m->primary[0] ||
 	    m->term < m->fence)
 		return;
-	puller = client_open(address_of(m->primary), "replica", be.opt.password,
+	puller = client_open(m->primary, "replica", be.opt.password,
 			     PULL_TIMEOUT_MS, &h);
 }
 
--- a/t/helper/relay.c
+++ b/t/helper/relay.c
@@ -3,17 +3,24 @@
  *
  *   relay --control ip:port [--listen [NAME@]ip:port=ip:port]...
  *
+ * A connection is called SOURCE>ROUTE. The source is the process that opened
+ * it, found by its socket in /proc among the processes that were named by the
+ * command "source"; "?" if it is none of them. A route without a name is
+ * called by its listening address.
+ *
  * Text commands on the control port, one a line, each answered "ok" or
- * "error TEXT". NAME is a shell pattern over the names of routes; a route
- * without a name is called by its listening address.
+ * "error TEXT". NAME is a shell pattern over connection names; one without
+ * ">" stands for all sources.
  *
  *   cut NAME            closes connections and refuses new ones
  *   freeze NAME         forwards nothing; connections stay open, new ones too
  *   forget NAME         existing connections go silent for good
  *   drop NAME up|down   holds back one direction; up is towards the target
  *   delay NAME MS       delays both directions
- *   heal NAME           undoes all but forget
+ *   heal NAME           undoes what was done by the same NAME, "*" everything
+ *                       but forget
  *   add NAME ip:port ip:port
+ *   source NAME PID
  */
 
 #include "clock.h"
@@ -22,6 +29,8 @@
 #include "net.h"
 
 #include <argtable2.h>
+#include <arpa/inet.h>
+#include <dirent.h>
 #include <ev.h>
 #include <fnmatch.h>
 #include <signal.h>
@@ -30,7 +39,29 @@
 #include <string.h>
 #include <unistd.h>
 
-enum { UP, DOWN, MAX_ROUTES = 256, BACKLOG = 1 << 20 /* bytes */ };
+enum {
+	UP,
+	DOWN,
+	MAX_ROUTES = 256,
+	MAX_SOURCES = 256,
+	MAX_RULES = 256,
+	NAME_LEN = 64,
+	BACKLOG = 1 << 20 /* bytes */
+};
+
+enum fault { CUT, FREEZE, DROP, DELAY };
+
+struct rule {
+	char pattern[NAME_LEN];
+	enum fault fault;
+	int dir; /* of DROP */
+	clk_ms ms; /* of DELAY */
+};
+
+struct source {
+	char name[NAME_LEN];
+	int pid;
+};
 
 /* Bytes that wait for their delay; none stand for the end of the stream. */
 struct chunk {
@@ -42,15 +73,11 @@
 
 struct route {
 	struct route *next;
-	char name[64];
+	char name[NAME_LEN];
 	char from[ADDR_LEN];
 	char to[ADDR_LEN];
-	struct net_listener *listener; /* NULL while cut */
+	struct net_listener *listener;
 	struct pair *pairs;
-	bool cut;
-	bool frozen;
-	bool dropped[2];
-	clk_ms delay;
 };
 
 struct side {
@@ -66,7 +93,11 @@
 	struct pair *next;
 	struct route *route;
 	struct side side[2]; /* the client's, the target's */
+	char name[2 * NAME_LEN];
 	bool forgotten;
+	bool cut;
+	bool held[2];
+	clk_ms delay;
 };
 
 struct control {
@@ -75,6 +106,96 @@
 
 static struct ev_loop *loop;
 static struct route *routes;
+static struct rule rules[MAX_RULES];
+static int nrules;
+static struct source sources[MAX_SOURCES];
+static int nsources;
+
+/* ---- names ---- */
+
+/* Inode of the socket at the other end of fd; 0 if it is not found. */
+static unsigned long peer_inode(int fd)
+{
+	struct sockaddr_in peer, self;
+	socklen_t len = sizeof(peer);
+	unsigned long inode = 0;
+	char want[64];
+	char line[256];
+	FILE *f;
+
+	if (getpeername(fd, (struct sockaddr *)&peer, &len) ||
+	    getsockname(fd, (struct sockaddr *)&self, &len))
+		return 0;
+	snprintf(want, sizeof(want), "%08X:%04X %08X:%04X",
+		 peer.sin_addr.s_addr, ntohs(peer.sin_port),
+		 self.sin_addr.s_addr, ntohs(self.sin_port));
+	f = fopen("/proc/net/tcp", "r");
+	while (f && !inode && fgets(line, sizeof(line), f))
+		if (strstr(line, want))
+			sscanf(line, "%*s %*s %*s %*s %*s %*s %*s %*s %*s %lu",
+			       &inode);
+	if (f)
+		fclose(f);
+	return inode;
+}
+
+static bool owns(int pid, unsigned long inode)
+{
+	char want[64], path[300], link[64];
+	struct dirent *entry;
+	bool found = false;
+	DIR *dir;
+
+	snprintf(want, sizeof(want), "socket:[%lu]", inode);
+	snprintf(path, sizeof(path), "/proc/%d/fd", pid);
+	dir = opendir(path);
+	while (dir && !found && (entry = readdir(dir))) {
+		ssize_t n;
+
+		snprintf(path, sizeof(path), "/proc/%d/fd/%s", pid,
+			 entry->d_name);
+		n = readlink(path, link, sizeof(link) - 1);
+		link[n > 0 ? n : 0] = '\0';
+		found = !strcmp(link, want);
+	}
+	if (dir)
+		closedir(dir);
+	return found;
+}
+
+static const char *source_of(int fd)
+{
+	unsigned long inode = nsources ? peer_inode(fd) : 0;
+
+	for (int i = 0; inode && i < nsources; i++)
+		if (owns(sources[i].pid, inode))
+			return sources[i].name;
+	return "?";
+}
+
+static void source_set(const char *name, int pid)
+{
+	int i;
+
+	for (i = 0; i < nsources && strcmp(sources[i].name, name); i++)
+		;
+	if (i == MAX_SOURCES)
+		return;
+	nsources += i == nsources;
+	snprintf(sources[i].name, sizeof(sources[i].name), "%s", name);
+	sources[i].pid = pid;
+}
+
+static bool matches(const char *pattern, const struct pair *p)
+{
+	const char *name = p->name;
+
+	if (!strchr(pattern, '>'))
+		name = strchr(name, '>') + 1;
+	return !fnmatch(pattern, name, 0);
+}
+
+/* ---- connections ---- */
 
 static void pair_free(struct pair *p)
 {
@@ -98,11 +219,6 @@
 	free(p);
 }
 
-static bool held_back(const struct pair *p, int dir)
-{
-	return p->route->frozen || p->route->dropped[dir];
-}
-
 static void pace(struct pair *p)
 {
 	for (int i = 0; i < 2; i++) {
@@ -112,7 +228,7 @@
 
 		if (s->net)
 			net_pause(s->net,
-				  !p->forgotten && (held_back(p, i) || full));
+				  !p->forgotten && (p->held[i] || full));
 	}
 }
 
@@ -135,7 +251,7 @@
 	clk_ms left;
 
 	ev_timer_stop(loop, &s->timer);
-	if (!s->first || s->pair->forgotten || held_back(s->pair, s->dir))
+	if (!s->first || s->pair->forgotten || s->pair->held[s->dir])
 		return;
 	left = s->first->due - clk_now();
 	ev_timer_set(&s->timer, left > 0 ? (double)left / 1000.0 : 0, 0);
@@ -166,14 +282,13 @@
 
 	if (s->pair->forgotten)
 		return;
-	if (!s->first && !s->pair->route->delay &&
-	    !held_back(s->pair, s->dir)) {
+	if (!s->first && !s->pair->delay && !s->pair->held[s->dir]) {
 		deliver(s, data, len);
 		return;
 	}
 	c = malloc(sizeof(*c) + len);
 	*c = (struct chunk){
-		.due = clk_now() + s->pair->route->delay,
+		.due = clk_now() + s->pair->delay,
 		.len = len,
 	};
 	memcpy(c->data, data, len);
@@ -223,6 +338,28 @@
 	s->timer.data = s;
 }
 
+/* Takes over the rules in force. */
+static void pair_refresh(struct pair *p)
+{
+	p->cut = false;
+	p->held[UP] = false;
+	p->held[DOWN] = false;
+	p->delay = 0;
+	for (int i = 0; i < nrules; i++) {
+		const struct rule *r = &rules[i];
+
+		if (!matches(r->pattern, p))
+			continue;
+		p->cut |= r->fault == CUT;
+		p->held[UP] |= r->fault == FREEZE;
+		p->held[DOWN] |= r->fault == FREEZE;
+		if (r->fault == DROP)
+			p->held[r->dir] = true;
+		if (r->fault == DELAY)
+			p->delay = r->ms;
+	}
+}
+
 static void on_accept(void *arg, int fd)
 {
 	struct route *r = arg;
@@ -234,10 +371,13 @@
 	};
 
 	p->route = r;
+	snprintf(p->name, sizeof(p->name), "%s>%s", source_of(fd), r->name);
 	side_init(p, UP);
 	side_init(p, DOWN);
+	pair_refresh(p);
 	h.arg = &p->side[DOWN];
-	p->side[DOWN].net = net_connect(loop, r->to, &h, NULL);
+	if (!p->cut)
+		p->side[DOWN].net = net_connect(loop, r->to, &h, NULL);
 	if (!p->side[DOWN].net) {
 		close(fd);
 		free(p);
@@ -250,12 +390,6 @@
 	pace(p);
 }
 
-static bool route_open(struct route *r, struct err *e)
-{
-	return r->listener ||
-	       !net_listen(&r->listener, loop, r->from, on_accept, r, e);
-}
-
 static bool route_add(const char *name, const char *from, const char *to,
 		      struct err *e)
 {
@@ -264,7 +398,7 @@
 	snprintf(r->name, sizeof(r->name), "%s", name);
 	snprintf(r->from, sizeof(r->from), "%s", from);
 	snprintf(r->to, sizeof(r->to), "%s", to);
-	if (!route_open(r, e)) {
+	if (net_listen(&r->listener, loop, r->from, on_accept, r, e)) {
 		free(r);
 		return false;
 	}
@@ -273,77 +407,82 @@
 	return true;
 }
 
-static void route_cut(struct route *r)
+/* ---- commands ---- */
+
+static void refresh(void)
 {
-	r->cut = true;
-	net_listener_free(r->listener);
-	r->listener = NULL;
-	while (r->pairs)
-		pair_free(r->pairs);
+	for (struct route *r = routes; r; r = r->next) {
+		struct pair *next;
+
+		for (struct pair *p = r->pairs; p; p = next) {
+			next = p->next;
+			pair_refresh(p);
+			if (p->cut) {
+				pair_free(p);
+				continue;
+			}
+			pace(p);
+			arm(&p->side[UP]);
+			arm(&p->side[DOWN]);
+		}
+	}
 }
 
-static void route_refresh(struct route *r)
+static void forget(const char *pattern)
 {
-	for (struct pair *p = r->pairs; p; p = p->next) {
-		pace(p);
-		arm(&p->side[UP]);
-		arm(&p->side[DOWN]);
-	}
+	for (struct route *r = routes; r; r = r->next)
+		for (struct pair *p = r->pairs; p; p = p->next)
+			p->forgotten |= matches(pattern, p);
 }
 
-static void route_heal(struct route *r, struct err *e)
+static void heal(const char *pattern)
 {
-	r->cut = false;
-	r->frozen = false;
-	r->dropped[UP] = false;
-	r->dropped[DOWN] = false;
-	r->delay = 0;
-	route_open(r, e);
+	int kept = 0;
+
+	for (int i = 0; i < nrules; i++)
+		if (strcmp(pattern, "*") && strcmp(pattern, rules[i].pattern))
+			rules[kept++] = rules[i];
+	nrules = kept;
 }
 
-static bool route_command(struct route *r, const char *verb, const char *arg,
-			  struct err *e)
+static void rule_add(const char *pattern, enum fault fault, int dir, clk_ms ms)
 {
-	if (!strcmp(verb, "cut"))
-		route_cut(r);
-	else if (!strcmp(verb, "freeze"))
-		r->frozen = true;
-	else if (!strcmp(verb, "forget"))
-		for (struct pair *p = r->pairs; p; p = p->next)
-			p->forgotten = true;
-	else if (!strcmp(verb, "drop") && !strcmp(arg, "up"))
-		r->dropped[UP] = true;
-	else if (!strcmp(verb, "drop") && !strcmp(arg, "down"))
-		r->dropped[DOWN] = true;
-	else if (!strcmp(verb, "delay"))
-		r->delay = strtol(arg, NULL, 10);
-	else if (!strcmp(verb, "heal"))
-		route_heal(r, e);
-	else
-		err_set(e, RES_BAD_MESSAGE, "unknown command %s %s", verb, arg);
-	route_refresh(r);
-	return e->code == RES_OK;
+	struct rule *r = &rules[nrules];
+
+	if (nrules == MAX_RULES)
+		return;
+	nrules++;
+	*r = (struct rule){.fault = fault, .dir = dir, .ms = ms};
+	snprintf(r->pattern, sizeof(r->pattern), "%s", pattern);
 }
 
 static void run_command(const char *line, struct err *e)
 {
-	char verb[16] = "", name[64] = "", a[ADDR_LEN] = "", b[ADDR_LEN] = "";
-	int found = 0;
+	char verb[16] = "", name[NAME_LEN] = "", a[ADDR_LEN] = "",
+	     b[ADDR_LEN] = "";
 
 	sscanf(line, "%15s %63s %47s %47s", verb, name, a, b);
-	if (!strcmp(verb, "add")) {
+	if (!strcmp(verb, "add"))
 		route_add(name, a, b, e);
-		return;
-	}
-	for (struct route *r = routes; r; r = r->next) {
-		if (fnmatch(name, r->name, 0))
-			continue;
-		found++;
-		if (!route_command(r, verb, a, e))
-			return;
-	}
-	if (!found)
-		err_set(e, RES_BAD_MESSAGE, "no route %s", name);
+	else if (!strcmp(verb, "source"))
+		source_set(name, atoi(a));
+	else if (!strcmp(verb, "cut"))
+		rule_add(name, CUT, 0, 0);
+	else if (!strcmp(verb, "freeze"))
+		rule_add(name, FREEZE, 0, 0);
+	else if (!strcmp(verb, "forget"))
+		forget(name);
+	else if (!strcmp(verb, "drop") && !strcmp(a, "up"))
+		rule_add(name, DROP, UP, 0);
+	else if (!strcmp(verb, "drop") && !strcmp(a, "down"))
+		rule_add(name, DROP, DOWN, 0);
+	else if (!strcmp(verb, "delay"))
+		rule_add(name, DELAY, 0, strtol(a, NULL, 10));
+	else if (!strcmp(verb, "heal"))
+		heal(name);
+	else
+		err_set(e, RES_BAD_MESSAGE, "unknown command %s %s", verb, a);
+	refresh();
 }
 
 static void on_control_read(void *arg)
