--- a/t/sys_backend.cc
+++ b/t/sys_backend.cc
@@ -131,6 +131,9 @@
 	ASSERT_TRUE(g.promote("orders-1", 1));
 	ASSERT_TRUE(c.exec("CREATE TABLE t (a int)").ok);
 	ASSERT_TRUE(g.reaches("orders-2", "held", 1));
+	EXPECT_EQ("55000",
+		  g.run("orders-2", "SELECT marjoramlatch_promote(1)").sqlstate)
+		<< "one term must not have two primaries";
 	ASSERT_TRUE(c.exec("BEGIN").ok);
 	ASSERT_TRUE(c.exec("INSERT INTO t VALUES (1)").ok);
 	r = idle.exec("SELECT marjoramlatch_fence(3)");
