--- a/t/helper/backend/sched.c
+++ b/t/helper/backend/sched.c
@@ -23,6 +23,7 @@
 static int nrunning;
 static int timer_fd;
 static ev_io timer_io;
+static int64_t armed_us = INT64_MAX; /* next expiry of the timer */
 
 static void push(struct queue *q, struct wait *w)
 {
@@ -46,6 +47,7 @@
 	return false;
 }
 
+/* An earlier expiry that is already set leads here again. */
 static void arm(void)
 {
 	struct itimerspec at = {0};
@@ -56,14 +58,17 @@
 	for (w = running.head; w; w = w->next)
 		if (w->due_us < due)
 			due = w->due_us;
-	if (due != INT64_MAX) {
-		left = due - clk_now_us();
-		if (left < 1)
-			left = 1;
-		at.it_value.tv_sec = left / 1000000;
-		at.it_value.tv_nsec = left % 1000000 * 1000;
+	if (due >= armed_us)
+		return;
+	left = due - clk_now_us();
+	if (left <= 0) {
+		ev_feed_event(be.loop, &timer_io, EV_READ);
+		return;
 	}
+	at.it_value.tv_sec = left / 1000000;
+	at.it_value.tv_nsec = left % 1000000 * 1000;
 	timerfd_settime(timer_fd, 0, &at, NULL);
+	armed_us = due;
 }
 
 static void fill_slots(void)
@@ -99,7 +104,9 @@
 
 	(void)loop;
 	(void)events;
-	if (read(io->fd, &expired, sizeof(expired)) < 0 && errno != EAGAIN)
+	if (read(io->fd, &expired, sizeof(expired)) == sizeof(expired))
+		armed_us = INT64_MAX;
+	else if (errno != EAGAIN)
 		abort();
 	while ((w = next_due())) {
 		slot_drop(w);
