--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 MAINS = $(addsuffix .c,$(DAEMONS)) marjoramlatch.c
 LIBSRC = $(filter-out $(MAINS),$(wildcard *.c))
 BUILTIN = $(wildcard builtin/*.c)
-UNIT = $(wildcard t/unit_*.cc)
+UNIT = $(wildcard t/unit_*.cc) t/lib_history.cc
 SYSTEM = $(patsubst t/%.cc,$(B)/t/%,$(wildcard t/sys_*.cc))
 TESTLIB = $(wildcard t/lib_*.cc)
 
--- /dev/null
+++ b/t/lib_history.cc
@@ -0,0 +1,226 @@
+#include "lib_history.h"
+
+#include <algorithm>
+#include <chrono>
+
+extern "C" {
+#include "result.h"
+}
+
+namespace history
+{
+
+namespace
+{
+
+using Keys = std::vector<std::string>;
+
+int64_t now_ms()
+{
+	using namespace std::chrono;
+
+	return duration_cast<milliseconds>(
+		       steady_clock::now().time_since_epoch())
+		.count();
+}
+
+std::map<std::string, int> count_keys(const Keys &keys)
+{
+	std::map<std::string, int> out;
+
+	for (const std::string &k : keys)
+		out[k]++;
+	return out;
+}
+
+} // namespace
+
+/* Several results share a SQLSTATE; one of them that may have run decides.
+ * NO_QUORUM is about lists only and shares its code with refusals of orders. */
+Outcome outcome_of(const std::string &sqlstate)
+{
+	static const enum res all[] = {
+#define X(name, num, state, ran, text) RES_##name,
+		RES_TABLE(X)
+#undef X
+	};
+
+	if (sqlstate.size() != 5 || sqlstate == "08006")
+		return Outcome::UNKNOWN;
+	for (enum res r : all) {
+		enum res_ran ran = res_ran(r);
+
+		if (sqlstate == res_sqlstate(r) && r != RES_NO_QUORUM &&
+		    (ran == RES_RAN_MAYBE || ran == RES_RAN_RAN))
+			return Outcome::UNKNOWN;
+	}
+	return Outcome::NOT_RUN;
+}
+
+size_t History::begin(const std::string &session, const std::string &group,
+		      const std::string &key)
+{
+	std::lock_guard<std::mutex> guard(lock_);
+
+	attempts_.push_back({session, group, key, Outcome::SENT, 0});
+	return attempts_.size() - 1;
+}
+
+void History::end(size_t attempt, Outcome outcome)
+{
+	std::lock_guard<std::mutex> guard(lock_);
+
+	attempts_[attempt].outcome = outcome;
+	attempts_[attempt].ended = now_ms();
+}
+
+size_t History::read_begin(const std::string &session, const std::string &group)
+{
+	std::lock_guard<std::mutex> guard(lock_);
+	Read r = {session, group, {}, false, {}};
+
+	for (const Attempt &a : attempts_)
+		if (a.session == session && a.group == group &&
+		    a.outcome == Outcome::ANSWERED)
+			r.must.insert(a.key);
+	reads_.push_back(r);
+	return reads_.size() - 1;
+}
+
+void History::read_end(size_t read, const Keys &keys)
+{
+	std::lock_guard<std::mutex> guard(lock_);
+
+	reads_[read].ended = true;
+	reads_[read].keys = keys;
+}
+
+void History::holds(const std::string &group, const std::string &member,
+		    const Keys &keys)
+{
+	std::lock_guard<std::mutex> guard(lock_);
+
+	held_[{group, member}] = keys;
+}
+
+std::map<std::string, History::Order> History::orders() const
+{
+	std::map<std::string, Order> out;
+
+	for (const Attempt &a : attempts_) {
+		Order &o = out[a.key];
+
+		o.group = a.group;
+		o.answered |= a.outcome == Outcome::ANSWERED;
+		o.maybe |= a.outcome != Outcome::NOT_RUN;
+	}
+	return out;
+}
+
+void History::check_reads(const std::map<std::string, Order> &orders,
+			  Keys &out) const
+{
+	for (const Read &r : reads_) {
+		std::map<std::string, int> seen = count_keys(r.keys);
+
+		if (!r.ended)
+			continue;
+		for (const std::string &key : r.must)
+			if (!seen.count(key))
+				out.push_back("stale own read: session " +
+					      r.session + " missed " + key);
+		for (const auto &[key, n] : seen) {
+			auto o = orders.find(key);
+
+			if (n > 1)
+				out.push_back("doubled order in a read: " +
+					      key);
+			if (o != orders.end() && !o->second.maybe)
+				out.push_back("order reported as not run was "
+					      "read: " +
+					      key);
+		}
+	}
+}
+
+void History::check_members(const std::map<std::string, Order> &orders,
+			    Keys &out) const
+{
+	std::map<std::string, Keys> first;
+
+	for (const auto &[where, list] : held_) {
+		const auto &[group, member] = where;
+		std::map<std::string, int> held = count_keys(list);
+		Keys sorted = list;
+
+		std::sort(sorted.begin(), sorted.end());
+		if (!first.count(group))
+			first[group] = sorted;
+		else if (first[group] != sorted)
+			out.push_back("members differ: " + member);
+		for (const auto &[key, n] : held) {
+			auto o = orders.find(key);
+
+			if (n > 1)
+				out.push_back("doubled order: " + key + " at " +
+					      member);
+			if (o == orders.end() || o->second.group != group)
+				out.push_back("order of no request: " + key +
+					      " at " + member);
+			else if (!o->second.maybe)
+				out.push_back("order reported as not run: " +
+					      key + " at " + member);
+		}
+		for (const auto &[key, o] : orders)
+			if (o.answered && o.group == group && !held.count(key))
+				out.push_back("lost acknowledged order: " +
+					      key + " at " + member);
+	}
+}
+
+Keys History::check() const
+{
+	std::lock_guard<std::mutex> guard(lock_);
+	std::map<std::string, Order> all = orders();
+	std::set<std::string> groups;
+	Keys out;
+
+	for (const auto &entry : held_)
+		groups.insert(entry.first.first);
+	for (const auto &[key, o] : all)
+		if (!groups.count(o.group)) {
+			out.push_back("no member of " + o.group +
+				      " was read at the end");
+			groups.insert(o.group);
+		}
+	check_reads(all, out);
+	check_members(all, out);
+	return out;
+}
+
+int64_t History::count(Outcome outcome) const
+{
+	std::lock_guard<std::mutex> guard(lock_);
+
+	return std::count_if(
+		attempts_.begin(), attempts_.end(),
+		[&](const Attempt &a) { return a.outcome == outcome; });
+}
+
+int64_t History::longest_gap(int64_t from, int64_t to) const
+{
+	std::lock_guard<std::mutex> guard(lock_);
+	std::vector<int64_t> times = {from, to};
+	int64_t longest = 0;
+
+	for (const Attempt &a : attempts_)
+		if (a.outcome == Outcome::ANSWERED && a.ended > from &&
+		    a.ended < to)
+			times.push_back(a.ended);
+	std::sort(times.begin(), times.end());
+	for (size_t i = 1; i < times.size(); i++)
+		longest = std::max(longest, times[i] - times[i - 1]);
+	return longest;
+}
+
+} // namespace history
--- /dev/null
+++ b/t/lib_history.h
@@ -0,0 +1,96 @@
+#ifndef LIB_HISTORY_H
+#define LIB_HISTORY_H
+
+/*
+ * History of orders, as callers saw it, and its check against what the
+ * members hold at the end.
+ *
+ * Each order has a key that is unique in the run and is written once by its
+ * request. A request may be sent several times (attempts), with the same
+ * request id. Safe to use from several threads.
+ */
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace history
+{
+
+enum class Outcome {
+	SENT, /* no answer yet; counts as unknown */
+	ANSWERED,
+	NOT_RUN, /* refused; the system says that it was not run */
+	UNKNOWN
+};
+
+/* What an error with this SQLSTATE tells. The codes that result.h marks as
+ * MAYBE or RAN are unknown, as is a lost connection ("" or "TIMEOUT"). */
+Outcome outcome_of(const std::string &sqlstate);
+
+class History
+{
+      public:
+	/* An attempt; returns its number for end(). */
+	size_t begin(const std::string &session, const std::string &group,
+		     const std::string &key);
+	void end(size_t attempt, Outcome outcome);
+
+	/* A read of all orders of a group by a session. The session must see
+	 * its own orders that were answered before read_begin(). */
+	size_t read_begin(const std::string &session, const std::string &group);
+	void read_end(size_t read, const std::vector<std::string> &keys);
+
+	/* Keys that a member holds at the end, as often as it holds them. */
+	void holds(const std::string &group, const std::string &member,
+		   const std::vector<std::string> &keys);
+
+	/* One line for each violation; empty if all is well. */
+	std::vector<std::string> check() const;
+
+	int64_t count(Outcome outcome) const;
+
+	/* Longest time without an answered attempt between two times of
+	 * cluster::now_ms(). */
+	int64_t longest_gap(int64_t from, int64_t to) const;
+
+      private:
+	struct Attempt {
+		std::string session;
+		std::string group;
+		std::string key;
+		Outcome outcome;
+		int64_t ended;
+	};
+	struct Read {
+		std::string session;
+		std::string group;
+		std::set<std::string> must; /* own orders answered before */
+		bool ended;
+		std::vector<std::string> keys;
+	};
+	struct Order {
+		std::string group;
+		bool answered;
+		bool maybe;
+	};
+
+	std::map<std::string, Order> orders() const;
+	void check_reads(const std::map<std::string, Order> &orders,
+			 std::vector<std::string> &out) const;
+	void check_members(const std::map<std::string, Order> &orders,
+			   std::vector<std::string> &out) const;
+
+	mutable std::mutex lock_;
+	std::vector<Attempt> attempts_;
+	std::vector<Read> reads_;
+	std::map<std::pair<std::string, std::string>, std::vector<std::string>>
+		held_; /* by group and member */
+};
+
+} // namespace history
+
+#endif
