--- /dev/null
+++ b/t/unit_raft.cc
@@ -0,0 +1,365 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "raft.h"
+}
+
+/* Drives a few instances over a lossy, reordering queue from a seed and
+ * checks each action. */
+struct Cluster {
+	struct Node {
+		std::string id;
+		int64_t uuid = 0;
+		struct raft *r = nullptr;
+		clk_ms down_until = 0;
+		int64_t term = 0; /* stored */
+		std::string vote, snap;
+		int64_t snap_index = 0, snap_term = 0;
+		std::map<int64_t, std::pair<raft_entry, std::string>> log;
+		int64_t applied = 0;
+		uint64_t state = 0; /* hash over the applied entries */
+	};
+	struct Packet {
+		clk_ms at;
+		int from, to;
+		std::string bytes;
+	};
+	std::vector<Node> nodes;
+	std::vector<Packet> queue;
+	std::map<int64_t, std::string> leaders; /* by term */
+	std::map<int64_t, uint64_t> history; /* state by index */
+	struct rng *rng;
+	clk_ms now = 10000;
+	double loss = 0;
+	int64_t next_uuid = 1;
+	int authorities = 0;
+
+	Cluster(int n, uint64_t seed) : nodes(n), rng(rng_new(seed))
+	{
+		struct raft_members m = {};
+
+		for (int i = 0; i < n; i++) {
+			nodes[i].id = "c" + std::to_string(i);
+			nodes[i].uuid = next_uuid++;
+			snprintf(m.list[i].id, ID_LEN, "c%d", i);
+			m.list[i].uuid = nodes[i].uuid;
+			m.n++;
+			start(i);
+		}
+		introduce();
+		raft_form(nodes[0].r, &m, now);
+		drain(0);
+	}
+	~Cluster()
+	{
+		for (auto &n : nodes)
+			raft_free(n.r);
+		rng_free(rng);
+	}
+	void start(int i)
+	{
+		Node &n = nodes[i];
+		struct raft_config c = {};
+
+		snprintf(c.id, ID_LEN, "%s", n.id.c_str());
+		c.uuid = n.uuid;
+		c.election_min_ms = 500;
+		c.heartbeat_ms = 100;
+		c.rng = rng;
+		raft_free(n.r);
+		n.r = raft_new(&c, now);
+		n.applied = 0;
+		n.state = 0;
+		raft_load_hard(n.r, n.term, n.vote.c_str());
+		if (!n.snap.empty()) {
+			struct blob b = {n.snap.data(), n.snap.size()};
+			ASSERT_EQ(RES_OK,
+				  raft_load_snapshot(n.r, n.snap_index,
+						     n.snap_term, &b, nullptr));
+		}
+		for (auto &x : n.log) {
+			raft_entry e = x.second.first;
+			e.data = {x.second.second.data(),
+				  x.second.second.size()};
+			raft_load_entry(n.r, &e);
+		}
+		drain(i);
+	}
+	void introduce()
+	{
+		for (auto &a : nodes)
+			for (auto &b : nodes)
+				raft_peer(a.r, b.id.c_str(), b.uuid, now);
+	}
+	void send(int from, const raft_act &a)
+	{
+		struct buf b = BUF_INIT;
+
+		msg_encode(&a.msg, &b);
+		if (rng_unit(rng) >= loss)
+			queue.push_back(
+				{now + 1 +
+					 (clk_ms)rng_below(rng,
+							   loss > 0 ? 60 : 3),
+				 from, atoi(a.to + 1),
+				 std::string(buf_data(&b), buf_len(&b))});
+		buf_free(&b);
+	}
+	void check_applied(Node &n, int64_t index, uint64_t state)
+	{
+		n.applied = index;
+		n.state = state;
+		auto it = history.emplace(index, state).first;
+		ASSERT_EQ(it->second, state) << "entry changed " << index;
+	}
+	void take(int i, const raft_act &a)
+	{
+		Node &n = nodes[i];
+
+		switch (a.type) {
+		case RAFT_ACT_HARD:
+			n.term = a.term;
+			n.vote = a.to;
+			break;
+		case RAFT_ACT_WRITE:
+			n.log.erase(n.log.lower_bound(a.index), n.log.end());
+			n.log[a.index] = {*a.entry,
+					  std::string(a.entry->data.data,
+						      a.entry->data.len)};
+			break;
+		case RAFT_ACT_SNAPSHOT:
+			n.snap.assign(a.data.data, a.data.len);
+			n.snap_index = a.index;
+			n.snap_term = a.term;
+			n.log.erase(n.log.begin(),
+				    a.discard ? n.log.end()
+					      : n.log.upper_bound(a.index));
+			break;
+		case RAFT_ACT_SEND:
+			send(i, a);
+			break;
+		case RAFT_ACT_APPLY:
+			ASSERT_EQ(n.applied + 1, a.index);
+			check_applied(
+				n, a.index,
+				n.state * 31 +
+					std::hash<std::string>()(std::string(
+						a.entry->data.data,
+						a.entry->data.len)) +
+					(uint64_t)a.entry->term);
+			break;
+		case RAFT_ACT_RESTORE:
+			check_applied(n, a.index,
+				      std::stoull(std::string(a.data.data,
+							      a.data.len)));
+			break;
+		case RAFT_ACT_ROLE:
+			if (raft_role(n.r) != RAFT_LEADER)
+				break;
+			ASSERT_EQ(leaders.emplace(raft_term(n.r), n.id)
+					  .first->second,
+				  n.id)
+				<< "two leaders in term " << raft_term(n.r);
+			break;
+		}
+	}
+	void drain(int i)
+	{
+		struct raft_act a;
+
+		while (raft_next(nodes[i].r, &a))
+			take(i, a);
+	}
+	void step()
+	{
+		std::vector<Packet> due;
+
+		now += 5;
+		for (size_t i = 0; i < queue.size();)
+			if (queue[i].at <= now) {
+				due.push_back(queue[i]);
+				queue.erase(queue.begin() + (long)i);
+			} else {
+				i++;
+			}
+		for (auto &p : due) {
+			struct msg m;
+
+			if (nodes[p.to].down_until > now ||
+			    msg_decode(&m, p.bytes.data(), p.bytes.size(),
+				       nullptr))
+				continue;
+			raft_receive(nodes[p.to].r, nodes[p.from].id.c_str(),
+				     &m, now);
+			drain(p.to);
+			msg_free(&m);
+		}
+		int n = 0;
+		for (size_t i = 0; i < nodes.size(); i++) {
+			if (nodes[i].down_until > now)
+				continue;
+			raft_tick(nodes[i].r, now);
+			drain((int)i);
+			n += raft_has_authority(nodes[i].r, now);
+		}
+		ASSERT_LE(n, 1) << "two leaders with authority";
+		authorities += n;
+	}
+	int leader()
+	{
+		for (size_t i = 0; i < nodes.size(); i++)
+			if (nodes[i].down_until <= now &&
+			    raft_has_authority(nodes[i].r, now))
+				return (int)i;
+		return -1;
+	}
+	bool settle(clk_ms limit)
+	{
+		clk_ms end = now + limit;
+
+		do
+			step();
+		while (leader() < 0 && now < end);
+		return leader() >= 0;
+	}
+	bool all_voters(int at)
+	{
+		if (at < 0)
+			return false;
+		const raft_members *m = raft_voters(nodes[at].r);
+		size_t n = 0;
+
+		for (int i = 0; i < m->n; i++)
+			for (auto &x : nodes)
+				n += x.id == m->list[i].id &&
+				     x.uuid == m->list[i].uuid;
+		return n == nodes.size() &&
+		       raft_commit(nodes[at].r) == raft_last_index(nodes[at].r);
+	}
+	void restart(int i, bool lose_disk)
+	{
+		Node &n = nodes[i];
+
+		if (lose_disk) {
+			n.uuid = next_uuid++;
+			n.term = n.snap_index = n.snap_term = 0;
+			n.vote.clear();
+			n.snap.clear();
+			n.log.clear();
+		}
+		start(i);
+		n.down_until = now + (clk_ms)rng_below(rng, 2000);
+		introduce();
+	}
+	void propose(const std::string &text)
+	{
+		int at = leader();
+
+		if (at < 0)
+			return;
+		raft_propose(nodes[at].r, text.data(), text.size(), now);
+		drain(at);
+	}
+	void compact(int i)
+	{
+		std::string s = std::to_string(nodes[i].state);
+
+		raft_compact(nodes[i].r, s.data(), s.size());
+		drain(i);
+	}
+};
+
+class RaftSeeds : public testing::TestWithParam<int>
+{
+};
+
+/* Guards against two leaders in a term, two leaders with authority, and
+ * committed entries that change, under loss, reordering, restarts and lost
+ * disks. */
+TEST_P(RaftSeeds, CommittedEntriesNeverChange)
+{
+	Cluster c(GetParam() % 2 ? 3 : 5, (uint64_t)GetParam());
+	int losses = 0;
+
+	c.loss = 0.15;
+	for (int i = 0; i < 8000 && !HasFailure(); i++) {
+		int n = (int)rng_below(c.rng, c.nodes.size());
+
+		c.step();
+		if (i % 20 == 0)
+			c.propose("entry " + std::to_string(i));
+		if (rng_below(c.rng, 400) == 0)
+			c.restart(n, false);
+		if (rng_below(c.rng, 300) == 0)
+			c.compact(n);
+		if (c.leader() >= 0 && c.all_voters(c.leader()) &&
+		    rng_below(c.rng, 300) == 0) {
+			c.restart(n, true);
+			losses++;
+		}
+	}
+	c.loss = 0;
+	ASSERT_TRUE(c.settle(10000)) << "seed " << GetParam();
+	for (int i = 0; i < 2000 && !c.all_voters(c.leader()); i++)
+		c.step();
+	EXPECT_TRUE(c.all_voters(c.leader()));
+	EXPECT_GT(losses, 0);
+	EXPECT_GT(c.history.size(), 50u);
+}
+
+static int seeds()
+{
+	const char *n = getenv("SEEDS");
+
+	return n ? atoi(n) : 12;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RaftSeeds, testing::Range(1, 1 + seeds()));
+
+/* Guards against a disk that was lost counting as its former voter. */
+TEST(Raft, StaleVoterIdentityNeverCounts)
+{
+	Cluster c(3, 7);
+	struct msg m = {};
+
+	ASSERT_TRUE(c.settle(3000));
+	int lead = c.leader();
+	int other = (lead + 1) % 3, third = (lead + 2) % 3;
+	c.nodes[other].down_until = c.nodes[third].down_until = INT64_MAX;
+	c.propose("x");
+	int64_t last = raft_last_index(c.nodes[lead].r);
+	m.type = MSG_APPENDED;
+	m.u.appended.term = raft_term(c.nodes[lead].r);
+	m.u.appended.uuid = 999;
+	m.u.appended.ok = true;
+	m.u.appended.match = last;
+	raft_receive(c.nodes[lead].r, c.nodes[other].id.c_str(), &m, c.now);
+	EXPECT_LT(raft_commit(c.nodes[lead].r), last);
+	raft_peer(c.nodes[lead].r, c.nodes[other].id.c_str(), 999, c.now);
+	raft_receive(c.nodes[lead].r, c.nodes[other].id.c_str(), &m, c.now);
+	EXPECT_LT(raft_commit(c.nodes[lead].r), last);
+	c.drain(lead);
+	for (int i = 0; i < 120; i++)
+		c.step();
+	EXPECT_EQ(-1, c.leader()) << "authority without a majority";
+}
+
+/* Guards against a planned stop of the leader costing an election timeout. */
+TEST(Raft, HandsOverWithinOneRound)
+{
+	Cluster c(3, 11);
+
+	ASSERT_TRUE(c.settle(3000));
+	int lead = c.leader();
+	for (int i = 0; i < 40; i++)
+		c.step();
+	raft_hand_over(c.nodes[lead].r, c.now);
+	c.drain(lead);
+	EXPECT_TRUE(c.settle(300));
+	EXPECT_NE(lead, c.leader());
+}
