--- /dev/null
+++ b/control.c
@@ -0,0 +1,354 @@
+#include "control.h"
+
+#include "counter.h"
+#include "ctlcore.h"
+#include "link.h"
+#include "log.h"
+#include "member.h"
+#include "store.h"
+
+#include <ev.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A link that a proxy or another control instance opened to this one. */
+struct client {
+	struct client *next;
+	int64_t number;
+	struct link *link;
+};
+
+struct control {
+	struct ev_loop *loop;
+	const struct settings *set;
+	struct store *store;
+	struct rng *rng;
+	struct ctl *ctl;
+	struct mem_set *members;
+	struct link_server *server;
+	struct link *peers[SET_MAX_CONTROLS]; /* NULL for this instance */
+	struct client *clients;
+	int64_t numbers;
+	ev_timer tick;
+	bool dirty; /* records are written and not yet synced */
+	bool draining;
+	bool led;
+	clk_ms stop_at; /* CLK_NEVER until the daemon stops */
+};
+
+static struct link *control_peer(const struct control *c, const char *id)
+{
+	for (int64_t i = 0; i < c->set->ncontrols; i++)
+		if (!strcmp(c->set->controls[i].id, id))
+			return c->peers[i];
+	return NULL;
+}
+
+static struct client *control_client(const struct control *c, int64_t number)
+{
+	for (struct client *x = c->clients; x; x = x->next)
+		if (x->number == number)
+			return x;
+	return NULL;
+}
+
+static void control_sync(struct control *c)
+{
+	if (c->dirty)
+		store_sync(c->store);
+	c->dirty = false;
+}
+
+static void control_send(struct control *c, const struct ctl_act *a)
+{
+	struct link *l = control_peer(c, a->to);
+
+	if (l && link_backlog(l) < MSG_MAX_FRAME)
+		link_send(l, &a->msg);
+}
+
+static void control_reply(struct control *c, const struct ctl_act *a)
+{
+	struct client *x = control_client(c, a->client);
+
+	if (x)
+		link_send(x->link, &a->msg);
+}
+
+static void control_act(struct control *c, const struct ctl_act *a)
+{
+	switch (a->type) {
+	case CTL_HARD:
+		store_hard(c->store, a->raft.term, a->raft.to);
+		break;
+	case CTL_WRITE:
+		store_write(c->store, a->raft.entry);
+		c->dirty = true;
+		break;
+	case CTL_SNAPSHOT:
+		control_sync(c);
+		store_snapshot(c->store, a->raft.index, a->raft.term,
+			       &a->raft.data, a->raft.discard);
+		break;
+	case CTL_SEND:
+		control_sync(c);
+		control_send(c, a);
+		break;
+	case CTL_REPLY:
+		control_sync(c);
+		control_reply(c, a);
+		break;
+	case CTL_CALL:
+		control_sync(c);
+		mem_call(c->members, &a->call);
+		break;
+	}
+}
+
+static void control_drain(struct control *c)
+{
+	struct ctl_act a;
+
+	if (c->draining)
+		return;
+	c->draining = true;
+	while (ctl_next(c->ctl, &a, clk_now()))
+		control_act(c, &a);
+	control_sync(c);
+	c->draining = false;
+}
+
+static void control_on_call(void *arg, const struct fo_answer *a)
+{
+	struct control *c = arg;
+
+	ctl_on_call(c->ctl, a, clk_now());
+	control_drain(c);
+}
+
+/* Connections to members are only needed while this instance leads. */
+static void control_check_role(struct control *c)
+{
+	bool leads = raft_role(ctl_raft(c->ctl)) == RAFT_LEADER;
+
+	if (c->led && !leads)
+		mem_close_all(c->members);
+	c->led = leads;
+}
+
+static void control_on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct control *c = w->data;
+	clk_ms now = clk_now();
+
+	(void)events;
+	ctl_tick(c->ctl, now);
+	control_drain(c);
+	control_check_role(c);
+	if (now >= c->stop_at || (c->stop_at != CLK_NEVER && !c->led))
+		ev_break(loop, EVBREAK_ALL);
+}
+
+static void control_on_ask(struct control *c, const struct client *x,
+			   const struct msg_ask *ask)
+{
+	struct msg answer;
+
+	ctl_ask(c->ctl, x->number, link_peer_id(x->link),
+		link_peer_zone(x->link), ask, clk_now(), &answer);
+	link_send(x->link, &answer);
+}
+
+static void control_from_proxy(struct control *c, const struct client *x,
+			       const struct msg *m)
+{
+	switch (m->type) {
+	case MSG_ASK:
+		control_on_ask(c, x, &m->u.ask);
+		break;
+	case MSG_APPLY:
+		ctl_apply(c->ctl, x->number, &m->u.apply, clk_wall(),
+			  clk_now());
+		break;
+	case MSG_QUERY:
+		ctl_query(c->ctl, x->number, &m->u.query, clk_now());
+		break;
+	default:
+		cnt_add(CNT_bad_input, 1);
+		log_warn("control", "event=unexpected_message type=%s from=%s",
+			 msg_name(m->type), link_peer_id(x->link));
+	}
+}
+
+static bool control_is_control(const struct link *l)
+{
+	return !strcmp(link_peer_role(l), "control");
+}
+
+static void control_on_up(void *arg, struct link *l)
+{
+	struct control *c = arg;
+	struct client *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		abort();
+	x->number = ++c->numbers;
+	x->link = l;
+	x->next = c->clients;
+	c->clients = x;
+	link_set_data(l, x);
+	if (control_is_control(l))
+		ctl_peer(c->ctl, link_peer_id(l), link_peer_uuid(l), clk_now());
+	control_drain(c);
+}
+
+static void control_on_message(void *arg, struct link *l, const struct msg *m)
+{
+	struct control *c = arg;
+
+	if (control_is_control(l))
+		ctl_receive(c->ctl, link_peer_id(l), m, clk_now());
+	else
+		control_from_proxy(c, link_data(l), m);
+	control_drain(c);
+}
+
+static void control_on_down(void *arg, struct link *l)
+{
+	struct control *c = arg;
+	struct client *x = link_data(l);
+	struct client **p = &c->clients;
+
+	while (*p != x)
+		p = &(*p)->next;
+	*p = x->next;
+	ctl_client_gone(c->ctl, x->number);
+	free(x);
+	control_drain(c);
+}
+
+/* Own links to the other instances carry messages away from here only. */
+static void control_peer_up(void *arg, struct link *l)
+{
+	struct control *c = arg;
+
+	ctl_peer(c->ctl, link_peer_id(l), link_peer_uuid(l), clk_now());
+	control_drain(c);
+}
+
+static void control_peer_message(void *arg, struct link *l, const struct msg *m)
+{
+	(void)arg;
+	cnt_add(CNT_bad_input, 1);
+	log_warn("control", "event=unexpected_message type=%s from=%s",
+		 msg_name(m->type), link_peer_id(l));
+}
+
+static void control_peer_down(void *arg, struct link *l)
+{
+	(void)arg;
+	log_info("control", "event=peer_down id=%s", link_peer_id(l));
+}
+
+static enum res control_open(struct control *c, struct err *e)
+{
+	uint64_t seed = (uint64_t)c->set->seed;
+	enum res r = store_open(&c->store, c->set->data, e);
+
+	if (r)
+		return r;
+	if (!seed)
+		randombytes_buf(&seed, sizeof(seed));
+	c->rng = rng_new(seed);
+	c->ctl = ctl_new(c->set, store_uuid(c->store), c->rng, clk_now());
+	r = store_recover(c->store, ctl_raft(c->ctl), e);
+	if (r)
+		return r;
+	log_info("control", "event=recovered term=%lld last=%lld snapshot=%lld",
+		 (long long)raft_term(ctl_raft(c->ctl)),
+		 (long long)raft_last_index(ctl_raft(c->ctl)),
+		 (long long)raft_snapshot_index(ctl_raft(c->ctl)));
+	c->members = mem_new(c->loop, c->set, control_on_call, c);
+	control_drain(c);
+	return RES_OK;
+}
+
+static enum res control_serve(struct control *c, struct err *e)
+{
+	int64_t uuid = store_uuid(c->store);
+	struct link_handler in = {.arg = c,
+				  .on_up = control_on_up,
+				  .on_message = control_on_message,
+				  .on_down = control_on_down};
+	struct link_handler out = {.arg = c,
+				   .on_up = control_peer_up,
+				   .on_message = control_peer_message,
+				   .on_down = control_peer_down};
+
+	for (int64_t i = 0; i < c->set->ncontrols; i++)
+		if (strcmp(c->set->controls[i].id, c->set->id) != 0)
+			c->peers[i] =
+				link_open(c->loop, c->set, "control",
+					  c->set->controls[i].addr, uuid, &out);
+	return link_serve(&c->server, c->loop, c->set, "control", uuid, &in, e);
+}
+
+enum res control_new(struct control **out, struct ev_loop *loop,
+		     const struct settings *set, struct err *e)
+{
+	struct control *c = calloc(1, sizeof(*c));
+	enum res r;
+
+	if (!c)
+		abort();
+	c->loop = loop;
+	c->set = set;
+	c->stop_at = CLK_NEVER;
+	ev_timer_init(&c->tick, control_on_tick, 0.0, CONTROL_TICK_MS / 1000.0);
+	c->tick.data = c;
+	r = control_open(c, e);
+	if (!r)
+		r = control_serve(c, e);
+	if (r) {
+		control_free(c);
+		return r;
+	}
+	ev_timer_start(loop, &c->tick);
+	*out = c;
+	return RES_OK;
+}
+
+void control_stop(struct control *c)
+{
+	clk_ms now = clk_now();
+
+	if (c->stop_at != CLK_NEVER)
+		return;
+	log_info("control", "event=stopping");
+	c->stop_at = ctl_stop(c->ctl, now) ? now + CONTROL_HAND_OVER_MS : now;
+	control_drain(c);
+}
+
+void control_free(struct control *c)
+{
+	if (!c)
+		return;
+	ev_timer_stop(c->loop, &c->tick);
+	for (int64_t i = 0; i < c->set->ncontrols; i++)
+		if (c->peers[i])
+			link_free(c->peers[i]);
+	if (c->server)
+		link_server_free(c->server);
+	mem_free(c->members);
+	while (c->clients) {
+		struct client *x = c->clients;
+
+		c->clients = x->next;
+		free(x);
+	}
+	ctl_free(c->ctl);
+	rng_free(c->rng);
+	store_close(c->store);
+	free(c);
+}
--- /dev/null
+++ b/ctl_ask.c
@@ -0,0 +1,270 @@
+#include "ctl_priv.h"
+
+#include "counter.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void ask_not_leader(const struct ctl *c, struct msg_answer *a)
+{
+	const char *leader = raft_leader(c->raft);
+
+	a->res = RES_NOT_LEADER;
+	if (strcmp(leader, c->set->id) != 0)
+		snprintf(a->leader, ID_LEN, "%s", leader);
+	cnt_refusal(RES_NOT_LEADER);
+}
+
+static void ask_hear(struct ctl *c, const struct msg_ask *ask, clk_ms now)
+{
+	for (int64_t i = 0; i < ask->nannounces; i++)
+		ctl_hear_backend(c, &ask->announces[i], now);
+	for (int64_t i = 0; i < ask->nsuspects; i++)
+		fo_suspect(c->fo, ask->suspects[i].group, ask->suspects[i].term,
+			   now);
+}
+
+/* Lists the groups that the lease does not cover. */
+static void ask_fill_changing(struct ctl *c, struct msg_answer *a)
+{
+	size_t n;
+	const struct group_info *g = state_groups(c->state, &n);
+
+	c->changing = realloc(c->changing, (n + 1) * sizeof(*c->changing));
+	if (!c->changing)
+		abort();
+	a->changing = c->changing;
+	for (size_t i = 0; i < n; i++)
+		if (g[i].changing)
+			memcpy(a->changing[a->nchanging++].text, g[i].name,
+			       ID_LEN);
+}
+
+static void ask_fill_lists(const struct ctl *c, const struct msg_ask *ask,
+			   struct msg_answer *a)
+{
+	const struct lists *l = state_lists(c->state);
+
+	if (!l)
+		return;
+	a->cfg_version = l->version;
+	memcpy(a->cfg_digest, l->digest, ID_LEN);
+	if (ask->cfg_version < l->version) {
+		a->cfg.data = l->text;
+		a->cfg.len = l->len;
+	}
+}
+
+static void ask_fill_quota(struct ctl *c, const char *proxy,
+			   const struct msg_ask *ask, clk_ms now,
+			   struct msg_answer *a)
+{
+	const struct lists *l = state_lists(c->state);
+	const struct proxy_info *p;
+	size_t n;
+
+	if (!l)
+		return;
+	p = state_proxies(c->state, &n);
+	quota_server_ask(c->quota, proxy, ask, l, p, n, now, a);
+}
+
+void ctl_ask(struct ctl *c, int64_t client, const char *proxy, const char *zone,
+	     const struct msg_ask *ask, clk_ms now, struct msg *answer)
+{
+	struct msg_answer *a = &answer->u.answer;
+
+	memset(answer, 0, sizeof(*answer));
+	answer->type = MSG_ANSWER;
+	a->ask_seq = ask->seq;
+	if (!ctl_may_act(c, now)) {
+		ask_not_leader(c, a);
+		return;
+	}
+	ctl_hear_proxy(c, client, proxy, zone, ask, now);
+	ask_hear(c, ask, now);
+	a->answer_seq = ++c->answers;
+	memcpy(a->leader, c->set->id, ID_LEN);
+	a->lease_ms = c->set->lease_ms;
+	a->grant_ms = c->set->grant_ms;
+	ask_fill_changing(c, a);
+	ask_fill_lists(c, ask, a);
+	state_delta(c->state, ask->view_version, a);
+	ask_fill_quota(c, proxy, ask, now, a);
+}
+
+/*
+ * A pushed answer carries only records: it names no ask, so it grants no
+ * lease and no quota.
+ */
+void ctl_push(struct ctl *c)
+{
+	for (size_t i = 0; i < c->nproxies; i++) {
+		struct ctl_proxy *p = &c->proxies[i];
+		struct ctl_out *o;
+
+		if (!p->client)
+			continue;
+		o = ctl_out(c, CTL_REPLY);
+		o->client = p->client;
+		o->msg.type = MSG_ANSWER;
+		o->since = p->view_version;
+	}
+}
+
+static void applied_reply(struct ctl *c, int64_t client, int64_t seq,
+			  const struct state_request *q)
+{
+	struct ctl_out *o = ctl_out(c, CTL_REPLY);
+	struct msg_applied *a = &o->msg.u.applied;
+
+	o->client = client;
+	o->msg.type = MSG_APPLIED;
+	o->text = strdup(q->text);
+	if (!o->text)
+		abort();
+	a->seq = seq;
+	a->res = q->res;
+	a->version = q->version;
+	memcpy(a->digest, q->digest, ID_LEN);
+	memcpy(a->by, q->by, ID_LEN);
+	a->at = q->at;
+	a->text.data = o->text;
+	a->text.len = strlen(o->text);
+}
+
+static void applied_refuse(struct ctl *c, int64_t client, int64_t seq,
+			   enum res r, const char *text)
+{
+	struct state_request q = {.res = r};
+	size_t n;
+	const struct state_change *log = state_log(c->state, &n);
+
+	q.text = strdup(text);
+	q.version = state_version(c->state);
+	if (n) {
+		memcpy(q.digest, log[n - 1].digest, ID_LEN);
+		memcpy(q.by, log[n - 1].by, ID_LEN);
+		q.at = log[n - 1].at;
+	}
+	cnt_refusal(r);
+	applied_reply(c, client, seq, &q);
+	free(q.text);
+}
+
+static bool apply_wait(struct ctl *c, int64_t client, const struct msg_apply *m)
+{
+	bool pending = false;
+	struct ctl_waiter *w;
+
+	for (size_t i = 0; i < c->nwaiters; i++)
+		pending |= !strcmp(c->waiters[i].request_id, m->request_id);
+	c->waiters =
+		realloc(c->waiters, (c->nwaiters + 1) * sizeof(*c->waiters));
+	if (!c->waiters)
+		abort();
+	w = &c->waiters[c->nwaiters++];
+	w->client = client;
+	w->seq = m->seq;
+	memcpy(w->request_id, m->request_id, REQUEST_ID_LEN);
+	return pending;
+}
+
+static bool apply_check(struct ctl *c, int64_t client,
+			const struct msg_apply *m)
+{
+	struct err e = ERR_INIT;
+	struct lists *l;
+
+	if (!m->request_id[0] || !m->operator_name[0]) {
+		applied_refuse(c, client, m->seq, RES_BAD_LIST,
+			       "request id and operator must not be empty");
+		return false;
+	}
+	l = lst_parse(m->lists.data, m->lists.len, state_version(c->state) + 1,
+		      &e);
+	if (!l) {
+		applied_refuse(c, client, m->seq, RES_BAD_LIST, e.text);
+		return false;
+	}
+	lst_unref(l);
+	return true;
+}
+
+void ctl_apply(struct ctl *c, int64_t client, const struct msg_apply *m,
+	       int64_t wall, clk_ms now)
+{
+	const struct state_request *known;
+	struct buf cmd = BUF_INIT;
+
+	if (!ctl_may_act(c, now)) {
+		applied_refuse(c, client, m->seq, RES_NOT_LEADER,
+			       raft_leader(c->raft));
+		return;
+	}
+	known = state_find_request(c->state, m->request_id);
+	if (known) {
+		cnt_add(CNT_cfg_resends, 1);
+		applied_reply(c, client, m->seq, known);
+		return;
+	}
+	if (!apply_check(c, client, m) || apply_wait(c, client, m))
+		return;
+	state_cmd_apply(&cmd, m, wall);
+	ctl_propose(c, &cmd, now);
+}
+
+static void applied_log(const struct state_request *q)
+{
+	if (q->res == RES_OK)
+		log_info("control",
+			 "event=config_accepted version=%lld by=%s digest=%s",
+			 (long long)q->version, q->by, q->digest);
+	else
+		log_info("control", "event=config_refused result=%s request=%s",
+			 res_name(q->res), q->id);
+}
+
+void ctl_applied(struct ctl *c, const struct state_request *q)
+{
+	size_t kept = 0;
+
+	if (c->leading) {
+		applied_log(q);
+		if (q->res == RES_CONFLICT)
+			cnt_add(CNT_cfg_conflicts, 1);
+	}
+	for (size_t i = 0; i < c->nwaiters; i++) {
+		struct ctl_waiter w = c->waiters[i];
+
+		if (strcmp(w.request_id, q->id) != 0)
+			c->waiters[kept++] = w;
+		else
+			applied_reply(c, w.client, w.seq, q);
+	}
+	c->nwaiters = kept;
+}
+
+/* The proxy sends the request again, under the same id, to the next leader. */
+void ctl_drop_waiters(struct ctl *c)
+{
+	for (size_t i = 0; i < c->nwaiters; i++)
+		applied_refuse(c, c->waiters[i].client, c->waiters[i].seq,
+			       RES_NOT_LEADER, "");
+	c->nwaiters = 0;
+}
+
+void ctl_client_gone(struct ctl *c, int64_t client)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < c->nproxies; i++)
+		if (c->proxies[i].client == client)
+			c->proxies[i].client = 0;
+	for (size_t i = 0; i < c->nwaiters; i++)
+		if (c->waiters[i].client != client)
+			c->waiters[kept++] = c->waiters[i];
+	c->nwaiters = kept;
+}
--- /dev/null
+++ b/ctl_query.c
@@ -0,0 +1,179 @@
+#include "ctl_priv.h"
+
+#include "counter.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { ROWS_MAX_CELLS = 60000 };
+
+/* Collects the cells of a table as zero-terminated texts in one buffer. */
+struct rows {
+	struct buf text;
+	int64_t ncells;
+};
+
+static void rows_add(struct rows *r, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void rows_add(struct rows *r, const char *fmt, ...)
+{
+	char cell[512];
+	va_list ap;
+	int n;
+
+	if (r->ncells == ROWS_MAX_CELLS)
+		return;
+	va_start(ap, fmt);
+	n = vsnprintf(cell, sizeof(cell), fmt, ap);
+	va_end(ap);
+	if (n >= (int)sizeof(cell))
+		n = sizeof(cell) - 1;
+	buf_add(&r->text, cell, (size_t)n + 1);
+	r->ncells++;
+}
+
+static void rows_send(struct ctl *c, int64_t client, int64_t seq, enum res res,
+		      struct rows *r, int64_t ncols)
+{
+	struct ctl_out *o = ctl_out(c, CTL_REPLY);
+	struct msg_rows *m = &o->msg.u.rows;
+	const char *p;
+
+	o->client = client;
+	o->msg.type = MSG_ROWS;
+	o->cells = calloc((size_t)r->ncells + 1, sizeof(*o->cells));
+	o->text = malloc(buf_len(&r->text) + 1);
+	if (!o->cells || !o->text)
+		abort();
+	if (buf_len(&r->text))
+		memcpy(o->text, buf_data(&r->text), buf_len(&r->text));
+	buf_free(&r->text);
+	p = o->text;
+	for (int64_t i = 0; i < r->ncells; i++) {
+		o->cells[i].text.data = p;
+		o->cells[i].text.len = strlen(p);
+		p += strlen(p) + 1;
+	}
+	m->seq = seq;
+	m->res = res;
+	m->ncols = ncols;
+	m->cells = o->cells;
+	m->ncells = r->ncells;
+}
+
+static const struct ctl_proxy *rows_heard(const struct ctl *c, const char *id)
+{
+	for (size_t i = 0; i < c->nproxies; i++)
+		if (!strcmp(c->proxies[i].id, id))
+			return &c->proxies[i];
+	return NULL;
+}
+
+/* One row for each proxy: does it use the configuration in force? */
+static int64_t rows_status(const struct ctl *c, struct rows *r, clk_ms now)
+{
+	static const char *const names[] = {"proxy",   "zone",	 "alive",
+					    "version", "digest", "age_ms",
+					    "lags"};
+	const struct lists *l = state_lists(c->state);
+	const struct proxy_info *p;
+	size_t n;
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		rows_add(r, "%s", names[i]);
+	p = state_proxies(c->state, &n);
+	for (size_t i = 0; i < n; i++) {
+		const struct ctl_proxy *h = rows_heard(c, p[i].id);
+		bool asked = h && h->client;
+		bool lags = !asked || (l && (h->cfg_version != l->version ||
+					     strcmp(h->cfg_digest, l->digest)));
+
+		rows_add(r, "%s", p[i].id);
+		rows_add(r, "%s", p[i].zone);
+		rows_add(r, "%s", p[i].alive ? "yes" : "no");
+		rows_add(r, "%" PRId64, h ? h->cfg_version : 0);
+		rows_add(r, "%s", h ? h->cfg_digest : "");
+		rows_add(r, "%" PRId64, h ? now - h->heard : -1);
+		rows_add(r, "%s", lags ? "yes" : "no");
+	}
+	return sizeof(names) / sizeof(names[0]);
+}
+
+static int64_t rows_log(const struct ctl *c, struct rows *r)
+{
+	size_t n;
+	const struct state_change *log = state_log(c->state, &n);
+
+	rows_add(r, "version");
+	rows_add(r, "at_ms");
+	rows_add(r, "by");
+	rows_add(r, "digest");
+	for (size_t i = n; i > 0; i--) {
+		rows_add(r, "%" PRId64, log[i - 1].version);
+		rows_add(r, "%" PRId64, log[i - 1].at);
+		rows_add(r, "%s", log[i - 1].by);
+		rows_add(r, "%s", log[i - 1].digest);
+	}
+	return 4;
+}
+
+static int64_t rows_config(const struct ctl *c, struct rows *r)
+{
+	const struct lists *l = state_lists(c->state);
+
+	rows_add(r, "version");
+	rows_add(r, "digest");
+	rows_add(r, "lists");
+	if (!l)
+		return 3;
+	rows_add(r, "%" PRId64, l->version);
+	rows_add(r, "%s", l->digest);
+	buf_add(&r->text, l->text, l->len);
+	buf_add(&r->text, "", 1);
+	r->ncells++;
+	return 3;
+}
+
+static void rows_counter(void *arg, const char *name, uint64_t value)
+{
+	rows_add(arg, "%s", name);
+	rows_add(arg, "%" PRIu64, value);
+}
+
+static bool query_is(const struct msg_query *m, const char *what)
+{
+	return m->what.len == strlen(what) &&
+	       !memcmp(m->what.data, what, m->what.len);
+}
+
+void ctl_query(struct ctl *c, int64_t client, const struct msg_query *m,
+	       clk_ms now)
+{
+	enum res res = RES_OK;
+	struct rows r = {0};
+	int64_t ncols = 0;
+
+	if (query_is(m, "counters")) {
+		rows_add(&r, "counter");
+		rows_add(&r, "value");
+		cnt_each(rows_counter, &r);
+		ncols = 2;
+	} else if (!ctl_may_act(c, now)) {
+		res = RES_NOT_LEADER;
+	} else if (query_is(m, "status")) {
+		ncols = rows_status(c, &r, now);
+	} else if (query_is(m, "log")) {
+		ncols = rows_log(c, &r);
+	} else if (query_is(m, "config")) {
+		ncols = rows_config(c, &r);
+	} else {
+		res = RES_UNSUPPORTED;
+	}
+	if (res)
+		cnt_refusal(res);
+	rows_send(c, client, m->seq, res, &r, ncols);
+}
--- /dev/null
+++ b/ctl_roster.c
@@ -0,0 +1,218 @@
+#include "ctl_priv.h"
+
+#include "counter.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct ctl_proxy *ctl_proxy(struct ctl *c, const char *id, clk_ms now)
+{
+	struct ctl_proxy *p;
+
+	for (size_t i = 0; i < c->nproxies; i++)
+		if (!strcmp(c->proxies[i].id, id))
+			return &c->proxies[i];
+	c->proxies =
+		realloc(c->proxies, (c->nproxies + 1) * sizeof(*c->proxies));
+	if (!c->proxies)
+		abort();
+	p = &c->proxies[c->nproxies++];
+	memset(p, 0, sizeof(*p));
+	snprintf(p->id, ID_LEN, "%s", id);
+	p->heard = now;
+	return p;
+}
+
+static struct ctl_backend *ctl_backend(struct ctl *c, const char *id,
+				       clk_ms now)
+{
+	struct ctl_backend *b;
+
+	for (size_t i = 0; i < c->nbackends; i++)
+		if (!strcmp(c->backends[i].id, id))
+			return &c->backends[i];
+	c->backends =
+		realloc(c->backends, (c->nbackends + 1) * sizeof(*c->backends));
+	if (!c->backends)
+		abort();
+	b = &c->backends[c->nbackends++];
+	memset(b, 0, sizeof(*b));
+	snprintf(b->id, ID_LEN, "%s", id);
+	b->heard = now;
+	return b;
+}
+
+void ctl_roster_clear(struct ctl *c)
+{
+	free(c->proxies);
+	free(c->backends);
+	c->proxies = NULL;
+	c->nproxies = 0;
+	c->backends = NULL;
+	c->nbackends = 0;
+}
+
+/* A new leader counts everyone as heard of just now. */
+void ctl_roster_lead(struct ctl *c, clk_ms now)
+{
+	const struct proxy_info *p;
+	const struct backend_info *b;
+	size_t n;
+
+	ctl_roster_clear(c);
+	p = state_proxies(c->state, &n);
+	for (size_t i = 0; i < n; i++)
+		ctl_proxy(c, p[i].id, now);
+	b = state_backends(c->state, &n);
+	for (size_t i = 0; i < n; i++)
+		ctl_backend(c, b[i].id, now);
+}
+
+static bool proxy_record_equal(const struct proxy_info *a,
+			       const struct proxy_info *b)
+{
+	return !strcmp(a->addr, b->addr) && !strcmp(a->zone, b->zone) &&
+	       a->alive == b->alive;
+}
+
+static void ctl_want_proxy(struct ctl *c, struct ctl_proxy *p,
+			   const struct proxy_info *want, clk_ms now)
+{
+	const struct proxy_info *have = state_proxy(c->state, p->id);
+	struct buf cmd = BUF_INIT;
+
+	if (have && proxy_record_equal(have, want))
+		return;
+	if (p->wanted.id[0] && proxy_record_equal(&p->wanted, want) &&
+	    now - p->proposed < CTL_REPROPOSE_MS)
+		return;
+	p->wanted = *want;
+	p->proposed = now;
+	state_cmd_proxy(&cmd, want);
+	ctl_propose(c, &cmd, now);
+}
+
+static bool backend_record_equal(const struct backend_info *a,
+				 const struct backend_info *b)
+{
+	return !strcmp(a->group, b->group) && !strcmp(a->addr, b->addr) &&
+	       !strcmp(a->zone, b->zone) && a->incarnation == b->incarnation &&
+	       a->slots == b->slots && a->connections == b->connections &&
+	       a->leaving == b->leaving && a->silent == b->silent;
+}
+
+static void ctl_want_backend(struct ctl *c, struct ctl_backend *b,
+			     const struct backend_info *want, clk_ms now)
+{
+	const struct backend_info *have = state_backend(c->state, b->id);
+	struct buf cmd = BUF_INIT;
+
+	if (have && backend_record_equal(have, want))
+		return;
+	if (b->wanted.id[0] && backend_record_equal(&b->wanted, want) &&
+	    now - b->proposed < CTL_REPROPOSE_MS)
+		return;
+	b->wanted = *want;
+	b->proposed = now;
+	state_cmd_backend(&cmd, want);
+	ctl_propose(c, &cmd, now);
+}
+
+struct ctl_proxy *ctl_hear_proxy(struct ctl *c, int64_t client, const char *id,
+				 const char *zone, const struct msg_ask *ask,
+				 clk_ms now)
+{
+	struct ctl_proxy *p = ctl_proxy(c, id, now);
+	struct proxy_info want = {.alive = !ask->stopping};
+
+	p->client = client;
+	p->heard = now;
+	p->cfg_version = ask->cfg_version;
+	memcpy(p->cfg_digest, ask->cfg_digest, ID_LEN);
+	p->view_version = ask->view_version;
+	snprintf(want.id, ID_LEN, "%s", id);
+	snprintf(want.zone, ID_LEN, "%s", zone);
+	memcpy(want.addr, ask->addr, ADDR_LEN);
+	if (want.addr[0])
+		ctl_want_proxy(c, p, &want, now);
+	return p;
+}
+
+void ctl_hear_backend(struct ctl *c, const struct backend_info *info,
+		      clk_ms now)
+{
+	const struct backend_info *have = state_backend(c->state, info->id);
+	struct backend_info want = *info;
+	struct ctl_backend *b;
+
+	if (!info->id[0] || !info->group[0] || !info->addr[0])
+		return;
+	b = ctl_backend(c, info->id, now);
+	b->heard = now;
+	want.silent = false;
+	want.version = 0;
+	/* An announcement that was on its way when the member announced its
+	 * leaving does not take that back; a restart does. */
+	if (have && have->leaving && have->incarnation == info->incarnation)
+		want.leaving = true;
+	if (!have)
+		cnt_add(CNT_backends_announced, 1);
+	ctl_want_backend(c, b, &want, now);
+}
+
+static void ctl_tick_proxy(struct ctl *c, const struct proxy_info *have,
+			   clk_ms now)
+{
+	struct ctl_proxy *p = ctl_proxy(c, have->id, now);
+	struct proxy_info want = *have;
+	clk_ms silent = now - p->heard;
+
+	if (silent >= CTL_GONE_MS)
+		want.addr[0] = '\0';
+	else if (silent >= CTL_PROXY_SILENT_MS && have->alive)
+		want.alive = false;
+	else
+		return;
+	log_info("control", "event=proxy_silent id=%s silent_ms=%lld", have->id,
+		 (long long)silent);
+	ctl_want_proxy(c, p, &want, now);
+}
+
+static void ctl_tick_backend(struct ctl *c, const struct backend_info *have,
+			     clk_ms now)
+{
+	struct ctl_backend *b = ctl_backend(c, have->id, now);
+	clk_ms gone = have->leaving ? CTL_LEFT_MS : CTL_GONE_MS;
+	const struct group_info *g = state_group(c->state, have->group);
+	struct backend_info want = *have;
+	clk_ms silent = now - b->heard;
+
+	if (silent >= gone && !(g && !strcmp(g->primary, have->id)))
+		want.addr[0] = '\0';
+	else if (silent >= c->set->silent_ms && !have->silent)
+		want.silent = true;
+	else
+		return;
+	if (want.silent && now - b->proposed >= CTL_REPROPOSE_MS) {
+		cnt_add(CNT_backends_silenced, 1);
+		log_info("control", "event=backend_silent id=%s silent_ms=%lld",
+			 have->id, (long long)silent);
+	}
+	ctl_want_backend(c, b, &want, now);
+}
+
+void ctl_roster_tick(struct ctl *c, clk_ms now)
+{
+	const struct backend_info *b;
+	const struct proxy_info *p;
+	size_t n;
+
+	p = state_proxies(c->state, &n);
+	for (size_t i = 0; i < n; i++)
+		ctl_tick_proxy(c, &p[i], now);
+	b = state_backends(c->state, &n);
+	for (size_t i = 0; i < n; i++)
+		ctl_tick_backend(c, &b[i], now);
+}
--- /dev/null
+++ b/ctlcore.c
@@ -0,0 +1,326 @@
+#include "ctl_priv.h"
+
+#include "counter.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct ctl *ctl_new(const struct settings *set, int64_t uuid, struct rng *rng,
+		    clk_ms now)
+{
+	struct fo_config fo = {.lease_ms = set->lease_ms,
+			       .no_majority_ms = set->suspect_ms};
+	struct raft_config rc = {.uuid = uuid,
+				 .election_min_ms = set->election_min_ms,
+				 .heartbeat_ms = set->heartbeat_ms,
+				 .rng = rng};
+	struct ctl *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		abort();
+	memcpy(rc.id, set->id, ID_LEN);
+	c->set = set;
+	c->uuid = uuid;
+	c->raft = raft_new(&rc, now);
+	c->state = state_new();
+	c->fo = fo_new(&fo, c->state);
+	c->quota = quota_server_new(set->grant_ms);
+	c->form_due = now;
+	return c;
+}
+
+static void ctl_free_out(struct ctl_out *o)
+{
+	free(o->text);
+	free(o->cells);
+}
+
+void ctl_free(struct ctl *c)
+{
+	if (!c)
+		return;
+	for (size_t i = c->taken ? c->taken - 1 : 0; i < c->nouts; i++)
+		ctl_free_out(&c->outs[i]);
+	ctl_roster_clear(c);
+	free(c->outs);
+	free(c->waiters);
+	free(c->changing);
+	quota_server_free(c->quota);
+	fo_free(c->fo);
+	state_free(c->state);
+	raft_free(c->raft);
+	free(c);
+}
+
+struct raft *ctl_raft(struct ctl *c)
+{
+	return c->raft;
+}
+
+const struct state *ctl_state(const struct ctl *c)
+{
+	return c->state;
+}
+
+bool ctl_may_act(const struct ctl *c, clk_ms now)
+{
+	return c->leading && raft_has_authority(c->raft, now);
+}
+
+struct ctl_out *ctl_out(struct ctl *c, enum ctl_act_type type)
+{
+	struct ctl_out *o;
+
+	c->outs = realloc(c->outs, (c->nouts + 1) * sizeof(*c->outs));
+	if (!c->outs)
+		abort();
+	o = &c->outs[c->nouts++];
+	memset(o, 0, sizeof(*o));
+	o->type = type;
+	return o;
+}
+
+void ctl_propose(struct ctl *c, struct buf *cmd, clk_ms now)
+{
+	raft_propose(c->raft, buf_data(cmd), buf_len(cmd), now);
+	buf_free(cmd);
+}
+
+void ctl_peer(struct ctl *c, const char *id, int64_t uuid, clk_ms now)
+{
+	for (int64_t i = 0; i < c->set->ncontrols; i++)
+		if (!strcmp(c->set->controls[i].id, id))
+			raft_peer(c->raft, id, uuid, now);
+}
+
+void ctl_receive(struct ctl *c, const char *from, const struct msg *m,
+		 clk_ms now)
+{
+	if (m->type == MSG_FORM || m->type == MSG_FORMED)
+		ctl_on_form(c, from, m, now);
+	else
+		raft_receive(c->raft, from, m, now);
+}
+
+void ctl_on_call(struct ctl *c, const struct fo_answer *a, clk_ms now)
+{
+	if (ctl_may_act(c, now))
+		fo_on_answer(c->fo, a, now);
+}
+
+static void ctl_start_leading(struct ctl *c, clk_ms now)
+{
+	c->leading = true;
+	c->led = raft_led_since(c->raft);
+	c->answers = raft_term(c->raft) << 32;
+	ctl_roster_lead(c, now);
+	quota_server_lead(c->quota, c->led);
+	fo_lead(c->fo, c->led, now);
+	log_info("control", "event=leading term=%lld",
+		 (long long)raft_term(c->raft));
+}
+
+static void ctl_stop_leading(struct ctl *c)
+{
+	if (!c->leading)
+		return;
+	c->leading = false;
+	fo_stop(c->fo);
+	ctl_drop_waiters(c);
+	log_info("control", "event=not_leading term=%lld",
+		 (long long)raft_term(c->raft));
+}
+
+static void ctl_on_role(struct ctl *c)
+{
+	enum raft_role role = raft_role(c->raft);
+
+	if (role != RAFT_LEADER)
+		ctl_stop_leading(c);
+	if (role == RAFT_CANDIDATE && c->role != role) {
+		cnt_add(CNT_elections, 1);
+		log_info("control", "event=election term=%lld",
+			 (long long)raft_term(c->raft));
+	}
+	if (raft_leader(c->raft)[0]) {
+		cnt_add(CNT_leader_changes, 1);
+		log_info("control", "event=leader id=%s term=%lld",
+			 raft_leader(c->raft), (long long)raft_term(c->raft));
+	}
+	c->role = role;
+}
+
+static bool ctl_groups_changed(const struct ctl *c, int64_t since)
+{
+	size_t n;
+	const struct group_info *g = state_groups(c->state, &n);
+
+	for (size_t i = 0; i < n; i++)
+		if (g[i].version > since)
+			return true;
+	return false;
+}
+
+static void ctl_apply_entry(struct ctl *c, const struct raft_entry *entry,
+			    clk_ms now)
+{
+	const struct state_request *done = NULL;
+	int64_t view = state_view_version(c->state);
+	struct err e = ERR_INIT;
+
+	c->log_bytes += entry->data.len;
+	if (entry->kind == RAFT_COMMAND &&
+	    state_apply(c->state, &entry->data, &done, &e))
+		log_error("control", "event=bad_entry index=%lld error=\"%s\"",
+			  (long long)entry->index, e.text);
+	if (done)
+		ctl_applied(c, done);
+	if (raft_role(c->raft) == RAFT_LEADER && !c->leading &&
+	    entry->term == raft_term(c->raft))
+		ctl_start_leading(c, now);
+	else if (c->leading)
+		fo_tick(c->fo, now);
+	if (c->leading && ctl_groups_changed(c, view))
+		ctl_push(c);
+}
+
+static void ctl_restore(struct ctl *c, const struct blob *data)
+{
+	struct err e = ERR_INIT;
+
+	c->log_bytes = 0;
+	if (!data->len)
+		return;
+	/* The snapshot passed its checksum, so only a newer format of another
+	 * version can fail here; going on would fork the state. */
+	if (state_decode(c->state, data, &e)) {
+		log_error("control", "event=bad_snapshot error=\"%s\"", e.text);
+		abort();
+	}
+}
+
+/* Handles or hands out one action of the log. */
+static bool ctl_take_raft(struct ctl *c, const struct raft_act *r,
+			  struct ctl_act *a, clk_ms now)
+{
+	switch (r->type) {
+	case RAFT_ACT_HARD:
+		a->type = CTL_HARD;
+		break;
+	case RAFT_ACT_WRITE:
+		a->type = CTL_WRITE;
+		break;
+	case RAFT_ACT_SNAPSHOT:
+		a->type = CTL_SNAPSHOT;
+		break;
+	case RAFT_ACT_SEND:
+		a->type = CTL_SEND;
+		memcpy(a->to, r->to, ID_LEN);
+		a->msg = r->msg;
+		break;
+	case RAFT_ACT_APPLY:
+		ctl_apply_entry(c, r->entry, now);
+		return false;
+	case RAFT_ACT_RESTORE:
+		ctl_restore(c, &r->data);
+		return false;
+	case RAFT_ACT_ROLE:
+		ctl_on_role(c);
+		return false;
+	}
+	a->raft = *r;
+	return true;
+}
+
+static bool ctl_take_out(struct ctl *c, struct ctl_act *a)
+{
+	struct ctl_out *o;
+
+	if (c->taken > 0)
+		ctl_free_out(&c->outs[c->taken - 1]);
+	if (c->taken == c->nouts) {
+		c->taken = 0;
+		c->nouts = 0;
+		return false;
+	}
+	o = &c->outs[c->taken++];
+	a->type = o->type;
+	memcpy(a->to, o->to, ID_LEN);
+	a->client = o->client;
+	a->msg = o->msg;
+	if (a->msg.type == MSG_ANSWER)
+		state_delta(c->state, o->since, &a->msg.u.answer);
+	return true;
+}
+
+/* Handles or hands out one action of a change of primary. */
+static bool ctl_take_fo(struct ctl *c, struct fo_act *f, struct ctl_act *a,
+			clk_ms now)
+{
+	struct buf cmd = BUF_INIT;
+
+	if (f->type != FO_COMMIT) {
+		a->type = CTL_CALL;
+		a->call = *f;
+		return true;
+	}
+	state_cmd_group(&cmd, &f->record);
+	ctl_propose(c, &cmd, now);
+	return false;
+}
+
+bool ctl_next(struct ctl *c, struct ctl_act *a, clk_ms now)
+{
+	struct raft_act r;
+	struct fo_act f;
+
+	memset(a, 0, sizeof(*a));
+	for (;;) {
+		if (raft_next(c->raft, &r)) {
+			if (ctl_take_raft(c, &r, a, now))
+				return true;
+			continue;
+		}
+		if (ctl_take_out(c, a))
+			return true;
+		if (!fo_next(c->fo, &f))
+			return false;
+		if (ctl_take_fo(c, &f, a, now))
+			return true;
+	}
+}
+
+static void ctl_compact(struct ctl *c)
+{
+	int64_t n = raft_commit(c->raft) - raft_snapshot_index(c->raft);
+	struct buf b = BUF_INIT;
+
+	if (n < CTL_COMPACT_ENTRIES && c->log_bytes < CTL_COMPACT_BYTES)
+		return;
+	state_encode(c->state, &b);
+	raft_compact(c->raft, buf_data(&b), buf_len(&b));
+	buf_free(&b);
+	c->log_bytes = 0;
+}
+
+void ctl_tick(struct ctl *c, clk_ms now)
+{
+	/* First, while no action points into the log. */
+	ctl_compact(c);
+	ctl_form_tick(c, now);
+	raft_tick(c->raft, now);
+	if (ctl_may_act(c, now)) {
+		ctl_roster_tick(c, now);
+		fo_tick(c->fo, now);
+	}
+}
+
+bool ctl_stop(struct ctl *c, clk_ms now)
+{
+	bool led = raft_role(c->raft) == RAFT_LEADER;
+
+	raft_hand_over(c->raft, now);
+	return led;
+}
--- /dev/null
+++ b/ctlcore.h
@@ -0,0 +1,91 @@
+#ifndef CTLCORE_H
+#define CTLCORE_H
+
+/*
+ * The logic of one control instance: ties the replicated log, the replicated
+ * state, changes of primary and quota shares to events. Free of I/O; the time
+ * is passed in. After each event the daemon takes the actions with ctl_next()
+ * until it returns false and executes them in order.
+ *
+ * Persistence: CTL_HARD, CTL_WRITE and CTL_SNAPSHOT must be durable before a
+ * later action of another type is executed.
+ */
+
+#include "failover.h"
+#include "raft.h"
+#include "settings.h"
+
+enum {
+	CTL_FORM_MS = 200, /* between questions of the first formation */
+	CTL_FORM_VALID_MS = 1000, /* an answer to one counts for this long */
+	CTL_PROXY_SILENT_MS = 2000, /* asks missing until not alive */
+	CTL_GONE_MS = 24 * 3600 * 1000, /* silent for this long: removed */
+	CTL_LEFT_MS = 10000, /* the same for a backend that left */
+	CTL_REPROPOSE_MS = 1000, /* a proposal without effect is repeated */
+	CTL_COMPACT_ENTRIES = 2000,
+	CTL_COMPACT_BYTES = 4 << 20
+};
+
+enum ctl_act_type {
+	CTL_HARD, /* save raft.term and raft.to (the vote) */
+	CTL_WRITE, /* write raft.entry */
+	CTL_SNAPSHOT, /* save the snapshot in raft */
+	CTL_SEND, /* send msg to control instance to */
+	CTL_REPLY, /* send msg to the link with number client */
+	CTL_CALL /* call a member, see call */
+};
+
+struct ctl_act {
+	enum ctl_act_type type;
+	struct raft_act raft;
+	char to[ID_LEN];
+	int64_t client;
+	struct msg msg;
+	struct fo_act call;
+};
+
+struct ctl;
+
+struct ctl *ctl_new(const struct settings *set, int64_t uuid, struct rng *rng,
+		    clk_ms now);
+void ctl_free(struct ctl *c);
+
+/* For recovery from the store before the first event. */
+struct raft *ctl_raft(struct ctl *c);
+const struct state *ctl_state(const struct ctl *c);
+
+/* A control instance was reached. */
+void ctl_peer(struct ctl *c, const char *id, int64_t uuid, clk_ms now);
+
+/* A message of another control instance. */
+void ctl_receive(struct ctl *c, const char *from, const struct msg *m,
+		 clk_ms now);
+
+/*
+ * Answers an ask of a proxy on the link with number client. now must be read
+ * after the ask came in and the answer must be sent at once: the lease it
+ * grants rests on this instance's authority at now. The answer is valid until
+ * the next call.
+ */
+void ctl_ask(struct ctl *c, int64_t client, const char *proxy, const char *zone,
+	     const struct msg_ask *ask, clk_ms now, struct msg *answer);
+
+/* Operators' requests; replied to by CTL_REPLY. wall is for the log. */
+void ctl_apply(struct ctl *c, int64_t client, const struct msg_apply *m,
+	       int64_t wall, clk_ms now);
+void ctl_query(struct ctl *c, int64_t client, const struct msg_query *m,
+	       clk_ms now);
+
+/* A link to a proxy closed. */
+void ctl_client_gone(struct ctl *c, int64_t client);
+
+void ctl_on_call(struct ctl *c, const struct fo_answer *a, clk_ms now);
+void ctl_tick(struct ctl *c, clk_ms now);
+
+/* Hands leadership over; true if this instance led. */
+bool ctl_stop(struct ctl *c, clk_ms now);
+
+/* The pointers in a are valid until the next call. */
+bool ctl_next(struct ctl *c, struct ctl_act *a, clk_ms now);
+
+#endif
--- /dev/null
+++ b/failover.c
@@ -0,0 +1,498 @@
+#include "failover_priv.h"
+
+#include "counter.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	FO_CALL_MS = 800, /* an answer that takes longer is lost */
+	FO_IDLE_MS = 1000, /* between probes of a healthy group */
+	FO_RETRY_MS = 100, /* between calls to a member that matters now */
+	FO_SUSPECT_MS = 3000, /* a suspicion is followed up for this long */
+	FO_CATCH_UP_MS = 2000, /* planned change: wait for a replica */
+	FO_PROMOTE_TRIES = 3
+};
+
+struct fo *fo_new(const struct fo_config *cfg, const struct state *state)
+{
+	struct fo *f = calloc(1, sizeof(*f));
+
+	if (!f)
+		abort();
+	f->cfg = *cfg;
+	f->state = state;
+	return f;
+}
+
+static void fo_clear(struct fo *f)
+{
+	for (size_t i = 0; i < f->ngroups; i++)
+		free(f->groups[i].members);
+	free(f->groups);
+	f->groups = NULL;
+	f->ngroups = 0;
+	f->nacts = 0;
+	f->taken = 0;
+}
+
+void fo_free(struct fo *f)
+{
+	if (!f)
+		return;
+	fo_clear(f);
+	free(f->acts);
+	free(f);
+}
+
+bool fo_next(struct fo *f, struct fo_act *a)
+{
+	if (f->taken == f->nacts) {
+		f->taken = 0;
+		f->nacts = 0;
+		return false;
+	}
+	*a = f->acts[f->taken++];
+	a->record.starts = &a->start;
+	return true;
+}
+
+static struct fo_act *fo_act(struct fo *f, enum fo_act_type type,
+			     const struct fo_group *g)
+{
+	struct fo_act *a;
+
+	f->acts = realloc(f->acts, (f->nacts + 1) * sizeof(*f->acts));
+	if (!f->acts)
+		abort();
+	a = &f->acts[f->nacts++];
+	memset(a, 0, sizeof(*a));
+	a->type = type;
+	memcpy(a->group, g->name, ID_LEN);
+	return a;
+}
+
+/* Time that leases of the old term may still last. */
+static clk_ms fo_wait(const struct fo *f)
+{
+	return f->cfg.lease_ms + f->cfg.lease_ms / 10;
+}
+
+static struct fo_act *fo_call(struct fo *f, struct fo_group *g,
+			      struct fo_member *m, enum fo_act_type kind,
+			      int64_t term, clk_ms now)
+{
+	struct fo_act *a = fo_act(f, kind, g);
+
+	memcpy(a->member, m->id, ID_LEN);
+	memcpy(a->addr, m->addr, ADDR_LEN);
+	a->term = term;
+	a->call = ++f->calls;
+	m->call = a->call;
+	m->kind = kind;
+	m->call_term = term;
+	m->called = now;
+	return a;
+}
+
+static bool fo_may_call(const struct fo_member *m, clk_ms pause, clk_ms now)
+{
+	return !m->call && now - m->called >= pause;
+}
+
+static void fo_call_all(struct fo *f, struct fo_group *g, enum fo_act_type kind,
+			clk_ms pause, clk_ms now)
+{
+	for (size_t i = 0; i < g->nmembers; i++) {
+		struct fo_member *m = &g->members[i];
+
+		if (kind == FO_FENCE && m->fenced >= g->term)
+			continue;
+		if (fo_may_call(m, pause, now))
+			fo_call(f, g, m, kind, g->term, now);
+	}
+}
+
+/* Begins a change to a term above all that the group or a member has seen. */
+static void fo_begin(struct fo *f, struct fo_group *g)
+{
+	const struct group_info *info = fo_info(f, g);
+	struct fo_act *a = fo_act(f, FO_COMMIT, g);
+	int64_t term = info ? info->next_term : 0;
+
+	if (info && info->term > term)
+		term = info->term;
+	for (size_t i = 0; i < g->nmembers; i++)
+		if (g->members[i].status.fence_term > term)
+			term = g->members[i].status.fence_term;
+	g->term = term + 1;
+	g->phase = FO_BEGINNING;
+	g->tries = 0;
+	memcpy(a->record.name, g->name, ID_LEN);
+	a->record.changing = true;
+	a->record.next_term = g->term;
+	log_info("failover", "event=begin group=%s term=%lld planned=%d",
+		 g->name, (long long)g->term, g->planned);
+}
+
+static bool fo_primary_works(const struct fo *f, const struct fo_member *p)
+{
+	return p && p->known && p->status.primary &&
+	       p->status.majority_age_ms < f->cfg.no_majority_ms;
+}
+
+static void fo_probing_first(struct fo *f, struct fo_group *g)
+{
+	size_t n = fo_answered(g, g->since);
+
+	if (n == g->nmembers && n >= fo_majority(g))
+		fo_begin(f, g);
+}
+
+static void fo_probing_known(struct fo *f, struct fo_group *g,
+			     const struct group_info *info, clk_ms now)
+{
+	const struct fo_member *p = fo_member(g, info->primary);
+	bool done = !p || (p->seen >= g->since && !p->call);
+	bool majority = fo_answered(g, g->since) >= fo_majority(g);
+
+	if (!done)
+		return;
+	if (!fo_primary_works(f, p)) {
+		if (majority) {
+			g->planned = false;
+			fo_begin(f, g);
+		}
+	} else if (p->leaving) {
+		g->planned = true;
+		if (majority && fo_has_successor(g, info->term, 0))
+			fo_begin(f, g);
+	} else if (now - g->suspected > FO_SUSPECT_MS) {
+		g->phase = FO_IDLE;
+	}
+}
+
+static void fo_probing(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	const struct group_info *info = fo_info(f, g);
+
+	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
+	if (now < f->led + fo_wait(f))
+		return;
+	if (info && info->term > 0)
+		fo_probing_known(f, g, info, now);
+	else
+		fo_probing_first(f, g);
+}
+
+static void fo_beginning(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	const struct group_info *info = fo_info(f, g);
+
+	if (!info || !info->changing || info->next_term != g->term)
+		return;
+	if (g->listed == CLK_NEVER)
+		g->listed = now;
+	g->phase = FO_FENCING;
+}
+
+/* True when no lease of the old term is valid any more. */
+static bool fo_leases_over(const struct fo *f, const struct fo_group *g,
+			   clk_ms now)
+{
+	const struct group_info *info = fo_info(f, g);
+
+	return !info || info->term == 0 || now >= g->listed + fo_wait(f);
+}
+
+/* A planned change lets a replica catch up after the last acknowledged
+ * write, before replication is fenced off. */
+static bool fo_may_fence(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	const struct group_info *info = fo_info(f, g);
+	clk_ms over = g->listed + fo_wait(f);
+	struct fo_member *p;
+
+	if (!g->planned || !info)
+		return true;
+	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
+	if (now < over)
+		return false;
+	p = fo_member(g, info->primary);
+	if (!fo_primary_works(f, p) || now >= over + FO_CATCH_UP_MS)
+		g->planned = false;
+	else if (p->seen - over >= FO_RETRY_MS &&
+		 fo_has_successor(g, p->status.log_term, p->status.held))
+		g->planned = false;
+	return !g->planned;
+}
+
+static void fo_fencing(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	const struct fo_member *c;
+
+	if (!fo_may_fence(f, g, now))
+		return;
+	if (fo_outdated(g)) {
+		fo_begin(f, g);
+		return;
+	}
+	fo_call_all(f, g, FO_FENCE, FO_RETRY_MS, now);
+	if (fo_fenced(g, true) < fo_majority(g) || !fo_leases_over(f, g, now))
+		return;
+	c = fo_choose(g);
+	memcpy(g->chosen, c->id, ID_LEN);
+	g->phase = FO_PROMOTING;
+	g->tries = 0;
+}
+
+static void fo_promoting(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	struct fo_member *m = fo_member(g, g->chosen);
+
+	if (m && m->call && m->kind == FO_PROMOTE)
+		return;
+	if (!m || g->tries == FO_PROMOTE_TRIES) {
+		log_warn("failover",
+			 "event=promote_failed group=%s member=%s term=%lld",
+			 g->name, g->chosen, (long long)g->term);
+		fo_begin(f, g);
+		return;
+	}
+	if (!fo_may_call(m, g->tries ? FO_RETRY_MS : 0, now))
+		return;
+	g->tries++;
+	fo_call(f, g, m, FO_PROMOTE, g->term, now);
+}
+
+static void fo_promoted(struct fo *f, struct fo_group *g, int64_t start)
+{
+	struct fo_act *a = fo_act(f, FO_COMMIT, g);
+
+	g->phase = FO_COMMITTING;
+	g->start = start;
+	memcpy(a->record.name, g->name, ID_LEN);
+	memcpy(a->record.primary, g->chosen, ID_LEN);
+	a->record.term = g->term;
+	a->record.nstarts = 1;
+	a->start = (struct term_start){g->term, start};
+}
+
+static void fo_committing(struct fo *f, struct fo_group *g)
+{
+	const struct group_info *info = fo_info(f, g);
+
+	if (!info || info->term != g->term || info->changing)
+		return;
+	log_info("failover",
+		 "event=promoted group=%s primary=%s term=%lld start=%lld",
+		 g->name, info->primary, (long long)info->term,
+		 (long long)g->start);
+	cnt_add(CNT_promotions, 1);
+	g->phase = FO_IDLE;
+	g->planned = false;
+	g->listed = CLK_NEVER;
+	g->suspected = INT64_MIN / 2;
+}
+
+static bool fo_follows(const struct fo_member *m, const struct group_info *info,
+		       const char *addr)
+{
+	return m->follows_term == info->term &&
+	       m->follows_incarnation == m->status.incarnation &&
+	       !strcmp(m->follows, addr);
+}
+
+/* Tells members that may not follow the current primary to do so. */
+static void fo_lead_members(struct fo *f, struct fo_group *g,
+			    const struct group_info *info, clk_ms now)
+{
+	const struct fo_member *p = fo_member(g, info->primary);
+
+	if (!p)
+		return;
+	for (size_t i = 0; i < g->nmembers; i++) {
+		struct fo_member *m = &g->members[i];
+
+		if (m == p || !m->known || fo_follows(m, info, p->addr) ||
+		    !fo_may_call(m, FO_RETRY_MS, now))
+			continue;
+		m->follows_term = 0;
+		m->follows_incarnation = m->status.incarnation;
+		memcpy(m->follows, p->addr, ADDR_LEN);
+		memcpy(fo_call(f, g, m, FO_FOLLOW, info->term, now)->primary,
+		       p->addr, ADDR_LEN);
+	}
+}
+
+static void fo_start_probing(struct fo_group *g, clk_ms now)
+{
+	g->phase = FO_PROBING;
+	g->planned = false;
+	g->listed = CLK_NEVER;
+	g->since = now;
+}
+
+static void fo_idle(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	const struct group_info *info = fo_info(f, g);
+	const struct fo_member *p;
+
+	if (!info || info->term == 0) {
+		fo_start_probing(g, now);
+		return;
+	}
+	fo_lead_members(f, g, info, now);
+	fo_call_all(f, g, FO_PROBE, FO_IDLE_MS, now);
+	p = fo_member(g, info->primary);
+	if (!p || p->leaving || (p->seen > 0 && !fo_primary_works(f, p)) ||
+	    now - g->suspected <= FO_SUSPECT_MS)
+		fo_start_probing(g, now);
+}
+
+static void fo_step(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	switch (g->phase) {
+	case FO_IDLE:
+		fo_idle(f, g, now);
+		break;
+	case FO_PROBING:
+		fo_probing(f, g, now);
+		break;
+	case FO_BEGINNING:
+		fo_beginning(f, g, now);
+		break;
+	case FO_FENCING:
+		fo_fencing(f, g, now);
+		break;
+	case FO_PROMOTING:
+		fo_promoting(f, g, now);
+		break;
+	case FO_COMMITTING:
+		fo_committing(f, g);
+		break;
+	}
+}
+
+static void fo_advance(struct fo *f, struct fo_group *g, clk_ms now)
+{
+	enum fo_phase before;
+
+	do {
+		before = g->phase;
+		fo_step(f, g, now);
+	} while (g->phase != before);
+}
+
+/* Calls whose answer never came count as failed. */
+static void fo_expire_calls(struct fo_group *g, clk_ms now)
+{
+	for (size_t i = 0; i < g->nmembers; i++) {
+		struct fo_member *m = &g->members[i];
+
+		if (!m->call || now - m->called < FO_CALL_MS)
+			continue;
+		m->call = 0;
+		m->known = false;
+		m->seen = now;
+	}
+}
+
+void fo_tick(struct fo *f, clk_ms now)
+{
+	if (!f->leading)
+		return;
+	fo_update(f);
+	for (size_t i = 0; i < f->ngroups; i++) {
+		fo_expire_calls(&f->groups[i], now);
+		fo_advance(f, &f->groups[i], now);
+	}
+}
+
+void fo_lead(struct fo *f, clk_ms led, clk_ms now)
+{
+	fo_clear(f);
+	f->leading = true;
+	f->led = led;
+	fo_update(f);
+	for (size_t i = 0; i < f->ngroups; i++) {
+		struct fo_group *g = &f->groups[i];
+		const struct group_info *info = fo_info(f, g);
+
+		g->listed = CLK_NEVER;
+		if (!info || !info->changing)
+			continue;
+		/* This leader has never granted a lease for the group. */
+		g->listed = led;
+		fo_begin(f, g);
+	}
+	fo_tick(f, now);
+}
+
+void fo_stop(struct fo *f)
+{
+	f->leading = false;
+	fo_clear(f);
+}
+
+void fo_suspect(struct fo *f, const char *group, int64_t term, clk_ms now)
+{
+	struct fo_group *g = fo_group(f, group);
+	const struct group_info *info;
+
+	if (!f->leading || !g)
+		return;
+	info = fo_info(f, g);
+	if (!info || info->term != term || info->changing)
+		return;
+	g->suspected = now;
+	if (g->phase == FO_IDLE)
+		fo_start_probing(g, now);
+	fo_advance(f, g, now);
+}
+
+static void fo_take_status(struct fo_member *m, const struct fo_answer *a,
+			   clk_ms now)
+{
+	m->known = a->ok;
+	m->seen = now;
+	if (a->ok)
+		m->status = a->status;
+	else
+		m->follows_term = 0;
+}
+
+void fo_on_answer(struct fo *f, const struct fo_answer *a, clk_ms now)
+{
+	struct fo_group *g = fo_group(f, a->group);
+	struct fo_member *m = g ? fo_member(g, a->member) : NULL;
+
+	if (!f->leading || !m || !m->call || m->call != a->call)
+		return;
+	m->call = 0;
+	switch (m->kind) {
+	case FO_PROBE:
+		fo_take_status(m, a, now);
+		break;
+	case FO_FENCE:
+		fo_take_status(m, a, now);
+		if (a->ok && g->phase == FO_FENCING &&
+		    a->status.fence_term == g->term)
+			m->fenced = g->term;
+		break;
+	case FO_PROMOTE:
+		if (a->ok && g->phase == FO_PROMOTING &&
+		    !strcmp(g->chosen, m->id))
+			fo_promoted(f, g, a->start);
+		break;
+	case FO_FOLLOW:
+		if (a->ok)
+			m->follows_term = m->call_term;
+		break;
+	case FO_COMMIT:
+		break;
+	}
+	fo_advance(f, g, now);
+}
--- /dev/null
+++ b/failover_group.c
@@ -0,0 +1,182 @@
+#include "failover_priv.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+const struct group_info *fo_info(const struct fo *f, const struct fo_group *g)
+{
+	return state_group(f->state, g->name);
+}
+
+struct fo_member *fo_member(struct fo_group *g, const char *id)
+{
+	for (size_t i = 0; i < g->nmembers; i++)
+		if (!strcmp(g->members[i].id, id))
+			return &g->members[i];
+	return NULL;
+}
+
+struct fo_group *fo_group(struct fo *f, const char *name)
+{
+	for (size_t i = 0; i < f->ngroups; i++)
+		if (!strcmp(f->groups[i].name, name))
+			return &f->groups[i];
+	return NULL;
+}
+
+static struct fo_group *fo_add_group(struct fo *f, const char *name)
+{
+	struct fo_group *g;
+
+	f->groups = realloc(f->groups, (f->ngroups + 1) * sizeof(*f->groups));
+	if (!f->groups)
+		abort();
+	g = &f->groups[f->ngroups++];
+	memset(g, 0, sizeof(*g));
+	snprintf(g->name, ID_LEN, "%s", name);
+	g->suspected = INT64_MIN / 2;
+	return g;
+}
+
+static struct fo_member *fo_add_member(struct fo_group *g, const char *id)
+{
+	struct fo_member *m;
+
+	g->members =
+		realloc(g->members, (g->nmembers + 1) * sizeof(*g->members));
+	if (!g->members)
+		abort();
+	m = &g->members[g->nmembers++];
+	memset(m, 0, sizeof(*m));
+	snprintf(m->id, ID_LEN, "%s", id);
+	m->called = INT64_MIN / 2;
+	m->seen = INT64_MIN / 2;
+	return m;
+}
+
+/* Brings groups and members in line with the roster. */
+void fo_update(struct fo *f)
+{
+	const struct backend_info *b;
+	size_t n;
+
+	for (size_t i = 0; i < f->ngroups; i++)
+		for (size_t j = 0; j < f->groups[i].nmembers; j++)
+			f->groups[i].members[j].listed = false;
+	b = state_backends(f->state, &n);
+	for (size_t i = 0; i < n; i++) {
+		struct fo_group *g = fo_group(f, b[i].group);
+		struct fo_member *m;
+
+		if (!g)
+			g = fo_add_group(f, b[i].group);
+		m = fo_member(g, b[i].id);
+		if (!m)
+			m = fo_add_member(g, b[i].id);
+		memcpy(m->addr, b[i].addr, ADDR_LEN);
+		m->leaving = b[i].leaving;
+		m->listed = true;
+	}
+	for (size_t i = 0; i < f->ngroups; i++) {
+		struct fo_group *g = &f->groups[i];
+
+		for (size_t j = 0; j < g->nmembers;) {
+			if (g->members[j].listed)
+				j++;
+			else
+				g->members[j] = g->members[--g->nmembers];
+		}
+	}
+}
+
+size_t fo_majority(const struct fo_group *g)
+{
+	size_t n = g->nmembers > FO_EXPECTED ? g->nmembers : FO_EXPECTED;
+
+	return n / 2 + 1;
+}
+
+static bool fo_status_newer(const struct fo_status *a,
+			    const struct fo_status *b)
+{
+	if (a->log_term != b->log_term)
+		return a->log_term > b->log_term;
+	return a->held > b->held;
+}
+
+/* Members that answered since a point in time. */
+size_t fo_answered(const struct fo_group *g, clk_ms since)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < g->nmembers; i++)
+		n += g->members[i].known && g->members[i].seen >= since;
+	return n;
+}
+
+/* A replica that a planned change could promote. */
+bool fo_has_successor(const struct fo_group *g, int64_t log_term, int64_t held)
+{
+	for (size_t i = 0; i < g->nmembers; i++) {
+		const struct fo_member *m = &g->members[i];
+
+		if (m->known && !m->leaving && !m->status.primary &&
+		    m->status.log_term >= log_term && m->status.held >= held)
+			return true;
+	}
+	return false;
+}
+
+size_t fo_fenced(const struct fo_group *g, bool count_leaving)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < g->nmembers; i++)
+		n += g->members[i].fenced == g->term &&
+		     (count_leaving || !g->members[i].leaving);
+	return n;
+}
+
+static const struct fo_member *fo_newest(const struct fo_group *g,
+					 bool with_leaving)
+{
+	const struct fo_member *best = NULL;
+
+	for (size_t i = 0; i < g->nmembers; i++) {
+		const struct fo_member *m = &g->members[i];
+
+		if (m->fenced != g->term || (m->leaving && !with_leaving))
+			continue;
+		if (!best || fo_status_newer(&m->status, &best->status) ||
+		    (!fo_status_newer(&best->status, &m->status) &&
+		     strcmp(m->id, best->id) < 0))
+			best = m;
+	}
+	return best;
+}
+
+/* The member to promote. A leaving one only if the others may lack entries
+ * that a majority holds. */
+const struct fo_member *fo_choose(const struct fo_group *g)
+{
+	const struct fo_member *all = fo_newest(g, true);
+	const struct fo_member *staying = fo_newest(g, false);
+
+	if (!staying)
+		return all;
+	if (fo_fenced(g, false) >= fo_majority(g) ||
+	    !fo_status_newer(&all->status, &staying->status))
+		return staying;
+	return all;
+}
+
+/* A member that knows a higher term refuses ours. */
+bool fo_outdated(const struct fo_group *g)
+{
+	for (size_t i = 0; i < g->nmembers; i++)
+		if (g->members[i].known &&
+		    g->members[i].status.fence_term > g->term)
+			return true;
+	return false;
+}
--- /dev/null
+++ b/state.c
@@ -0,0 +1,428 @@
+#include "state_priv.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct state *state_new(void)
+{
+	struct state *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		abort();
+	return s;
+}
+
+void state_clear(struct state *s)
+{
+	lst_unref(s->lists);
+	for (size_t i = 0; i < s->nrequests; i++)
+		free(s->requests[i].text);
+	for (size_t i = 0; i < s->ngroups; i++)
+		free(s->groups[i].starts);
+	free(s->requests);
+	free(s->log);
+	free(s->groups);
+	free(s->backends);
+	free(s->proxies);
+	free(s->delta_groups);
+	free(s->delta_backends);
+	free(s->delta_proxies);
+	memset(s, 0, sizeof(*s));
+}
+
+void state_free(struct state *s)
+{
+	if (!s)
+		return;
+	state_clear(s);
+	free(s);
+}
+
+void *state_grow(void *list, size_t n, size_t size)
+{
+	/* Doubles at powers of two. */
+	if (n & (n - 1))
+		return list;
+	list = realloc(list, (n ? 2 * n : 1) * size);
+	if (!list)
+		abort();
+	return list;
+}
+
+void state_cmd_apply(struct buf *out, const struct msg_apply *m, int64_t wall)
+{
+	struct msg cmd = {.type = MSG_APPLY, .u.apply = *m};
+
+	cmd.u.apply.seq = wall;
+	msg_encode(&cmd, out);
+}
+
+void state_cmd_group(struct buf *out, const struct group_info *g)
+{
+	struct group_info copy = *g;
+	struct msg cmd = {.type = MSG_ANSWER};
+
+	cmd.u.answer.groups = &copy;
+	cmd.u.answer.ngroups = 1;
+	msg_encode(&cmd, out);
+}
+
+void state_cmd_backend(struct buf *out, const struct backend_info *b)
+{
+	struct backend_info copy = *b;
+	struct msg cmd = {.type = MSG_ANSWER};
+
+	cmd.u.answer.backends = &copy;
+	cmd.u.answer.nbackends = 1;
+	msg_encode(&cmd, out);
+}
+
+void state_cmd_proxy(struct buf *out, const struct proxy_info *p)
+{
+	struct proxy_info copy = *p;
+	struct msg cmd = {.type = MSG_ANSWER};
+
+	cmd.u.answer.proxies = &copy;
+	cmd.u.answer.nproxies = 1;
+	msg_encode(&cmd, out);
+}
+
+const struct state_request *state_find_request(const struct state *s,
+					       const char *id)
+{
+	for (size_t i = s->nrequests; i > 0; i--)
+		if (!strcmp(s->requests[i - 1].id, id))
+			return &s->requests[i - 1];
+	return NULL;
+}
+
+struct state_request *state_add_request(struct state *s)
+{
+	if (s->nrequests == STATE_REQUESTS) {
+		free(s->requests[0].text);
+		memmove(s->requests, s->requests + 1,
+			(STATE_REQUESTS - 1) * sizeof(*s->requests));
+		s->nrequests--;
+	} else {
+		s->requests = state_grow(s->requests, s->nrequests,
+					 sizeof(*s->requests));
+	}
+	memset(&s->requests[s->nrequests], 0, sizeof(*s->requests));
+	return &s->requests[s->nrequests++];
+}
+
+struct state_change *state_add_change(struct state *s)
+{
+	if (s->nlog == STATE_LOG) {
+		memmove(s->log, s->log + 1, (STATE_LOG - 1) * sizeof(*s->log));
+		s->nlog--;
+	} else {
+		s->log = state_grow(s->log, s->nlog, sizeof(*s->log));
+	}
+	memset(&s->log[s->nlog], 0, sizeof(*s->log));
+	return &s->log[s->nlog++];
+}
+
+static enum res state_conflict(const struct state *s, const struct lists *l,
+			       struct buf *text)
+{
+	buf_addf(text, "version %lld is in force; entries that differ:\n",
+		 (long long)s->version);
+	if (s->lists)
+		lst_diff(s->lists, l, text);
+	return RES_CONFLICT;
+}
+
+static void state_accept(struct state *s, const struct msg_apply *m,
+			 struct lists *l)
+{
+	struct state_change *c = state_add_change(s);
+
+	lst_unref(s->lists);
+	s->lists = lst_ref(l);
+	s->version = l->version;
+	c->version = s->version;
+	snprintf(c->digest, ID_LEN, "%s", l->digest);
+	snprintf(c->by, ID_LEN, "%s", m->operator_name);
+	c->at = m->seq;
+}
+
+/* Decides about an operator's request; text gets the reason of a refusal. */
+static enum res state_decide(struct state *s, const struct msg_apply *m,
+			     struct buf *text)
+{
+	struct err e = ERR_INIT;
+	struct lists *l =
+		lst_parse(m->lists.data, m->lists.len, s->version + 1, &e);
+	enum res r = RES_OK;
+
+	if (!l) {
+		buf_addstr(text, e.text);
+		return RES_BAD_LIST;
+	}
+	if (m->base_version != s->version)
+		r = state_conflict(s, l, text);
+	else
+		state_accept(s, m, l);
+	lst_unref(l);
+	return r;
+}
+
+static const struct state_request *state_apply_config(struct state *s,
+						      const struct msg_apply *m)
+{
+	const struct state_request *known =
+		state_find_request(s, m->request_id);
+	struct state_request *q;
+	struct buf text = BUF_INIT;
+	enum res r;
+
+	if (known)
+		return known;
+	r = state_decide(s, m, &text);
+	q = state_add_request(s);
+	snprintf(q->id, sizeof(q->id), "%s", m->request_id);
+	q->res = r;
+	q->version = s->version;
+	if (s->nlog) {
+		const struct state_change *c = &s->log[s->nlog - 1];
+
+		memcpy(q->digest, c->digest, ID_LEN);
+		memcpy(q->by, c->by, ID_LEN);
+		q->at = c->at;
+	}
+	q->text = strndup(buf_str(&text), STATE_TEXT);
+	buf_free(&text);
+	return q;
+}
+
+struct group_info *state_make_group(struct state *s, const char *name)
+{
+	struct group_info *g;
+
+	for (size_t i = 0; i < s->ngroups; i++)
+		if (!strcmp(s->groups[i].name, name))
+			return &s->groups[i];
+	s->groups = state_grow(s->groups, s->ngroups, sizeof(*s->groups));
+	g = &s->groups[s->ngroups++];
+	memset(g, 0, sizeof(*g));
+	snprintf(g->name, ID_LEN, "%s", name);
+	g->starts = calloc(GROUP_TERMS, sizeof(*g->starts));
+	if (!g->starts)
+		abort();
+	return g;
+}
+
+static void state_add_start(struct group_info *g, const struct term_start *t)
+{
+	if (g->nstarts == GROUP_TERMS) {
+		memmove(g->starts, g->starts + 1,
+			(GROUP_TERMS - 1) * sizeof(*g->starts));
+		g->nstarts--;
+	}
+	g->starts[g->nstarts++] = *t;
+}
+
+static void state_merge_group(struct state *s, const struct group_info *in)
+{
+	struct group_info *g = state_make_group(s, in->name);
+
+	if (in->changing) {
+		if (in->next_term <= g->next_term || in->next_term <= g->term)
+			return;
+		g->changing = true;
+		g->next_term = in->next_term;
+	} else {
+		if (!g->changing || in->term != g->next_term || !in->nstarts)
+			return;
+		g->changing = false;
+		g->term = in->term;
+		memcpy(g->primary, in->primary, ID_LEN);
+		state_add_start(g, &in->starts[0]);
+	}
+	g->version = ++s->view_version;
+}
+
+static bool backend_equal(const struct backend_info *a,
+			  const struct backend_info *b)
+{
+	return !strcmp(a->group, b->group) && !strcmp(a->addr, b->addr) &&
+	       !strcmp(a->zone, b->zone) && a->incarnation == b->incarnation &&
+	       a->slots == b->slots && a->connections == b->connections &&
+	       a->leaving == b->leaving && a->silent == b->silent;
+}
+
+static void state_merge_backend(struct state *s, const struct backend_info *in)
+{
+	size_t i = 0;
+
+	while (i < s->nbackends && strcmp(s->backends[i].id, in->id))
+		i++;
+	if (!in->addr[0]) {
+		if (i < s->nbackends)
+			s->backends[i] = s->backends[--s->nbackends];
+		return;
+	}
+	if (i == s->nbackends) {
+		s->backends = state_grow(s->backends, s->nbackends,
+					 sizeof(*s->backends));
+		memset(&s->backends[s->nbackends++], 0, sizeof(*s->backends));
+	} else if (backend_equal(&s->backends[i], in)) {
+		return;
+	}
+	s->backends[i] = *in;
+	s->backends[i].version = ++s->view_version;
+}
+
+static bool proxy_equal(const struct proxy_info *a, const struct proxy_info *b)
+{
+	return !strcmp(a->addr, b->addr) && !strcmp(a->zone, b->zone) &&
+	       a->alive == b->alive;
+}
+
+static void state_merge_proxy(struct state *s, const struct proxy_info *in)
+{
+	size_t i = 0;
+
+	while (i < s->nproxies && strcmp(s->proxies[i].id, in->id))
+		i++;
+	if (!in->addr[0]) {
+		if (i < s->nproxies)
+			s->proxies[i] = s->proxies[--s->nproxies];
+		return;
+	}
+	if (i == s->nproxies) {
+		s->proxies = state_grow(s->proxies, s->nproxies,
+					sizeof(*s->proxies));
+		memset(&s->proxies[s->nproxies++], 0, sizeof(*s->proxies));
+	} else if (proxy_equal(&s->proxies[i], in)) {
+		return;
+	}
+	s->proxies[i] = *in;
+	s->proxies[i].version = ++s->view_version;
+}
+
+static void state_merge(struct state *s, const struct msg_answer *a)
+{
+	for (int64_t i = 0; i < a->ngroups; i++)
+		state_merge_group(s, &a->groups[i]);
+	for (int64_t i = 0; i < a->nbackends; i++)
+		state_merge_backend(s, &a->backends[i]);
+	for (int64_t i = 0; i < a->nproxies; i++)
+		state_merge_proxy(s, &a->proxies[i]);
+}
+
+enum res state_apply(struct state *s, const struct blob *cmd,
+		     const struct state_request **done, struct err *e)
+{
+	struct msg m;
+	enum res r = msg_decode(&m, cmd->data, cmd->len, e);
+
+	*done = NULL;
+	if (r)
+		return r;
+	if (m.type == MSG_APPLY)
+		*done = state_apply_config(s, &m.u.apply);
+	else if (m.type == MSG_ANSWER)
+		state_merge(s, &m.u.answer);
+	else
+		r = err_set(e, RES_BAD_MESSAGE, "command of unknown type");
+	msg_free(&m);
+	return r;
+}
+
+int64_t state_version(const struct state *s)
+{
+	return s->version;
+}
+
+struct lists *state_lists(const struct state *s)
+{
+	return s->lists;
+}
+
+const struct state_change *state_log(const struct state *s, size_t *n)
+{
+	*n = s->nlog;
+	return s->log;
+}
+
+int64_t state_view_version(const struct state *s)
+{
+	return s->view_version;
+}
+
+const struct group_info *state_groups(const struct state *s, size_t *n)
+{
+	*n = s->ngroups;
+	return s->groups;
+}
+
+const struct backend_info *state_backends(const struct state *s, size_t *n)
+{
+	*n = s->nbackends;
+	return s->backends;
+}
+
+const struct proxy_info *state_proxies(const struct state *s, size_t *n)
+{
+	*n = s->nproxies;
+	return s->proxies;
+}
+
+const struct group_info *state_group(const struct state *s, const char *name)
+{
+	for (size_t i = 0; i < s->ngroups; i++)
+		if (!strcmp(s->groups[i].name, name))
+			return &s->groups[i];
+	return NULL;
+}
+
+const struct backend_info *state_backend(const struct state *s, const char *id)
+{
+	for (size_t i = 0; i < s->nbackends; i++)
+		if (!strcmp(s->backends[i].id, id))
+			return &s->backends[i];
+	return NULL;
+}
+
+const struct proxy_info *state_proxy(const struct state *s, const char *id)
+{
+	for (size_t i = 0; i < s->nproxies; i++)
+		if (!strcmp(s->proxies[i].id, id))
+			return &s->proxies[i];
+	return NULL;
+}
+
+static void *state_scratch(void *old, size_t n, size_t size)
+{
+	void *p = realloc(old, (n ? n : 1) * size);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+void state_delta(struct state *s, int64_t since, struct msg_answer *a)
+{
+	a->view_version = s->view_version;
+	s->delta_groups =
+		state_scratch(s->delta_groups, s->ngroups, sizeof(*s->groups));
+	s->delta_backends = state_scratch(s->delta_backends, s->nbackends,
+					  sizeof(*s->backends));
+	s->delta_proxies = state_scratch(s->delta_proxies, s->nproxies,
+					 sizeof(*s->proxies));
+	a->groups = s->delta_groups;
+	a->backends = s->delta_backends;
+	a->proxies = s->delta_proxies;
+	for (size_t i = 0; i < s->ngroups; i++)
+		if (s->groups[i].version > since)
+			a->groups[a->ngroups++] = s->groups[i];
+	for (size_t i = 0; i < s->nbackends; i++)
+		if (s->backends[i].version > since)
+			a->backends[a->nbackends++] = s->backends[i];
+	for (size_t i = 0; i < s->nproxies; i++)
+		if (s->proxies[i].version > since)
+			a->proxies[a->nproxies++] = s->proxies[i];
+}
--- /dev/null
+++ b/state_snap.c
@@ -0,0 +1,207 @@
+#include "state_priv.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * A snapshot is a sequence of framed messages: CONFIG with the lists in force
+ * (version 0 if there are none), ANSWER with the view, a CONFIG without lists
+ * for each logged change, and for each request id a pair of APPLY and APPLIED.
+ */
+
+static void snap_config(const struct state *s, struct buf *out)
+{
+	struct msg m = {.type = MSG_CONFIG};
+
+	if (s->lists) {
+		m.u.config.version = s->version;
+		m.u.config.lists.data = s->lists->text;
+		m.u.config.lists.len = s->lists->len;
+	}
+	msg_encode_frame(&m, out);
+}
+
+static void snap_view(const struct state *s, struct buf *out)
+{
+	struct msg m = {.type = MSG_ANSWER};
+
+	m.u.answer.view_version = s->view_version;
+	m.u.answer.groups = s->groups;
+	m.u.answer.ngroups = (int64_t)s->ngroups;
+	m.u.answer.backends = s->backends;
+	m.u.answer.nbackends = (int64_t)s->nbackends;
+	m.u.answer.proxies = s->proxies;
+	m.u.answer.nproxies = (int64_t)s->nproxies;
+	msg_encode_frame(&m, out);
+}
+
+static void snap_change(const struct state_change *c, struct buf *out)
+{
+	struct msg m = {.type = MSG_CONFIG};
+
+	m.u.config.version = c->version;
+	memcpy(m.u.config.digest, c->digest, ID_LEN);
+	memcpy(m.u.config.by, c->by, ID_LEN);
+	m.u.config.at = c->at;
+	msg_encode_frame(&m, out);
+}
+
+static void snap_request(const struct state_request *q, struct buf *out)
+{
+	struct msg m = {.type = MSG_APPLY};
+
+	memcpy(m.u.apply.request_id, q->id, REQUEST_ID_LEN);
+	msg_encode_frame(&m, out);
+	m = (struct msg){.type = MSG_APPLIED};
+	m.u.applied.res = q->res;
+	m.u.applied.version = q->version;
+	memcpy(m.u.applied.digest, q->digest, ID_LEN);
+	memcpy(m.u.applied.by, q->by, ID_LEN);
+	m.u.applied.at = q->at;
+	m.u.applied.text.data = q->text;
+	m.u.applied.text.len = strlen(q->text);
+	msg_encode_frame(&m, out);
+}
+
+void state_encode(const struct state *s, struct buf *out)
+{
+	snap_config(s, out);
+	snap_view(s, out);
+	for (size_t i = 0; i < s->nlog; i++)
+		snap_change(&s->log[i], out);
+	for (size_t i = 0; i < s->nrequests; i++)
+		snap_request(&s->requests[i], out);
+}
+
+static enum res take_lists(struct state *s, const struct msg_config *c,
+			   struct err *e)
+{
+	s->version = c->version;
+	if (!c->version)
+		return RES_OK;
+	s->lists = lst_parse(c->lists.data, c->lists.len, c->version, e);
+	return s->lists ? RES_OK : RES_CORRUPT;
+}
+
+static void take_change(struct state *s, const struct msg_config *c)
+{
+	struct state_change *x = state_add_change(s);
+
+	x->version = c->version;
+	memcpy(x->digest, c->digest, ID_LEN);
+	memcpy(x->by, c->by, ID_LEN);
+	x->at = c->at;
+}
+
+static void take_view(struct state *s, const struct msg_answer *a)
+{
+	s->view_version = a->view_version;
+	for (int64_t i = 0; i < a->ngroups; i++) {
+		struct group_info *g = state_make_group(s, a->groups[i].name);
+		struct term_start *starts = g->starts;
+		int64_t n = a->groups[i].nstarts;
+
+		*g = a->groups[i];
+		g->starts = starts;
+		g->nstarts = n < GROUP_TERMS ? n : GROUP_TERMS;
+		if (g->nstarts)
+			memcpy(starts, a->groups[i].starts,
+			       (size_t)g->nstarts * sizeof(*starts));
+	}
+	for (int64_t i = 0; i < a->nbackends; i++) {
+		s->backends = state_grow(s->backends, s->nbackends,
+					 sizeof(*s->backends));
+		s->backends[s->nbackends++] = a->backends[i];
+	}
+	for (int64_t i = 0; i < a->nproxies; i++) {
+		s->proxies = state_grow(s->proxies, s->nproxies,
+					sizeof(*s->proxies));
+		s->proxies[s->nproxies++] = a->proxies[i];
+	}
+}
+
+static void take_answer(struct state *s, const struct msg_applied *a)
+{
+	struct state_request *q;
+
+	if (!s->nrequests)
+		return;
+	q = &s->requests[s->nrequests - 1];
+	q->res = (enum res)a->res;
+	q->version = a->version;
+	memcpy(q->digest, a->digest, ID_LEN);
+	memcpy(q->by, a->by, ID_LEN);
+	q->at = a->at;
+	free(q->text);
+	q->text = strndup(a->text.data ? a->text.data : "", a->text.len);
+}
+
+static enum res take_frame(struct state *s, const struct msg *m, bool first,
+			   struct err *e)
+{
+	struct state_request *q;
+
+	switch (m->type) {
+	case MSG_CONFIG:
+		if (first)
+			return take_lists(s, &m->u.config, e);
+		take_change(s, &m->u.config);
+		return RES_OK;
+	case MSG_ANSWER:
+		take_view(s, &m->u.answer);
+		return RES_OK;
+	case MSG_APPLY:
+		q = state_add_request(s);
+		memcpy(q->id, m->u.apply.request_id, REQUEST_ID_LEN);
+		q->text = strdup("");
+		return RES_OK;
+	case MSG_APPLIED:
+		take_answer(s, &m->u.applied);
+		return RES_OK;
+	default:
+		return err_set(e, RES_CORRUPT, "snapshot with a message %s",
+			       msg_name(m->type));
+	}
+}
+
+static enum res state_take(struct state *s, const struct blob *in,
+			   struct err *e)
+{
+	size_t at = 0;
+	enum res r = RES_OK;
+
+	while (at < in->len && !r) {
+		uint32_t len;
+		struct msg m;
+
+		if (in->len - at < sizeof(len))
+			return err_set(e, RES_CORRUPT, "snapshot is cut off");
+		memcpy(&len, in->data + at, sizeof(len));
+		len = ntohl(len);
+		if (len > in->len - at - sizeof(len))
+			return err_set(e, RES_CORRUPT, "snapshot is cut off");
+		r = msg_decode(&m, in->data + at + sizeof(len), len, e);
+		if (r)
+			return r;
+		r = take_frame(s, &m, at == 0, e);
+		msg_free(&m);
+		at += sizeof(len) + len;
+	}
+	return r;
+}
+
+enum res state_decode(struct state *s, const struct blob *in, struct err *e)
+{
+	struct state fresh = {0};
+	enum res r = state_take(&fresh, in, e);
+
+	if (r) {
+		state_clear(&fresh);
+		return r;
+	}
+	state_clear(s);
+	*s = fresh;
+	return RES_OK;
+}
