quota: share out customers' limits between proxies

The leader renews units only on the report of an ask that it knows to be sent in its reign, and counts a floor as lent only while the proxy's last answered ask is known to be recent.

--- /dev/null
+++ b/quota_client.c
@@ -0,0 +1,89 @@
+#include "quota.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct quota_client {
+	struct quota_grant *grants; /* sorted by customer */
+	size_t n;
+	clk_ms asked; /* when the last answered ask was sent */
+	clk_ms grant_ms; /* 0 before the first answer */
+};
+
+struct quota_client *quota_client_new(void)
+{
+	struct quota_client *q = calloc(1, sizeof(*q));
+
+	if (!q)
+		abort();
+	return q;
+}
+
+void quota_client_free(struct quota_client *q)
+{
+	if (!q)
+		return;
+	free(q->grants);
+	free(q);
+}
+
+static int grant_order(const void *a, const void *b)
+{
+	const struct quota_grant *x = a;
+	const struct quota_grant *y = b;
+
+	return strcmp(x->customer, y->customer);
+}
+
+void quota_client_take(struct quota_client *q, const struct msg_answer *a,
+		       clk_ms asked)
+{
+	size_t n = (size_t)a->ngrants;
+
+	/* An answer that was overtaken by that to a later ask is void. */
+	if (a->res || !a->grant_ms || (q->grant_ms && asked < q->asked))
+		return;
+	free(q->grants);
+	q->grants = malloc((n ? n : 1) * sizeof(*q->grants));
+	if (!q->grants)
+		abort();
+	if (n) {
+		memcpy(q->grants, a->grants, n * sizeof(*q->grants));
+		qsort(q->grants, n, sizeof(*q->grants), grant_order);
+	}
+	q->n = n;
+	q->asked = asked;
+	q->grant_ms = a->grant_ms;
+}
+
+static const struct quota_grant *grant_find(const struct quota_client *q,
+					    const char *customer)
+{
+	struct quota_grant key;
+
+	if (!q->n)
+		return NULL;
+	strncpy(key.customer, customer, ID_LEN - 1);
+	key.customer[ID_LEN - 1] = '\0';
+	return bsearch(&key, q->grants, q->n, sizeof(*q->grants), grant_order);
+}
+
+int64_t quota_client_held(const struct quota_client *q, const char *customer,
+			  clk_ms now)
+{
+	const struct quota_grant *g = grant_find(q, customer);
+
+	return g && now < q->asked + q->grant_ms ? g->units : 0;
+}
+
+int64_t quota_client_units(const struct quota_client *q, const char *customer,
+			   clk_ms now)
+{
+	const struct quota_grant *g = grant_find(q, customer);
+
+	if (!g)
+		return 0;
+	if (now < q->asked + q->grant_ms)
+		return g->units;
+	return now >= q->asked + 2 * q->grant_ms ? g->floor : 0;
+}
--- /dev/null
+++ b/t/unit_quota.cc
@@ -0,0 +1,328 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "quota.h"
+#include "rng.h"
+}
+
+/* Proxies and a sequence of leaders over links that delay and lose messages
+ * and break. */
+struct Quota {
+	static const int G = 2000, CUSTOMERS = 3;
+	struct Message {
+		clk_ms at, asked;
+		int link;
+		msg_ask ask;
+		quota_demand demand[CUSTOMERS];
+		msg_answer answer;
+		std::vector<quota_grant> grants;
+	};
+	struct Proxy {
+		proxy_info info = {};
+		struct quota_client *client = quota_client_new();
+		int64_t seen = 0, seq = 0;
+		int link = 0; /* number of its connection */
+		clk_ms due = 0, cut_until = 0, contact = 0;
+		int64_t demand[CUSTOMERS] = {};
+		std::deque<Message> asks, answers;
+	};
+	std::vector<Proxy> proxies;
+	struct quota_server *server = quota_server_new(G);
+	struct plan plans[CUSTOMERS] = {};
+	struct customer customers[CUSTOMERS] = {};
+	struct lists lists = {};
+	std::vector<std::pair<clk_ms, int64_t>> limits[CUSTOMERS];
+	struct rng *rng;
+	clk_ms now = 100000, leader_at = 0;
+	int64_t answers = 0;
+	clk_ms delay = 10;
+	double loss = 0;
+
+	Quota(int n, uint64_t seed) : proxies(n), rng(rng_new(seed))
+	{
+		for (int i = 0; i < n; i++) {
+			snprintf(proxies[i].info.id, ID_LEN, "p%d", i);
+			snprintf(proxies[i].info.zone, ID_LEN, "z%d", i % 3);
+			proxies[i].due = now + 50 * i;
+		}
+		for (int c = 0; c < CUSTOMERS; c++) {
+			snprintf(customers[c].name, ID_LEN, "c%d", c);
+			customers[c].plan = c;
+			limit(c, 10 - 3 * c);
+		}
+		lists.plans = plans;
+		lists.nplans = CUSTOMERS;
+		lists.customers = customers;
+		lists.ncustomers = CUSTOMERS;
+		lead();
+	}
+	~Quota()
+	{
+		for (auto &p : proxies)
+			quota_client_free(p.client);
+		quota_server_free(server);
+		rng_free(rng);
+	}
+	int64_t below(int64_t n)
+	{
+		return (int64_t)rng_below(rng, (uint64_t)n);
+	}
+	void limit(int c, int64_t units)
+	{
+		plans[c].connections = units;
+		lists.version++;
+		limits[c].push_back({now, units});
+	}
+	void lead()
+	{
+		quota_server_lead(server, now);
+		leader_at = now;
+		answers += 1000000;
+	}
+	int64_t units(int p, int c)
+	{
+		return quota_client_units(proxies[p].client, customers[c].name,
+					  now);
+	}
+	void reconnect(Proxy &p)
+	{
+		p.asks.clear();
+		p.answers.clear();
+		p.link++;
+		p.seen = 0;
+	}
+	void ask(int i)
+	{
+		Proxy &p = proxies[i];
+		Message m = {};
+
+		m.asked = now;
+		m.at = std::max(now + 1 + below(delay),
+				p.asks.empty() ? 0 : p.asks.back().at);
+		m.link = p.link;
+		m.ask.seq = ++p.seq;
+		m.ask.answer_seen = p.seen;
+		for (int c = 0; c < CUSTOMERS; c++) {
+			quota_demand &d = m.demand[c];
+			const char *name = customers[c].name;
+
+			strcpy(d.customer, name);
+			d.held = quota_client_held(p.client, name, now);
+			d.in_use = std::min(units(i, c), p.demand[c]);
+			d.queued = p.demand[c] - d.in_use;
+		}
+		p.asks.push_back(m);
+	}
+	void serve(Proxy &p, Message m)
+	{
+		std::vector<proxy_info> roster;
+
+		for (auto &x : proxies)
+			roster.push_back(x.info);
+		m.ask.demands = m.demand;
+		m.ask.ndemands = CUSTOMERS;
+		m.answer.answer_seq = ++answers;
+		quota_server_ask(server, p.info.id, &m.ask, &lists,
+				 roster.data(), roster.size(), now, &m.answer);
+		m.grants.assign(m.answer.grants,
+				m.answer.grants + m.answer.ngrants);
+		m.at = std::max(now + 1 + below(delay),
+				p.answers.empty() ? 0 : p.answers.back().at);
+		p.answers.push_back(m);
+	}
+	void take(Proxy &p, Message &m)
+	{
+		m.answer.grants = m.grants.data();
+		quota_client_take(p.client, &m.answer, m.asked);
+		p.seen = std::max(p.seen, m.answer.answer_seq);
+		if (m.answer.grant_ms)
+			p.contact = m.asked;
+	}
+	void step()
+	{
+		now += 10;
+		for (size_t i = 0; i < proxies.size(); i++) {
+			Proxy &p = proxies[i];
+
+			if (loss > 0 && rng_unit(rng) < loss)
+				reconnect(p);
+			if (now < p.cut_until) {
+				reconnect(p);
+				continue;
+			}
+			if (now >= p.due) {
+				p.due = now + 400;
+				ask((int)i);
+			}
+			while (!p.asks.empty() && p.asks.front().at <= now) {
+				Message m = p.asks.front();
+
+				p.asks.pop_front();
+				if (now >= leader_at)
+					serve(p, m);
+			}
+			while (!p.answers.empty() &&
+			       p.answers.front().at <= now) {
+				take(p, p.answers.front());
+				p.answers.pop_front();
+			}
+		}
+	}
+	/* Highest limit that a unit in use now may rest on. */
+	int64_t bound(int c)
+	{
+		clk_ms since = now - G;
+		int64_t max = limits[c].back().second;
+
+		for (auto &p : proxies)
+			since = std::min(since, p.contact);
+		for (size_t i = 0; i < limits[c].size(); i++)
+			if (i + 1 == limits[c].size() ||
+			    limits[c][i + 1].first >= since)
+				max = std::max(max, limits[c][i].second);
+		return max;
+	}
+	int64_t sum(int c)
+	{
+		int64_t n = 0;
+
+		for (size_t i = 0; i < proxies.size(); i++)
+			n += units((int)i, c);
+		return n;
+	}
+};
+
+class QuotaSeeds : public testing::TestWithParam<int>
+{
+};
+
+/* Guards against a customer using more than its plan while messages are lost
+ * or late, proxies are cut off and return, leaders change and limits change. */
+TEST_P(QuotaSeeds, NeverMoreUnitsThanTheLimit)
+{
+	Quota q(3 + GetParam() % 4, (uint64_t)GetParam());
+	bool reached = false;
+
+	q.delay = GetParam() % 2 ? 300 : 1800;
+	q.loss = 0.002;
+	for (int i = 0; i < 20000 && !HasFailure(); i++) {
+		auto &p = q.proxies[q.below((int64_t)q.proxies.size())];
+
+		if (q.below(100) == 0)
+			p.demand[q.below(q.CUSTOMERS)] = q.below(16);
+		if (q.below(600) == 0)
+			p.cut_until = q.now + q.below(12000);
+		if (q.below(1000) == 0)
+			q.limit((int)q.below(q.CUSTOMERS), 1 + q.below(12));
+		if (q.below(500) == 0) {
+			q.now += q.below(2000);
+			q.lead();
+		}
+		q.step();
+		for (int c = 0; c < q.CUSTOMERS; c++) {
+			ASSERT_LE(q.sum(c), q.bound(c))
+				<< "seed " << GetParam() << " step " << i;
+			reached |= q.sum(c) > 1 &&
+				   q.sum(c) == q.limits[c].back().second;
+		}
+	}
+	EXPECT_TRUE(reached) << "no limit was ever used up";
+}
+
+static int quota_seeds()
+{
+	const char *n = getenv("SEEDS");
+
+	return n ? atoi(n) : 20;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, QuotaSeeds,
+			 testing::Range(1, 1 + quota_seeds()));
+
+/* Guards against units lying idle: floors of idle proxies must be lent. */
+TEST(Quota, OneProxyWithDemandUsesTheWholeLimit)
+{
+	Quota q(5, 1);
+
+	q.proxies[2].demand[0] = 30;
+	for (int i = 0; i < 600; i++)
+		q.step();
+	EXPECT_EQ(10, q.units(2, 0));
+	q.proxies[0].demand[0] = 30;
+	for (int i = 0; i < 400; i++)
+		q.step();
+	EXPECT_EQ(5, q.units(0, 0));
+	EXPECT_EQ(5, q.units(2, 0));
+}
+
+/* Guards against a partition taking all units away, and against a proxy that
+ * is cut off using its floor while it is still lent. */
+TEST(Quota, ProxyWithoutContactUsesItsFloorAfterTwoGrants)
+{
+	Quota q(3, 3);
+	std::vector<proxy_info> roster;
+	int64_t total = 0;
+
+	for (auto &p : q.proxies) {
+		roster.push_back(p.info);
+		p.demand[0] = 10;
+	}
+	for (int i = 0; i < 600; i++)
+		q.step();
+	for (auto &p : q.proxies)
+		total += quota_floor("c0", 10, p.info.id, roster.data(), 3);
+	EXPECT_EQ(5, total);
+	auto &cut = q.proxies[1];
+	cut.cut_until = INT64_MAX;
+	while (q.now < cut.contact + 2 * q.G) {
+		EXPECT_TRUE(q.now < cut.contact + q.G || !q.units(1, 0));
+		q.step();
+	}
+	int64_t floor = quota_floor("c0", 10, cut.info.id, roster.data(), 3);
+	EXPECT_EQ(floor, q.units(1, 0));
+	for (int i = 0; i < 300; i++)
+		q.step();
+	EXPECT_EQ(10, q.sum(0)) << "the others use the rest";
+}
+
+/* Guards against a change of leader taking units from a busy proxy. */
+TEST(Quota, NewLeaderRenewsWhatIsHeld)
+{
+	Quota q(3, 5);
+
+	q.proxies[0].demand[1] = 7;
+	for (int i = 0; i < 600; i++)
+		q.step();
+	EXPECT_EQ(7, q.units(0, 1));
+	q.now += 700;
+	q.lead();
+	for (int i = 0; i < 400; i++) {
+		q.step();
+		EXPECT_GE(q.units(0, 1), 3) << i;
+	}
+	EXPECT_EQ(7, q.units(0, 1));
+}
+
+/* Guards against a renewal of units that were granted to another proxy while
+ * the ask that reports them was on its way. */
+TEST(Quota, NewLeaderRenewsOnlyWhatAnAskOfItsReignReports)
+{
+	Quota q(3, 6);
+	Quota::Message m = {};
+
+	strcpy(m.demand[0].customer, "c0");
+	m.demand[0].in_use = m.demand[0].held = 8;
+	m.ask.answer_seen = q.answers;
+	q.lead();
+	q.serve(q.proxies[0], m);
+	EXPECT_EQ(0, q.proxies[0].answers.back().answer.grant_ms);
+	m.ask.answer_seen = q.answers;
+	q.serve(q.proxies[0], m);
+	EXPECT_EQ(q.G, q.proxies[0].answers.back().answer.grant_ms);
+	EXPECT_GT(q.proxies[0].answers.back().grants[0].units, 0);
+}
