--- a/classify.h
+++ b/classify.h
@@ -22,6 +22,8 @@
 enum {
 	CLS_ENTRIES = 8192, /* texts that a table remembers */
 	CLS_MAX_NESTING = 1500, /* levels of a statement's syntax tree */
+	CLS_MAX_TEXT = 128 << 10, /* bytes; parsing takes about 1 us a byte and
+				   * nothing else runs meanwhile */
 	CLS_NAME_LEN = 64,
 	CLS_VALUE_LEN = 1024
 };
@@ -55,7 +57,8 @@
 struct cls_table *cls_new(uint64_t seed);
 void cls_free(struct cls_table *t);
 
-/* RES_BAD_SQL with the parser's message if the text can't be parsed. */
+/* RES_BAD_SQL with the parser's message if the text can't be parsed;
+ * RES_TOO_LARGE if it is too long or too deep to be. */
 enum res cls_get(struct cls_table *t, const char *sql, struct cls *out,
 		 struct err *e);
 
--- a/classify_tree.c
+++ b/classify_tree.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 #define CLS_OWN_PREFIX "marjoramlatch."
 #define CLS_CURSOR_HOLD 0x0020 /* CURSOR_OPT_HOLD of PostgreSQL 15 */
@@ -12,6 +13,11 @@
 /* Texts up to this size can't nest deeper than the parser's stack allows. */
 #define CLS_SMALL_TEXT 2048
 
+/* Longer texts, such as inserts of many rows, get the hash of their beginning
+ * as the fingerprint, because the library would parse them a second time. */
+#define CLS_LONG_TEXT 8192
+#define CLS_LONG_PREFIX 64 /* bytes */
+
 /* What the walk over a tree found. */
 struct cls_found {
 	bool writes;
@@ -273,6 +279,11 @@
 	enum res r = RES_OK;
 
 	*tree = NULL;
+	if (strlen(sql) > CLS_MAX_TEXT)
+		return err_set(e, RES_TOO_LARGE,
+			       "statement is longer than %d bytes; pass large "
+			       "values as parameters",
+			       CLS_MAX_TEXT);
 	if (strlen(sql) > CLS_SMALL_TEXT &&
 	    cls_check_nesting(sql, CLS_MAX_NESTING, e) != RES_OK)
 		return RES_TOO_LARGE;
@@ -289,9 +300,22 @@
 	return r;
 }
 
-enum res cls_parse(const char *sql, struct cls *out, struct err *e)
+static int64_t cls_fingerprint(const char *sql)
 {
 	PgQueryFingerprintResult print;
+	int64_t fingerprint = 0;
+
+	if (strlen(sql) > CLS_LONG_TEXT)
+		return (int64_t)XXH3_64bits(sql, CLS_LONG_PREFIX);
+	print = pg_query_fingerprint(sql);
+	if (!print.error)
+		fingerprint = (int64_t)print.fingerprint;
+	pg_query_free_fingerprint_result(print);
+	return fingerprint;
+}
+
+enum res cls_parse(const char *sql, struct cls *out, struct err *e)
+{
 	PgQuery__ParseResult *tree;
 	enum res r;
 
@@ -303,10 +327,7 @@
 		return r;
 	cls_statements(tree, out);
 	pg_query__parse_result__free_unpacked(tree, NULL);
-	print = pg_query_fingerprint(sql);
-	if (!print.error)
-		out->fingerprint = (int64_t)print.fingerprint;
-	pg_query_free_fingerprint_result(print);
+	out->fingerprint = cls_fingerprint(sql);
 	return RES_OK;
 }
 
