--- /dev/null
+++ b/session.c
@@ -0,0 +1,487 @@
+#include "session.h"
+
+#include "classify.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define SES_PREFIX "marjoramlatch."
+
+enum ses_name {
+	SES_SESSION,
+	SES_MAX_AGE,
+	SES_MAX_WAIT,
+	SES_REPEAT,
+	SES_REQUEST_ID,
+	SES_NAMES
+};
+
+static const char *const ses_names[SES_NAMES] = {
+	[SES_SESSION] = "session",	 [SES_MAX_AGE] = "max_age_ms",
+	[SES_MAX_WAIT] = "max_wait_ms",	 [SES_REPEAT] = "repeatable",
+	[SES_REQUEST_ID] = "request_id",
+};
+
+/* SES_NAMES and an error if there is no such setting. */
+static enum ses_name ses_find(const char *name, struct err *e)
+{
+	int i = 0;
+
+	while (i < SES_NAMES && strcasecmp(ses_names[i], name) != 0)
+		i++;
+	if (i == SES_NAMES)
+		err_set(e, RES_BAD_SETTING,
+			"unknown setting " SES_PREFIX
+			"%.40s: expected session, max_age_ms, max_wait_ms, "
+			"repeatable or request_id",
+			name);
+	return (enum ses_name)i;
+}
+
+void ses_init(struct ses *s)
+{
+	*s = (struct ses){.max_age_ms = -1, .max_wait_ms = -1};
+}
+
+void ses_free(struct ses *s)
+{
+	if (s->outer) {
+		ses_free(s->outer);
+		free(s->outer);
+	}
+	free(s->token);
+	free(s->session_id);
+	free(s->request_id);
+	ses_init(s);
+}
+
+static char *ses_copy(const char *text)
+{
+	char *copy = strdup(text);
+
+	if (!copy)
+		abort();
+	return copy;
+}
+
+static struct token *ses_copy_token(const struct token *t)
+{
+	struct token *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*copy = *t;
+	return copy;
+}
+
+/* Letters, digits and ._:- up to 64 bytes, for ids that travel in messages
+ * and log lines. */
+static bool ses_is_id(const char *text)
+{
+	size_t len = strlen(text);
+
+	for (size_t i = 0; i < len; i++)
+		if (!isalnum((unsigned char)text[i]) &&
+		    !strchr("._:-", text[i]))
+			return false;
+	return len > 0 && len < SES_ID_LEN;
+}
+
+static enum res ses_number(const char *name, const char *value, clk_ms max,
+			   clk_ms *out, struct err *e)
+{
+	char *end;
+	long long n;
+
+	errno = 0;
+	n = strtoll(value, &end, 10);
+	if (end == value || *end || errno || n < 0 || n > max)
+		return err_set(e, RES_BAD_SETTING,
+			       SES_PREFIX "%s = \"%.40s\": expected a whole "
+					  "number of milliseconds from 0 to "
+					  "%lld",
+			       name, value, (long long)max);
+	*out = n;
+	return RES_OK;
+}
+
+static enum res ses_boolean(const char *value, enum ses_repeatable *out,
+			    struct err *e)
+{
+	static const char *const yes[] = {"on", "true", "yes", "1"};
+	static const char *const no[] = {"off", "false", "no", "0"};
+
+	for (int i = 0; i < 4; i++) {
+		if (!strcasecmp(value, yes[i])) {
+			*out = SES_REPEATABLE;
+			return RES_OK;
+		}
+		if (!strcasecmp(value, no[i])) {
+			*out = SES_ONCE;
+			return RES_OK;
+		}
+	}
+	return err_set(e, RES_BAD_SETTING,
+		       SES_PREFIX "repeatable = \"%.40s\": expected on or off",
+		       value);
+}
+
+static enum res ses_check_request_id(const char *value, struct err *e)
+{
+	if (!*value || ses_is_id(value))
+		return RES_OK;
+	return err_set(e, RES_BAD_SETTING,
+		       SES_PREFIX "request_id = \"%.70s\": expected 1 to 64 "
+				  "letters, digits or ._:-",
+		       value);
+}
+
+/* A token if it parses, else a session id if it can be one. */
+static enum res ses_parse_session(const char *value, struct token *token,
+				  bool *is_id, struct err *e)
+{
+	*is_id = *value && ses_is_id(value);
+	if (*is_id) {
+		token->n = 0;
+		return RES_OK;
+	}
+	return tok_parse(token, value, e);
+}
+
+static enum res ses_set_session(struct ses *s, const char *value, struct err *e)
+{
+	struct token token = {.n = 0};
+	bool is_id;
+	enum res r = ses_parse_session(value, &token, &is_id, e);
+
+	if (r != RES_OK)
+		return r;
+	free(s->token);
+	free(s->session_id);
+	s->token = token.n ? ses_copy_token(&token) : NULL;
+	s->session_id = is_id ? ses_copy(value) : NULL;
+	return RES_OK;
+}
+
+static enum res ses_set_request_id(struct ses *s, const char *value,
+				   struct err *e)
+{
+	enum res r = ses_check_request_id(value, e);
+
+	if (r != RES_OK)
+		return r;
+	free(s->request_id);
+	s->request_id = *value ? ses_copy(value) : NULL;
+	return RES_OK;
+}
+
+enum res ses_set(struct ses *s, const char *name, const char *value,
+		 struct err *e)
+{
+	switch (ses_find(name, e)) {
+	case SES_SESSION:
+		return ses_set_session(s, value, e);
+	case SES_MAX_AGE:
+		return ses_number(name, value, SES_MAX_AGE_MS, &s->max_age_ms,
+				  e);
+	case SES_MAX_WAIT:
+		return ses_number(name, value, SES_MAX_WAIT_MS, &s->max_wait_ms,
+				  e);
+	case SES_REPEAT:
+		return ses_boolean(value, &s->repeatable, e);
+	case SES_REQUEST_ID:
+		return ses_set_request_id(s, value, e);
+	case SES_NAMES:
+		break;
+	}
+	return RES_BAD_SETTING;
+}
+
+enum res ses_reset(struct ses *s, const char *name, struct err *e)
+{
+	switch (ses_find(name, e)) {
+	case SES_MAX_AGE:
+		s->max_age_ms = -1;
+		break;
+	case SES_MAX_WAIT:
+		s->max_wait_ms = -1;
+		break;
+	case SES_REPEAT:
+		s->repeatable = SES_BY_CLASS;
+		break;
+	case SES_SESSION:
+	case SES_REQUEST_ID:
+		return ses_set(s, name, "", e);
+	case SES_NAMES:
+		return RES_BAD_SETTING;
+	}
+	return RES_OK;
+}
+
+static struct ses *ses_snapshot(const struct ses *s)
+{
+	struct ses *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*copy = *s;
+	copy->outer = NULL;
+	if (s->token)
+		copy->token = ses_copy_token(s->token);
+	if (s->session_id)
+		copy->session_id = ses_copy(s->session_id);
+	if (s->request_id)
+		copy->request_id = ses_copy(s->request_id);
+	return copy;
+}
+
+enum res ses_set_local(struct ses *s, const char *name, const char *value,
+		       struct err *e)
+{
+	struct ses *before = s->outer ? NULL : ses_snapshot(s);
+	enum res r = ses_set(s, name, value, e);
+
+	if (!before)
+		return r;
+	if (r == RES_OK) {
+		s->outer = before;
+	} else {
+		ses_free(before);
+		free(before);
+	}
+	return r;
+}
+
+void ses_end_transaction(struct ses *s)
+{
+	struct ses *outer = s->outer;
+
+	if (!outer)
+		return;
+	s->outer = NULL;
+	ses_free(s);
+	*s = *outer;
+	free(outer);
+}
+
+enum res ses_show(const struct ses *s, const char *name, char *out,
+		  struct err *e)
+{
+	static const char *const repeatable[] = {
+		[SES_BY_CLASS] = "reads",
+		[SES_REPEATABLE] = "on",
+		[SES_ONCE] = "off",
+	};
+	clk_ms ms = -1;
+
+	out[0] = '\0';
+	switch (ses_find(name, e)) {
+	case SES_SESSION:
+		if (s->session_id)
+			snprintf(out, TOK_TEXT_LEN, "%s", s->session_id);
+		else if (s->token)
+			tok_format(s->token, out);
+		return RES_OK;
+	case SES_REPEAT:
+		snprintf(out, TOK_TEXT_LEN, "%s", repeatable[s->repeatable]);
+		return RES_OK;
+	case SES_REQUEST_ID:
+		snprintf(out, TOK_TEXT_LEN, "%s",
+			 s->request_id ? s->request_id : "");
+		return RES_OK;
+	case SES_MAX_AGE:
+		ms = s->max_age_ms;
+		break;
+	case SES_MAX_WAIT:
+		ms = s->max_wait_ms;
+		break;
+	case SES_NAMES:
+		return RES_BAD_SETTING;
+	}
+	if (ms >= 0)
+		snprintf(out, TOK_TEXT_LEN, "%lld", (long long)ms);
+	else
+		snprintf(out, TOK_TEXT_LEN, "plan");
+	return RES_OK;
+}
+
+/* Copies the next word of s to out; a backslash keeps the next byte. Returns
+ * what follows, or NULL if the word is too long. */
+static const char *ses_word(const char *s, char *out, size_t len)
+{
+	size_t n = 0;
+
+	while (*s && !isspace((unsigned char)*s)) {
+		if (*s == '\\' && s[1])
+			s++;
+		if (n + 1 == len)
+			return NULL;
+		out[n++] = *s++;
+	}
+	out[n] = '\0';
+	return s + strspn(s, " \t\r\n");
+}
+
+/* Splits "marjoramlatch.name=value"; returns the value or NULL. */
+static char *ses_split(char *word, const char **name)
+{
+	char *equals = strchr(word, '=');
+
+	if (!equals || strncasecmp(word, SES_PREFIX, strlen(SES_PREFIX)) != 0)
+		return NULL;
+	*equals = '\0';
+	*name = word + strlen(SES_PREFIX);
+	return equals + 1;
+}
+
+enum res ses_options(struct ses *s, const char *options, struct err *e)
+{
+	char word[CLS_VALUE_LEN];
+	const char *at = options + strspn(options, " \t\r\n");
+
+	while (*at) {
+		const char *name;
+		char *setting = word;
+		char *value;
+		enum res r;
+
+		if (!strncmp(at, "-c", 2)) {
+			at += 2;
+			at += strspn(at, " \t\r\n");
+		} else if (!strncmp(at, "--", 2)) {
+			at += 2;
+		} else {
+			break;
+		}
+		at = ses_word(at, word, sizeof(word));
+		value = at ? ses_split(setting, &name) : NULL;
+		if (!value)
+			return err_set(e, RES_BAD_SETTING,
+				       "startup options: only " SES_PREFIX
+				       "* settings can be given, not "
+				       "\"%.40s\"",
+				       word);
+		r = ses_set(s, name, value, e);
+		if (r != RES_OK)
+			return r;
+	}
+	if (*at)
+		return err_set(e, RES_BAD_SETTING,
+			       "startup options: expected -c name=value or "
+			       "--name=value at \"%.40s\"",
+			       at);
+	return RES_OK;
+}
+
+static enum res ses_override(struct ses_statement *out, const char *name,
+			     const char *value, struct err *e)
+{
+	switch (ses_find(name, e)) {
+	case SES_SESSION:
+		return ses_parse_session(value, &out->token,
+					 &out->session_unknown, e);
+	case SES_MAX_AGE:
+		return ses_number(name, value, SES_MAX_AGE_MS, &out->max_age_ms,
+				  e);
+	case SES_MAX_WAIT:
+		return ses_number(name, value, SES_MAX_WAIT_MS,
+				  &out->max_wait_ms, e);
+	case SES_REPEAT:
+		return ses_boolean(value, &out->repeatable, e);
+	case SES_REQUEST_ID:
+		if (ses_check_request_id(value, e) != RES_OK)
+			return RES_BAD_SETTING;
+		snprintf(out->request_id, sizeof(out->request_id), "%s", value);
+		out->own_request_id = *value != '\0';
+		return RES_OK;
+	case SES_NAMES:
+		break;
+	}
+	return RES_BAD_SETTING;
+}
+
+/* The settings of one comment; s is after the opening. */
+static enum res ses_comment(const char *s, struct ses_statement *out,
+			    struct err *e)
+{
+	char word[CLS_VALUE_LEN];
+
+	for (;;) {
+		const char *name;
+		char *value;
+		size_t n;
+		enum res r;
+
+		s += strspn(s, " \t\r\n");
+		if (!strncmp(s, "*/", 2))
+			return RES_OK;
+		n = strcspn(s, " \t\r\n");
+		for (size_t i = 0; i < n; i++)
+			if (!strncmp(s + i, "*/", 2))
+				n = i;
+		snprintf(word, sizeof(word), "%.*s", (int)n, s);
+		value = n < sizeof(word) ? ses_split(word, &name) : NULL;
+		if (!value)
+			return err_set(e, RES_BAD_SETTING,
+				       "comment with settings: expected "
+				       "blank-separated " SES_PREFIX
+				       "name=value, not \"%.40s\"",
+				       word);
+		r = ses_override(out, name, value, e);
+		if (r != RES_OK)
+			return r;
+		s += n;
+	}
+}
+
+enum res ses_statement(const struct ses *s, const char *sql,
+		       struct ses_statement *out, struct err *e)
+{
+	const char *end = cls_skip_comments(sql);
+
+	out->token.n = 0;
+	if (s->token)
+		out->token = *s->token;
+	out->session_unknown = s->session_id != NULL;
+	out->max_age_ms = s->max_age_ms;
+	out->max_wait_ms = s->max_wait_ms;
+	out->repeatable = s->repeatable;
+	out->own_request_id = false;
+	snprintf(out->request_id, sizeof(out->request_id), "%s",
+		 s->request_id ? s->request_id : "");
+	for (const char *at = sql; at + 2 < end; at++) {
+		const char *text = at + 2 + strspn(at + 2, " \t\r\n");
+		enum res r;
+
+		if (strncmp(at, "/*", 2) != 0 ||
+		    strncasecmp(text, SES_PREFIX, strlen(SES_PREFIX)) != 0)
+			continue;
+		r = ses_comment(text, out, e);
+		if (r != RES_OK)
+			return r;
+	}
+	return RES_OK;
+}
+
+void ses_clear_request_id(struct ses *s)
+{
+	free(s->request_id);
+	s->request_id = NULL;
+	if (s->outer)
+		ses_clear_request_id(s->outer);
+}
+
+bool ses_wrote(struct ses *s, const char *group, int64_t term, int64_t position)
+{
+	if (s->outer)
+		ses_wrote(s->outer, group, term, position);
+	if (!s->token)
+		s->token = ses_copy_token(&(struct token){.n = 0});
+	tok_raise(s->token, group, term, position);
+	/* A session id stands for writes that the token would leave out. */
+	return !s->session_id;
+}
