--- a/session.c
+++ b/session.c
@@ -438,8 +438,8 @@
 	}
 }
 
-enum res ses_statement(const struct ses *s, const char *sql,
-		       struct ses_statement *out, struct err *e)
+enum res ses_for_statement(const struct ses *s, const char *sql,
+			   struct ses_statement *out, struct err *e)
 {
 	const char *end = cls_skip_comments(sql);
 
--- a/session.h
+++ b/session.h
@@ -74,8 +74,8 @@
 enum res ses_options(struct ses *s, const char *options, struct err *e);
 
 /* The session's values with those of a leading comment of sql on top. */
-enum res ses_statement(const struct ses *s, const char *sql,
-		       struct ses_statement *out, struct err *e);
+enum res ses_for_statement(const struct ses *s, const char *sql,
+			   struct ses_statement *out, struct err *e);
 
 /* The request id was used by a write. */
 void ses_clear_request_id(struct ses *s);
--- a/t/unit_session.cc
+++ b/t/unit_session.cc
@@ -72,10 +72,10 @@
 TEST_F(Session, SessionIdStaysUnknown)
 {
 	ASSERT_EQ(RES_OK, ses_set(&s, "session", "basket-17", &e));
-	ASSERT_EQ(RES_OK, ses_statement(&s, "SELECT 1", &st, &e));
+	ASSERT_EQ(RES_OK, ses_for_statement(&s, "SELECT 1", &st, &e));
 	EXPECT_TRUE(st.session_unknown);
 	EXPECT_FALSE(ses_wrote(&s, "orders", 1, 5));
-	ASSERT_EQ(RES_OK, ses_statement(&s, "SELECT 1", &st, &e));
+	ASSERT_EQ(RES_OK, ses_for_statement(&s, "SELECT 1", &st, &e));
 	EXPECT_TRUE(st.session_unknown);
 	EXPECT_EQ(1, st.token.n);
 	EXPECT_EQ("basket-17", show("session"));
@@ -87,24 +87,26 @@
 TEST_F(Session, CommentHoldsForItsStatement)
 {
 	ASSERT_EQ(RES_OK, ses_set(&s, "request_id", "outer", &e));
-	ASSERT_EQ(RES_OK,
-		  ses_statement(&s,
-				"-- x\n/* other */ /* marjoramlatch.session="
-				"a/1/2,b/3/4 marjoramlatch.request_id=r-1*/ "
-				"/*marjoramlatch.max_wait_ms=9 */SELECT 1",
-				&st, &e))
+	ASSERT_EQ(RES_OK, ses_for_statement(
+				  &s,
+				  "-- x\n/* other */ /* marjoramlatch.session="
+				  "a/1/2,b/3/4 marjoramlatch.request_id=r-1*/ "
+				  "/*marjoramlatch.max_wait_ms=9 */SELECT 1",
+				  &st, &e))
 		<< e.text;
 	EXPECT_EQ(2, st.token.n);
 	EXPECT_STREQ("r-1", st.request_id);
 	EXPECT_TRUE(st.own_request_id);
 	EXPECT_EQ(9, st.max_wait_ms);
-	ASSERT_EQ(RES_OK, ses_statement(&s, "SELECT '/* marjoramlatch.x=1 */'",
-					&st, &e));
+	ASSERT_EQ(RES_OK,
+		  ses_for_statement(&s, "SELECT '/* marjoramlatch.x=1 */'", &st,
+				    &e));
 	EXPECT_STREQ("outer", st.request_id);
 	EXPECT_FALSE(st.own_request_id);
 	EXPECT_EQ(RES_BAD_SETTING,
-		  ses_statement(&s, "/* marjoramlatch.max_age_ms 5 */ SELECT 1",
-				&st, &e));
+		  ses_for_statement(&s,
+				    "/* marjoramlatch.max_age_ms 5 */ SELECT 1",
+				    &st, &e));
 }
 
 /* Guards against SET LOCAL that outlives its transaction, or takes the
