--- a/request.c
+++ b/request.c
@@ -10,6 +10,7 @@
 	int64_t id;
 	int64_t run_id; /* 0 while nothing runs */
 	char backend[ID_LEN];
+	int64_t term; /* of the run on that backend */
 	struct req_engine *engine;
 	struct exec_sink sink;
 	bool answered; /* bytes went to the caller */
@@ -27,6 +28,8 @@
 	void (*on_quota)(void *arg);
 	void *quota_arg;
 	bool draining;
+	char ended_backend[ID_LEN]; /* of the request that ends now */
+	int64_t ended_term;
 };
 
 static void req_drain(struct req_engine *q);
@@ -66,6 +69,7 @@
 	if (!r)
 		return;
 	snprintf(r->backend, sizeof(r->backend), "%s", a->u.run.backend);
+	r->term = a->u.run.term;
 	r->run_id = exec_start(q->exec, &a->u.run, &sink);
 }
 
@@ -77,6 +81,8 @@
 	if (!r)
 		return;
 	sink = r->sink;
+	snprintf(q->ended_backend, sizeof(q->ended_backend), "%s", r->backend);
+	q->ended_term = r->term;
 	HASH_DEL(q->runs, r);
 	free(r);
 	sink.on_end(sink.arg, &a->u.end);
@@ -187,6 +193,16 @@
 	return r->id;
 }
 
+const char *req_backend(const struct req_engine *q)
+{
+	return q->ended_backend;
+}
+
+int64_t req_term(const struct req_engine *q)
+{
+	return q->ended_term;
+}
+
 void req_cancel(struct req_engine *q, int64_t id)
 {
 	struct req_run *r = req_find(q, id);
--- a/request.h
+++ b/request.h
@@ -19,6 +19,13 @@
 int64_t req_start(struct req_engine *q, const struct flt_request *rq,
 		  const struct exec_sink *sink);
 
+/*
+ * Where the request whose on_end is running was last sent, for its pin; "" and
+ * 0 if it was sent nowhere.
+ */
+const char *req_backend(const struct req_engine *q);
+int64_t req_term(const struct req_engine *q);
+
 /* Asks the backend to cancel; on_end still follows. */
 void req_cancel(struct req_engine *q, int64_t id);
 
