--- a/admin.h
+++ b/admin.h
@@ -12,14 +12,15 @@
 
 #include "msg.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 struct adm;
-struct ask;
-struct callers;
+struct buf;
 struct exec;
 struct settings;
+struct uplink;
 struct view;
 
 enum adm_user { ADM_OPERATOR, ADM_BACKEND };
@@ -28,7 +29,7 @@
 	const struct settings *set;
 	struct view *view;
 	struct exec *exec;
-	struct ask *ask;
+	struct uplink *up;
 };
 
 struct adm_sink {
@@ -48,4 +49,8 @@
 		const struct adm_sink *sink);
 void adm_abandon(struct adm *a, int64_t id);
 
+/* For admin.c: appends rows with their description to out; false if there is
+ * no such table. */
+bool adm_show(const struct adm_config *cfg, const char *what, struct buf *out);
+
 #endif
--- /dev/null
+++ b/uplink.c
@@ -0,0 +1,498 @@
+#include "uplink.h"
+
+#include "ask.h"
+#include "counter.h"
+#include "exec.h"
+#include "filter.h"
+#include "link.h"
+#include "log.h"
+#include "quota.h"
+#include "settings.h"
+#include "view.h"
+
+#include <ev.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+enum {
+	UPL_MAX_SUSPECTS = 256,
+	UPL_MAX_DEMANDS = 20000,
+	UPL_MAX_ANNOUNCES = 4096
+};
+
+#define UPL_TICK_S 0.05 /* for forwarded requests */
+
+struct upl_control {
+	struct uplink *up;
+	struct link *link;
+	int index;
+};
+
+struct upl_announce {
+	struct backend_info info;
+	clk_ms heard;
+	int64_t sent; /* number of the ask that carried it, 0 for none */
+	UT_hash_handle hh;
+};
+
+struct upl_request {
+	int64_t id;
+	struct msg msg; /* its blob points to text */
+	char *text;
+	clk_ms deadline;
+	clk_ms sent;
+	void (*on_reply)(void *arg, const struct msg *m);
+	void *arg;
+	UT_hash_handle hh;
+};
+
+struct uplink {
+	struct uplink_config cfg;
+	struct ask *ask;
+	struct upl_control controls[SET_MAX_CONTROLS];
+	struct upl_announce *announces;
+	struct upl_request *requests;
+	int64_t next_request;
+	bool stopping;
+	clk_ms answered; /* last answer of a leader */
+	ev_timer ask_timer;
+	ev_timer tick;
+};
+
+static void upl_arm(struct uplink *u)
+{
+	clk_ms due = ask_due(u->ask);
+	clk_ms now = clk_now();
+
+	ev_timer_stop(u->cfg.loop, &u->ask_timer);
+	if (due == CLK_NEVER)
+		return;
+	ev_now_update(u->cfg.loop);
+	ev_timer_set(&u->ask_timer,
+		     due > now ? (double)(due - now) / 1000.0 : 0.0, 0.0);
+	ev_timer_start(u->cfg.loop, &u->ask_timer);
+}
+
+/* Drops announcements that are too old to tell that the backend lives. */
+static void upl_expire_announces(struct uplink *u, clk_ms now)
+{
+	struct upl_announce *a;
+	struct upl_announce *next;
+
+	HASH_ITER (hh, u->announces, a, next) {
+		clk_ms keep = a->info.leaving ? UPL_LEAVE_MS : UPL_ANNOUNCE_MS;
+
+		if (now - a->heard <= keep)
+			continue;
+		HASH_DEL(u->announces, a);
+		free(a);
+	}
+}
+
+static void upl_collect_announces(struct uplink *u, struct msg_ask *ask,
+				  clk_ms now)
+{
+	struct upl_announce *a;
+	size_t n;
+
+	upl_expire_announces(u, now);
+	n = HASH_COUNT(u->announces);
+	ask->announces = calloc(n + 1, sizeof(*ask->announces));
+	if (!ask->announces)
+		abort();
+	for (a = u->announces; a; a = a->hh.next) {
+		ask->announces[ask->nannounces++] = a->info;
+		a->sent = ask->seq;
+	}
+}
+
+/* The leader has heard these. */
+static void upl_clear_announces(struct uplink *u, int64_t seq)
+{
+	struct upl_announce *a;
+	struct upl_announce *next;
+
+	HASH_ITER (hh, u->announces, a, next) {
+		if (!a->sent || a->sent > seq)
+			continue;
+		HASH_DEL(u->announces, a);
+		free(a);
+	}
+}
+
+static void upl_collect_demands(struct uplink *u, struct msg_ask *ask,
+				clk_ms now)
+{
+	const struct lists *l = view_lists(u->cfg.view);
+	int64_t max = l ? l->ncustomers : 0;
+
+	if (max > UPL_MAX_DEMANDS)
+		max = UPL_MAX_DEMANDS;
+	ask->demands = calloc((size_t)max + 1, sizeof(*ask->demands));
+	if (!ask->demands)
+		abort();
+	ask->ndemands = flt_demands(u->cfg.flt, ask->demands, max, now);
+}
+
+static void upl_collect_suspects(struct uplink *u, struct msg_ask *ask,
+				 clk_ms now)
+{
+	ask->suspects = calloc(UPL_MAX_SUSPECTS, sizeof(*ask->suspects));
+	if (!ask->suspects)
+		abort();
+	ask->nsuspects = exec_suspects(u->cfg.exec, ask->suspects,
+				       UPL_MAX_SUSPECTS, now);
+}
+
+static void upl_send_ask(struct uplink *u, int control, int64_t seq,
+			 int64_t answer_seen, clk_ms now)
+{
+	const struct lists *l = view_lists(u->cfg.view);
+	struct msg m = {.type = MSG_ASK};
+	struct msg_ask *ask = &m.u.ask;
+
+	ask->seq = seq;
+	ask->answer_seen = answer_seen;
+	ask->view_version = view_version(u->cfg.view);
+	ask->stopping = u->stopping;
+	snprintf(ask->addr, sizeof(ask->addr), "%s", u->cfg.set->link);
+	if (l) {
+		ask->cfg_version = l->version;
+		snprintf(ask->cfg_digest, ID_LEN, "%s", l->digest);
+	}
+	upl_collect_demands(u, ask, now);
+	upl_collect_suspects(u, ask, now);
+	upl_collect_announces(u, ask, now);
+	link_send(u->controls[control].link, &m);
+	free(ask->demands);
+	free(ask->suspects);
+	free(ask->announces);
+}
+
+static void upl_on_ask_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct uplink *u = w->data;
+	clk_ms now = clk_now();
+	int64_t seq;
+	int64_t seen;
+	int control;
+
+	(void)loop;
+	(void)events;
+	control = ask_poll(u->ask, now, &seq, &seen);
+	if (control >= 0)
+		upl_send_ask(u, control, seq, seen, now);
+	upl_arm(u);
+}
+
+void uplink_wake(struct uplink *u)
+{
+	ask_wake(u->ask, clk_now());
+	upl_arm(u);
+}
+
+static int64_t upl_lists_version(const struct uplink *u)
+{
+	const struct lists *l = view_lists(u->cfg.view);
+
+	return l ? l->version : 0;
+}
+
+/* Takes an answer of the leader to an ask that was sent at asked. */
+static void upl_apply(struct uplink *u, const struct msg_answer *a,
+		      clk_ms asked)
+{
+	int64_t lists = upl_lists_version(u);
+	bool changed;
+
+	u->answered = clk_now();
+	upl_clear_announces(u, a->ask_seq);
+	if (a->lease_ms)
+		cnt_add(CNT_lease_granted, 1);
+	changed = view_take(u->cfg.view, a, asked);
+	quota_client_take(u->cfg.quota, a, asked);
+	if (upl_lists_version(u) != lists) {
+		cnt_add(CNT_config_applied, 1);
+		log_info("uplink", "event=lists_taken version=%lld",
+			 (long long)upl_lists_version(u));
+		u->cfg.on_lists(u->cfg.arg);
+	}
+	if (changed)
+		u->cfg.on_view(u->cfg.arg);
+	u->cfg.on_answer(u->cfg.arg);
+}
+
+static void upl_answer(struct uplink *u, int control,
+		       const struct msg_answer *a)
+{
+	int before = ask_leader(u->ask);
+	clk_ms asked;
+	bool ok = ask_answer(u->ask, control, a, clk_now(), &asked);
+
+	if (ask_leader(u->ask) != before)
+		log_info("uplink", "event=leader id=%s", uplink_leader(u));
+	if (ok)
+		upl_apply(u, a, asked);
+	upl_arm(u);
+}
+
+static struct upl_request *upl_find(struct uplink *u, int64_t id)
+{
+	struct upl_request *r;
+
+	HASH_FIND(hh, u->requests, &id, sizeof(id), r);
+	return r;
+}
+
+static void upl_forget(struct uplink *u, struct upl_request *r)
+{
+	HASH_DEL(u->requests, r);
+	free(r->text);
+	free(r);
+}
+
+static void upl_reply(struct uplink *u, int64_t id, enum res res,
+		      const struct msg *m)
+{
+	struct upl_request *r = upl_find(u, id);
+	void (*on_reply)(void *arg, const struct msg *m);
+	void *arg;
+
+	if (!r)
+		return;
+	if (res == RES_NOT_LEADER) {
+		/* The tick sends it again, to the next leader. */
+		r->sent = 0;
+		uplink_wake(u);
+		return;
+	}
+	on_reply = r->on_reply;
+	arg = r->arg;
+	upl_forget(u, r);
+	on_reply(arg, m);
+}
+
+static void upl_on_message(void *arg, struct link *l, const struct msg *m)
+{
+	struct upl_control *c = arg;
+
+	(void)l;
+	switch (m->type) {
+	case MSG_ANSWER:
+		upl_answer(c->up, c->index, &m->u.answer);
+		break;
+	case MSG_ROWS:
+		upl_reply(c->up, m->u.rows.seq, (enum res)m->u.rows.res, m);
+		break;
+	case MSG_APPLIED:
+		upl_reply(c->up, m->u.applied.seq, (enum res)m->u.applied.res,
+			  m);
+		break;
+	default:
+		cnt_add(CNT_bad_input, 1);
+		log_warn("uplink", "event=unexpected_message type=%s",
+			 msg_name(m->type));
+	}
+}
+
+static void upl_on_up(void *arg, struct link *l)
+{
+	struct upl_control *c = arg;
+
+	if (strcmp(link_peer_role(l), "control") != 0) {
+		log_warn("uplink", "event=wrong_role id=%s role=%s",
+			 link_peer_id(l), link_peer_role(l));
+		return;
+	}
+	ask_up(c->up->ask, c->index, clk_now());
+	upl_arm(c->up);
+}
+
+static void upl_on_down(void *arg, struct link *l)
+{
+	struct upl_control *c = arg;
+
+	(void)l;
+	ask_down(c->up->ask, c->index, clk_now());
+	upl_arm(c->up);
+}
+
+static void upl_send_request(struct uplink *u, struct upl_request *r,
+			     clk_ms now)
+{
+	int leader = ask_leader(u->ask);
+
+	if (leader < 0)
+		return;
+	r->sent = now;
+	link_send(u->controls[leader].link, &r->msg);
+}
+
+static void upl_on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct uplink *u = w->data;
+	struct upl_request *r;
+	struct upl_request *next;
+	clk_ms now = clk_now();
+
+	(void)loop;
+	(void)events;
+	HASH_ITER (hh, u->requests, r, next) {
+		if (now >= r->deadline)
+			upl_reply(u, r->id, RES_TIMEOUT, NULL);
+		else if (now - r->sent >= UPL_RESEND_MS)
+			upl_send_request(u, r, now);
+	}
+	if (!u->requests)
+		ev_timer_stop(u->cfg.loop, &u->tick);
+}
+
+struct uplink *uplink_new(const struct uplink_config *cfg)
+{
+	struct uplink *u = calloc(1, sizeof(*u));
+	uint64_t spread;
+
+	if (!u)
+		abort();
+	u->cfg = *cfg;
+	u->answered = -1;
+	spread = XXH3_64bits(cfg->set->id, strlen(cfg->set->id));
+	u->ask = ask_new(cfg->set,
+			 (int)(spread % (uint64_t)cfg->set->ncontrols));
+	ev_timer_init(&u->ask_timer, upl_on_ask_timer, 0.0, 0.0);
+	u->ask_timer.data = u;
+	ev_timer_init(&u->tick, upl_on_tick, UPL_TICK_S, UPL_TICK_S);
+	u->tick.data = u;
+	for (int i = 0; i < (int)cfg->set->ncontrols; i++) {
+		struct upl_control *c = &u->controls[i];
+		struct link_handler h = {.arg = c,
+					 .on_up = upl_on_up,
+					 .on_message = upl_on_message,
+					 .on_down = upl_on_down};
+
+		c->up = u;
+		c->index = i;
+		c->link = link_open(cfg->loop, cfg->set, "proxy",
+				    cfg->set->controls[i].addr, cfg->uuid, &h);
+	}
+	return u;
+}
+
+void uplink_free(struct uplink *u)
+{
+	struct upl_announce *a;
+	struct upl_announce *next_a;
+	struct upl_request *r;
+	struct upl_request *next_r;
+
+	if (!u)
+		return;
+	ev_timer_stop(u->cfg.loop, &u->ask_timer);
+	ev_timer_stop(u->cfg.loop, &u->tick);
+	for (int i = 0; i < (int)u->cfg.set->ncontrols; i++)
+		link_free(u->controls[i].link);
+	HASH_ITER (hh, u->announces, a, next_a) {
+		HASH_DEL(u->announces, a);
+		free(a);
+	}
+	HASH_ITER (hh, u->requests, r, next_r)
+		upl_forget(u, r);
+	ask_free(u->ask);
+	free(u);
+}
+
+void uplink_stopping(struct uplink *u)
+{
+	u->stopping = true;
+	uplink_wake(u);
+}
+
+void uplink_announce(struct uplink *u, const struct backend_info *b)
+{
+	const struct backend_info *known = view_backend(u->cfg.view, b->id);
+	struct upl_announce *a;
+
+	HASH_FIND_STR(u->announces, b->id, a);
+	if (!a) {
+		if (HASH_COUNT(u->announces) >= UPL_MAX_ANNOUNCES)
+			return;
+		a = calloc(1, sizeof(*a));
+		if (!a)
+			abort();
+		a->info = *b;
+		HASH_ADD_STR(u->announces, info.id, a);
+	}
+	a->info = *b;
+	a->heard = clk_now();
+	a->sent = 0;
+	if (!known || known->leaving != b->leaving ||
+	    known->incarnation != b->incarnation || known->silent)
+		uplink_wake(u);
+}
+
+/* Copies the message with the text that its blob points to. */
+static void upl_copy(struct upl_request *r, const struct msg *m)
+{
+	const struct blob *b =
+		m->type == MSG_APPLY ? &m->u.apply.lists : &m->u.query.what;
+	struct blob copy;
+
+	r->msg = *m;
+	r->msg.zone = NULL;
+	r->text = malloc(b->len + 1);
+	if (!r->text)
+		abort();
+	memcpy(r->text, b->data, b->len);
+	copy = (struct blob){.data = r->text, .len = b->len};
+	if (m->type == MSG_APPLY) {
+		r->msg.u.apply.lists = copy;
+		r->msg.u.apply.seq = r->id;
+	} else {
+		r->msg.u.query.what = copy;
+		r->msg.u.query.seq = r->id;
+	}
+}
+
+int64_t uplink_request(struct uplink *u, const struct msg *m,
+		       void (*on_reply)(void *arg, const struct msg *m),
+		       void *arg)
+{
+	struct upl_request *r = calloc(1, sizeof(*r));
+	clk_ms now = clk_now();
+
+	if (!r)
+		abort();
+	r->id = ++u->next_request;
+	r->deadline = now + UPL_REQUEST_MS;
+	r->on_reply = on_reply;
+	r->arg = arg;
+	upl_copy(r, m);
+	HASH_ADD(hh, u->requests, id, sizeof(r->id), r);
+	upl_send_request(u, r, now);
+	if (!ev_is_active(&u->tick))
+		ev_timer_again(u->cfg.loop, &u->tick);
+	return r->id;
+}
+
+void uplink_abandon(struct uplink *u, int64_t id)
+{
+	struct upl_request *r = upl_find(u, id);
+
+	if (r)
+		upl_forget(u, r);
+}
+
+const char *uplink_leader(const struct uplink *u)
+{
+	int leader = ask_leader(u->ask);
+
+	return leader < 0 ? "" : u->cfg.set->controls[leader].id;
+}
+
+clk_ms uplink_age(const struct uplink *u, clk_ms now)
+{
+	return u->answered < 0 ? -1 : now - u->answered;
+}
--- /dev/null
+++ b/version.h
@@ -0,0 +1,9 @@
+#ifndef VERSION_H
+#define VERSION_H
+
+/* Version of the programs. */
+#ifndef MARJORAMLATCH_VERSION
+#define MARJORAMLATCH_VERSION "0.1"
+#endif
+
+#endif
