--- a/proxy.c
+++ b/proxy.c
@@ -213,6 +213,8 @@
 	callers_free(p->callers);
 	adm_free(p->adm);
 	uplink_free(p->up);
+	if (p->exec)
+		exec_set_peers(p->exec, NULL);
 	peers_free(p->peers);
 	req_free(p->req);
 	exec_free(p->exec);
