--- /dev/null
+++ b/t/unit_ask.cc
@@ -0,0 +1,137 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+extern "C" {
+#include "ask.h"
+}
+
+struct Ask : testing::Test {
+	struct settings set = {};
+	struct ask *a = nullptr;
+	clk_ms now = 1000;
+	int64_t seq = 0, seen = 0;
+
+	void SetUp() override
+	{
+		set.ncontrols = 3;
+		set.ask_ms = 400;
+		for (int i = 0; i < 3; i++)
+			snprintf(set.controls[i].id, ID_LEN, "c%d", i + 1);
+		a = ask_new(&set, 0);
+		for (int i = 0; i < 3; i++)
+			ask_up(a, i, now);
+	}
+	void TearDown() override
+	{
+		ask_free(a);
+	}
+	/* Goes on to the next ask; which instance gets it. */
+	int next()
+	{
+		int control = -1;
+
+		while (control < 0 && ask_due(a) != CLK_NEVER) {
+			now = std::max(now, ask_due(a));
+			control = ask_poll(a, now, &seq, &seen);
+		}
+		return control;
+	}
+	bool answer(int control, enum res res = RES_OK, const char *leader = "",
+		    int64_t of = 0)
+	{
+		struct msg_answer m = {};
+		clk_ms asked;
+
+		m.ask_seq = of ? of : seq;
+		m.answer_seq = 100 + m.ask_seq;
+		m.res = res;
+		snprintf(m.leader, ID_LEN, "%s", leader);
+		return ask_answer(a, control, &m, now, &asked);
+	}
+};
+
+TEST_F(Ask, SearchesInTurnUntilALeaderAnswers)
+{
+	std::vector<int> asked;
+
+	for (int i = 0; i < 3; i++) {
+		asked.push_back(next());
+		EXPECT_FALSE(answer(asked.back(), RES_NOT_LEADER));
+	}
+	std::sort(asked.begin(), asked.end());
+	EXPECT_EQ((std::vector<int>{0, 1, 2}), asked);
+	EXPECT_LE(now, 1000 + 3 * ASK_SEARCH_MS);
+	int leader = next();
+	EXPECT_TRUE(answer(leader));
+	EXPECT_EQ(leader, ask_leader(a));
+	clk_ms before = now;
+	EXPECT_EQ(leader, next());
+	EXPECT_EQ(before + set.ask_ms, now);
+	EXPECT_EQ(100 + seq - 1, seen);
+}
+
+TEST_F(Ask, FollowsHints)
+{
+	int first = next();
+	clk_ms before = now;
+
+	EXPECT_FALSE(answer(first, RES_NOT_LEADER, "c3"));
+	EXPECT_EQ(2, next());
+	EXPECT_LE(now, before + ASK_MIN_MS);
+}
+
+/* Guards against a lease that lapses because a frozen leader is asked again
+ * and again while the others still name it as the leader. */
+TEST_F(Ask, LeavesASilentLeader)
+{
+	ASSERT_EQ(0, next());
+	ASSERT_TRUE(answer(0));
+	ASSERT_EQ(0, next());
+	clk_ms frozen = now;
+	std::vector<int> asked;
+	for (int i = 0; i < 4; i++) {
+		int c = next();
+
+		asked.push_back(c);
+		if (c != 0) {
+			EXPECT_FALSE(answer(c, RES_NOT_LEADER, "c1"));
+		}
+	}
+	EXPECT_LE(now, frozen + ASK_SILENT_MS + 4 * ASK_SEARCH_MS);
+	EXPECT_NE(asked.end(), std::find(asked.begin(), asked.end(), 1));
+	EXPECT_NE(asked.end(), std::find(asked.begin(), asked.end(), 2));
+	EXPECT_EQ(-1, ask_leader(a));
+}
+
+/* Guards against a flood of asks while many requests want quota. */
+TEST_F(Ask, WakesAtOnceButNotTooOften)
+{
+	ASSERT_EQ(0, next());
+	ASSERT_TRUE(answer(0));
+	clk_ms last = now;
+	now += 5;
+	ask_wake(a, now);
+	EXPECT_EQ(last + ASK_MIN_MS, ask_due(a));
+	ASSERT_EQ(0, next());
+	ASSERT_TRUE(answer(0));
+	now += 100;
+	ask_wake(a, now);
+	EXPECT_EQ(now, ask_due(a));
+}
+
+/* Guards against an old or repeated answer that extends a lease. */
+TEST_F(Ask, IgnoresAnswersThatMatchNoAsk)
+{
+	ASSERT_EQ(0, next());
+	int64_t first = seq;
+	EXPECT_FALSE(answer(1));
+	EXPECT_FALSE(answer(0, RES_OK, "", first + 1));
+	EXPECT_TRUE(answer(0));
+	EXPECT_FALSE(answer(0));
+	ASSERT_EQ(0, next());
+	ask_down(a, 0, now);
+	EXPECT_FALSE(answer(0));
+	EXPECT_NE(0, next());
+}
