--- a/msg.c
+++ b/msg.c
@@ -429,7 +429,9 @@
 	case FLD_STR:
 		if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= f->size)
 			return false;
-		memcpy(p, o->via.str.ptr, o->via.str.size);
+		/* An empty string has no memory. */
+		if (o->via.str.size)
+			memcpy(p, o->via.str.ptr, o->via.str.size);
 		p[o->via.str.size] = '\0';
 		return true;
 	case FLD_BLOB:
