--- a/proxy.c
+++ b/proxy.c
@@ -104,7 +104,8 @@
 {
 	struct proxy *p = arg;
 
-	uplink_wake(p->up);
+	if (p->up)
+		uplink_wake(p->up);
 }
 
 static struct exec_hint proxy_hint(void *arg, const char *backend, clk_ms now)
@@ -213,6 +214,7 @@
 	callers_free(p->callers);
 	adm_free(p->adm);
 	uplink_free(p->up);
+	p->up = NULL; /* exec may still find suspects while links close */
 	if (p->exec)
 		exec_set_peers(p->exec, NULL);
 	peers_free(p->peers);
