--- /dev/null
+++ b/cost.c
@@ -0,0 +1,186 @@
+#include "cost.h"
+
+#include <stdlib.h>
+
+enum {
+	COST_RECENT = 255, /* statements the median is taken of */
+	COST_REFRESH = 16, /* statements between computations of the median */
+	COST_NONE = -1
+};
+
+/* Weight of a new measurement. */
+#define COST_DECAY 0.2
+
+struct cost_entry {
+	int64_t fingerprint;
+	double us;
+	int chain; /* next of the same bucket */
+	int newer;
+	int older;
+};
+
+struct cost {
+	struct cost_entry *entries;
+	int *buckets;
+	int max;
+	int used;
+	int newest;
+	int oldest;
+	int64_t recent[COST_RECENT];
+	int64_t nrecent; /* ever */
+	int64_t median;
+};
+
+struct cost *cost_new(int max)
+{
+	struct cost *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		abort();
+	c->entries = calloc((size_t)max, sizeof(*c->entries));
+	c->buckets = calloc((size_t)max, sizeof(*c->buckets));
+	if (!c->entries || !c->buckets)
+		abort();
+	c->max = max;
+	c->newest = COST_NONE;
+	c->oldest = COST_NONE;
+	c->median = COST_FIRST_US;
+	for (int i = 0; i < max; i++)
+		c->buckets[i] = COST_NONE;
+	return c;
+}
+
+void cost_free(struct cost *c)
+{
+	if (!c)
+		return;
+	free(c->entries);
+	free(c->buckets);
+	free(c);
+}
+
+/* Fingerprints are hashes already. */
+static int *cost_bucket(struct cost *c, int64_t fingerprint)
+{
+	return &c->buckets[(uint64_t)fingerprint % (uint64_t)c->max];
+}
+
+static int cost_find(struct cost *c, int64_t fingerprint)
+{
+	int i = *cost_bucket(c, fingerprint);
+
+	while (i != COST_NONE && c->entries[i].fingerprint != fingerprint)
+		i = c->entries[i].chain;
+	return i;
+}
+
+static void cost_unlink(struct cost *c, int i)
+{
+	struct cost_entry *e = &c->entries[i];
+
+	if (e->newer == COST_NONE)
+		c->newest = e->older;
+	else
+		c->entries[e->newer].older = e->older;
+	if (e->older == COST_NONE)
+		c->oldest = e->newer;
+	else
+		c->entries[e->older].newer = e->newer;
+}
+
+static void cost_link_newest(struct cost *c, int i)
+{
+	struct cost_entry *e = &c->entries[i];
+
+	e->newer = COST_NONE;
+	e->older = c->newest;
+	if (c->newest == COST_NONE)
+		c->oldest = i;
+	else
+		c->entries[c->newest].newer = i;
+	c->newest = i;
+}
+
+/* Takes the entry used least recently out of the table. */
+static int cost_evict(struct cost *c)
+{
+	int i = c->oldest;
+	int *at = cost_bucket(c, c->entries[i].fingerprint);
+
+	while (*at != i)
+		at = &c->entries[*at].chain;
+	*at = c->entries[i].chain;
+	cost_unlink(c, i);
+	return i;
+}
+
+static int cost_add(struct cost *c, int64_t fingerprint, double us)
+{
+	int i = c->used < c->max ? c->used++ : cost_evict(c);
+	int *bucket = cost_bucket(c, fingerprint);
+
+	c->entries[i] = (struct cost_entry){
+		.fingerprint = fingerprint, .us = us, .chain = *bucket};
+	*bucket = i;
+	cost_link_newest(c, i);
+	return i;
+}
+
+int64_t cost_estimate(struct cost *c, int64_t fingerprint)
+{
+	int i = cost_find(c, fingerprint);
+
+	if (i == COST_NONE)
+		return c->median;
+	cost_unlink(c, i);
+	cost_link_newest(c, i);
+	return (int64_t)c->entries[i].us;
+}
+
+static int cost_compare(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void cost_refresh_median(struct cost *c)
+{
+	int64_t sorted[COST_RECENT];
+	size_t n = c->nrecent < COST_RECENT ? (size_t)c->nrecent : COST_RECENT;
+
+	for (size_t i = 0; i < n; i++)
+		sorted[i] = c->recent[i];
+	qsort(sorted, n, sizeof(sorted[0]), cost_compare);
+	c->median = sorted[n / 2];
+}
+
+void cost_learn(struct cost *c, int64_t fingerprint, int64_t us)
+{
+	int i = cost_find(c, fingerprint);
+
+	if (i == COST_NONE)
+		cost_add(c, fingerprint, (double)us);
+	else
+		c->entries[i].us +=
+			COST_DECAY * ((double)us - c->entries[i].us);
+	c->recent[c->nrecent++ % COST_RECENT] = us;
+	if (c->nrecent < COST_REFRESH || c->nrecent % COST_REFRESH == 0)
+		cost_refresh_median(c);
+}
+
+int64_t cost_median(const struct cost *c)
+{
+	return c->median;
+}
+
+bool cost_is_long(const struct cost *c, int64_t us)
+{
+	return us > COST_LONG_MIN_US && us > COST_LONG_FACTOR * c->median;
+}
+
+bool cost_overruns(const struct cost *c, int64_t estimate, int64_t us)
+{
+	return us > COST_OVERRUN * estimate && cost_is_long(c, us);
+}
--- a/pool.c
+++ b/pool.c
@@ -15,6 +15,7 @@
 	struct pool_conn *next;
 	PGconn *pg;
 	enum pool_state state;
+	bool tainted;
 	clk_ms opened;
 	clk_ms since; /* of the state */
 	ev_io io;
@@ -375,7 +376,7 @@
 {
 	struct pool *p = c->pool;
 
-	if (clean && PQstatus(c->pg) == CONNECTION_OK &&
+	if (clean && !c->tainted && PQstatus(c->pg) == CONNECTION_OK &&
 	    PQtransactionStatus(c->pg) == PQTRANS_IDLE)
 		pool_make_idle(c);
 	else
@@ -384,6 +385,11 @@
 		pool_serve(p);
 }
 
+void pool_taint(struct pool_conn *c)
+{
+	c->tainted = true;
+}
+
 void pool_drop_idle(struct pool *p, clk_ms opened_before)
 {
 	struct pool_conn *next;
--- a/pool.h
+++ b/pool.h
@@ -61,6 +61,9 @@
 /* Gives back a connection; it is closed unless clean. */
 void pool_release(struct pool_conn *c, bool clean);
 
+/* Lets a connection be closed when it is given back. */
+void pool_taint(struct pool_conn *c);
+
 /* Closes idle connections opened before a time. */
 void pool_drop_idle(struct pool *p, clk_ms opened_before);
 
