exec: run requests on owned backends and forward the others

Requests wait for a slot, run on a pooled or pinned connection and end from the loop. Requests for backends of other owners travel over links. Status polls feed the hints, the suspicion of primaries and the health of members.

--- /dev/null
+++ b/exec.c
@@ -0,0 +1,364 @@
+#include "exec_priv.h"
+
+#include "counter.h"
+#include "link.h"
+#include "rng.h"
+#include "settings.h"
+#include "view.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct exec_req *exec_find(struct exec *x, int64_t id)
+{
+	struct exec_req *r;
+
+	HASH_FIND(hh, x->reqs, &id, sizeof(id), r);
+	return r;
+}
+
+static char *exec_copy_blob(char *to, struct blob *b)
+{
+	if (b->len)
+		memcpy(to, b->data, b->len);
+	to[b->len] = '\0';
+	b->data = to;
+	return to + b->len + 1;
+}
+
+/* Copies a request with all it points to; texts get a final zero. */
+static void exec_copy_run(struct exec_req *r, const struct msg_run *run)
+{
+	size_t params = (size_t)run->nparams * sizeof(*run->params);
+	size_t len = params + run->sql.len + 1;
+	char *at;
+
+	for (int64_t i = 0; i < run->nparams; i++)
+		len += run->params[i].value.len + 1;
+	r->mem = malloc(len);
+	if (!r->mem)
+		abort();
+	r->run = *run;
+	r->run.params = r->mem;
+	if (params)
+		memcpy(r->run.params, run->params, params);
+	at = exec_copy_blob((char *)r->mem + params, &r->run.sql);
+	for (int64_t i = 0; i < run->nparams; i++)
+		at = exec_copy_blob(at, &r->run.params[i].value);
+}
+
+static void exec_limit(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct exec_req *r = t->data;
+
+	(void)loop;
+	(void)revents;
+	if (r->state == EXEC_FORWARDED)
+		exec_remote_expire(r);
+	else
+		exec_local_expire(r);
+}
+
+struct exec_req *exec_req_new(struct exec *x, const struct msg_run *run)
+{
+	struct exec_req *r = calloc(1, sizeof(*r));
+	clk_ms limit = run->limit_ms > 0 ? run->limit_ms : 1;
+
+	if (!r)
+		abort();
+	r->x = x;
+	r->id = x->next_id++;
+	r->arrived = clk_now();
+	r->arrived_us = clk_now_us();
+	exec_copy_run(r, run);
+	HASH_ADD(hh, x->reqs, id, sizeof(r->id), r);
+	ev_now_update(x->loop);
+	ev_timer_init(&r->limit, exec_limit, (double)limit / 1000.0, 0.);
+	r->limit.data = r;
+	ev_timer_start(x->loop, &r->limit);
+	if (!ev_is_active(&x->tick))
+		ev_timer_again(x->loop, &x->tick);
+	return r;
+}
+
+/*
+ * Marks a request that is over for all sides. It is freed from the loop, so
+ * that no iteration over the requests loses its next one.
+ */
+void exec_settle(struct exec_req *r)
+{
+	struct exec *x = r->x;
+
+	if (r->dead || r->state != EXEC_OVER || !r->delivered || r->runner)
+		return;
+	r->dead = true;
+	ev_timer_stop(x->loop, &r->limit);
+	r->next_dead = x->dead;
+	x->dead = r;
+	ev_feed_event(x->loop, &x->flush, EV_CUSTOM);
+}
+
+static void exec_free_dead(struct exec *x)
+{
+	while (x->dead) {
+		struct exec_req *r = x->dead;
+
+		x->dead = r->next_dead;
+		HASH_DEL(x->reqs, r);
+		free(r->text);
+		free(r->mem);
+		free(r);
+	}
+}
+
+/* Ends a request without telling anyone. */
+void exec_drop(struct exec_req *r)
+{
+	r->abandoned = true;
+	if (!r->ended) {
+		r->ended = true;
+		r->delivered = true;
+	}
+	if (!r->runner)
+		r->state = EXEC_OVER;
+	exec_settle(r);
+}
+
+void exec_data(struct exec_req *r, const char *bytes, size_t len)
+{
+	if (r->abandoned)
+		return;
+	if (!r->from) {
+		r->sink.on_data(r->sink.arg, bytes, len);
+		return;
+	}
+	while (len) {
+		size_t part = len < EXEC_CHUNK ? len : EXEC_CHUNK;
+		struct msg m = {.type = MSG_DATA,
+				.u.data = {.run_id = r->remote_id,
+					   .bytes = {bytes, part}}};
+
+		link_send(r->from, &m);
+		bytes += part;
+		len -= part;
+	}
+}
+
+static void exec_send_end(struct exec_req *r)
+{
+	struct msg m = {.type = MSG_END, .u.end = r->end};
+
+	m.u.end.run_id = r->remote_id;
+	link_send(r->from, &m);
+	r->delivered = true;
+}
+
+/* Ends of own callers are told from the loop, never from inside a call. */
+static void exec_queue_end(struct exec_req *r)
+{
+	struct exec *x = r->x;
+
+	r->next_ended = NULL;
+	*x->ended_end = r;
+	x->ended_end = &r->next_ended;
+	ev_feed_event(x->loop, &x->flush, EV_CUSTOM);
+}
+
+static void exec_flush(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	struct exec *x = w->data;
+
+	(void)loop;
+	(void)revents;
+	while (x->ended) {
+		struct exec_req *r = x->ended;
+
+		x->ended = r->next_ended;
+		if (!x->ended)
+			x->ended_end = &x->ended;
+		r->delivered = true;
+		if (!r->abandoned)
+			r->sink.on_end(r->sink.arg, &r->end);
+		exec_settle(r);
+	}
+	exec_free_dead(x);
+}
+
+void exec_take_end(struct exec_req *r, const struct msg_end *end)
+{
+	if (r->ended)
+		return;
+	r->ended = true;
+	r->end = *end;
+	r->end.run_id = r->id;
+	r->text = malloc(end->text.len + 1);
+	if (!r->text)
+		abort();
+	exec_copy_blob(r->text, &r->end.text);
+	if (!r->runner)
+		r->state = EXEC_OVER;
+	if (r->abandoned)
+		r->delivered = true;
+	else if (r->from)
+		exec_send_end(r);
+	else
+		exec_queue_end(r);
+}
+
+void exec_end(struct exec_req *r, enum res res, const char *text)
+{
+	struct msg_end end = {
+		.res = res,
+		.text = {text ? text : "", text ? strlen(text) : 0},
+		.txn = 'I',
+		.waited_us = clk_now_us() - r->arrived_us,
+	};
+
+	exec_take_end(r, &end);
+	exec_settle(r);
+}
+
+int64_t exec_start(struct exec *x, const struct msg_run *run,
+		   const struct exec_sink *sink)
+{
+	struct exec_req *r = exec_req_new(x, run);
+	const struct backend_info *b = view_backend(x->view, run->backend);
+	int64_t id = r->id;
+	const char *owner;
+
+	r->sink = *sink;
+	if (!b)
+		exec_end(r, RES_NOT_OWNER, "backend server is not known");
+	else if (exec_is_own(x, run, b, &owner))
+		exec_local_start(r);
+	else
+		exec_forward(r, owner);
+	return id;
+}
+
+void exec_cancel(struct exec *x, int64_t run_id)
+{
+	struct exec_req *r = exec_find(x, run_id);
+
+	if (!r || r->ended)
+		return;
+	if (r->state == EXEC_FORWARDED)
+		exec_remote_cancel(r);
+	else
+		exec_local_cancel(r);
+}
+
+void exec_abandon(struct exec *x, int64_t run_id)
+{
+	struct exec_req *r = exec_find(x, run_id);
+
+	if (!r || r->abandoned)
+		return;
+	if (r->state == EXEC_FORWARDED)
+		exec_remote_abandon(r);
+	else
+		exec_local_abandon(r);
+}
+
+static void exec_tick(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct exec *x = t->data;
+	struct exec_backend *b, *tmp_b;
+	struct exec_req *r, *tmp_r;
+	clk_ms now = clk_now();
+
+	(void)revents;
+	HASH_ITER (hh, x->reqs, r, tmp_r) {
+		exec_tick_req(r, now);
+	}
+	HASH_ITER (hh, x->backends, b, tmp_b) {
+		exec_tick_backend(b, now);
+	}
+	if (!x->reqs)
+		ev_timer_stop(loop, t);
+}
+
+struct exec *exec_new(struct ev_loop *loop, const struct settings *set,
+		      struct view *view)
+{
+	struct exec *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		abort();
+	x->loop = loop;
+	x->set = set;
+	x->view = view;
+	x->rng = rng_new(set->seed ? (uint64_t)set->seed
+				   : (uint64_t)clk_now_us());
+	x->next_id = 1;
+	x->ended_end = &x->ended;
+	ev_prepare_init(&x->flush, exec_flush);
+	x->flush.data = x;
+	ev_init(&x->tick, exec_tick);
+	x->tick.repeat = EXEC_TICK_MS / 1000.0;
+	x->tick.data = x;
+	exec_backends_update(x);
+	return x;
+}
+
+void exec_free(struct exec *x)
+{
+	struct exec_req *r, *tmp_r;
+	struct exec_pin *p, *tmp_p;
+
+	if (!x)
+		return;
+	/* A runner that is expired frees its request by itself. */
+	HASH_ITER (hh, x->reqs, r, tmp_r) {
+		r->abandoned = true;
+		r->from = NULL;
+		if (r->runner)
+			runner_expire(r->runner);
+	}
+	HASH_ITER (hh, x->reqs, r, tmp_r) {
+		if (!r->ended)
+			exec_end(r, RES_STOPPING, NULL);
+	}
+	exec_flush(x->loop, &x->flush, 0);
+	HASH_ITER (hh, x->pins, p, tmp_p)
+		exec_pin_close(p);
+	exec_backends_free(x);
+	exec_flush(x->loop, &x->flush, 0);
+	exec_routes_free(x);
+	ev_clear_pending(x->loop, &x->flush);
+	ev_timer_stop(x->loop, &x->tick);
+	rng_free(x->rng);
+	free(x);
+}
+
+void exec_set_peers(struct exec *x, struct peers *p)
+{
+	x->peers = p;
+}
+
+void exec_view_changed(struct exec *x)
+{
+	struct exec_req *r, *tmp;
+
+	HASH_ITER (hh, x->reqs, r, tmp) {
+		if (r->runner)
+			runner_view_changed(r->runner);
+	}
+	exec_backends_update(x);
+}
+
+void exec_on_suspect(struct exec *x, void (*fn)(void *arg), void *arg)
+{
+	x->on_suspect = fn;
+	x->suspect_arg = arg;
+}
+
+size_t exec_running(const struct exec *x)
+{
+	size_t n = 0;
+
+	for (const struct exec_req *r = x->reqs; r; r = r->hh.next)
+		n += !r->ended;
+	return n;
+}
--- a/exec.h
+++ b/exec.h
@@ -24,10 +24,19 @@
 struct peers;
 struct buf;
 
+/*
+ * An error of the backend server arrives as an ErrorResponse in on_data,
+ * followed by RES_SQL_ERROR; other results come without one. on_data is
+ * only called from the loop.
+ */
 struct exec_sink {
 	void *arg;
 	void (*on_data)(void *arg, const char *bytes, size_t len);
 	void (*on_end)(void *arg, const struct msg_end *end);
+
+	/* Bytes of the answer that the caller has not taken yet, for back
+	 * pressure on the backend; may be NULL. */
+	size_t (*backlog)(void *arg);
 };
 
 struct exec *exec_new(struct ev_loop *loop, const struct settings *set,
--- /dev/null
+++ b/exec_local.c
@@ -0,0 +1,496 @@
+#include "exec_priv.h"
+
+#include "counter.h"
+#include "log.h"
+#include "link.h"
+#include "settings.h"
+#include "token.h"
+#include "view.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static bool exec_needs_primary(const struct msg_run *run)
+{
+	return run->kind == RUN_WRITE || run->kind == RUN_BEGIN ||
+	       run->kind == RUN_TXN || run->flags & RUN_CURRENT;
+}
+
+/* ---- slots ---- */
+
+static void exec_slot_free(struct exec_req *r)
+{
+	int64_t us =
+		r->started_us ? clk_now_us() - r->started_us : r->job.cost_us;
+
+	if (!r->has_slot)
+		return;
+	r->has_slot = false;
+	sched_finish(r->b->sched, &r->job, us);
+	if (r->started_us && r->run.kind != RUN_DESCRIBE)
+		cost_learn(r->b->cost, r->run.fingerprint, us);
+	exec_dispatch(r->b);
+}
+
+static struct exec_req *exec_req_of(struct sched_job *j)
+{
+	return (struct exec_req *)((char *)j - offsetof(struct exec_req, job));
+}
+
+static void exec_job(struct exec_req *r)
+{
+	const struct msg_run *run = &r->run;
+	struct sched_job *j = &r->job;
+	struct cost *cost = r->b->cost;
+
+	memcpy(j->customer, run->customer, sizeof(j->customer));
+	j->priority = run->priority;
+	j->weight = run->weight;
+	j->cost_us = cost_estimate(cost, run->fingerprint);
+	j->is_long = run->flags & RUN_LONG || cost_is_long(cost, j->cost_us);
+	j->give_up = r->arrived + run->wait_ms;
+}
+
+/* ---- pins ---- */
+
+static struct exec_pin *exec_pin_find(struct exec *x, int64_t id)
+{
+	struct exec_pin *p;
+
+	HASH_FIND(hh, x->pins, &id, sizeof(id), p);
+	return p;
+}
+
+static struct pool_conn *exec_pin_take_out(struct exec_pin *p)
+{
+	struct pool_conn *c = p->conn;
+
+	HASH_DEL(p->x->pins, p);
+	free(p);
+	return c;
+}
+
+void exec_pin_close(struct exec_pin *p)
+{
+	/* The runner releases the connection of a statement that runs. */
+	if (p->busy) {
+		p->busy->pin = NULL;
+		exec_pin_take_out(p);
+		return;
+	}
+	pool_release(exec_pin_take_out(p), false);
+}
+
+/* An idle pinned connection has nothing to say but that it was closed. */
+static void exec_pin_io(void *arg, int revents)
+{
+	struct exec_pin *p = arg;
+
+	(void)revents;
+	if (!PQconsumeInput(pool_pg(p->conn)) ||
+	    PQstatus(pool_pg(p->conn)) != CONNECTION_OK)
+		exec_pin_close(p);
+}
+
+static struct exec_pin *exec_pin_new(struct exec_req *r)
+{
+	struct exec_pin *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		abort();
+	/* Unpredictable, and unique among the pins of all owners. */
+	randombytes_buf(&p->id, sizeof(p->id));
+	p->id = (p->id & INT64_MAX) | 1;
+	p->x = r->x;
+	p->b = r->b;
+	p->conn = r->conn;
+	p->from = r->from;
+	p->term = r->run.term;
+	memcpy(p->customer, r->run.customer, sizeof(p->customer));
+	p->busy = r;
+	r->pin = p;
+	HASH_ADD(hh, r->x->pins, id, sizeof(p->id), p);
+	return p;
+}
+
+/* Decides at a request's end whether its connection stays with its caller. */
+static int64_t exec_pin_update(struct exec_req *r, const struct msg_end *end)
+{
+	bool keep = end->pin && !r->abandoned &&
+		    (end->txn != 'I' || r->run.flags & RUN_PIN);
+
+	if (keep)
+		return r->pin ? r->pin->id : exec_pin_new(r)->id;
+	if (r->pin) {
+		exec_pin_take_out(r->pin);
+		r->pin = NULL;
+	}
+	return 0;
+}
+
+/* ---- running ---- */
+
+static void exec_on_data(void *arg, const char *bytes, size_t len)
+{
+	exec_data(arg, bytes, len);
+}
+
+static size_t exec_backlog(void *arg)
+{
+	const struct exec_req *r = arg;
+
+	if (r->abandoned)
+		return 0;
+	if (r->from)
+		return link_backlog(r->from);
+	return r->sink.backlog ? r->sink.backlog(r->sink.arg) : 0;
+}
+
+static void exec_on_status(void *arg, const struct backend_status *st)
+{
+	struct exec_req *r = arg;
+
+	exec_heard(r->b, st);
+}
+
+static void exec_on_executed(void *arg)
+{
+	exec_slot_free(arg);
+}
+
+static void exec_judge(struct exec_req *r, enum res res)
+{
+	if (res == RES_READ_FAILED || res == RES_UNREACHABLE)
+		exec_failed(r->b);
+	else if (res == RES_OK || res == RES_SQL_ERROR || res == RES_BEHIND)
+		health_success(&r->b->health);
+}
+
+static void exec_on_end(void *arg, const struct msg_end *end)
+{
+	struct exec_req *r = arg;
+	struct msg_end full = *end;
+
+	exec_judge(r, (enum res)end->res);
+	full.pin = exec_pin_update(r, end);
+	full.waited_us = r->started_us - r->arrived_us;
+	exec_take_end(r, &full);
+}
+
+static void exec_on_done(void *arg, bool clean, char txn)
+{
+	struct exec_req *r = arg;
+	struct exec_pin *p = r->pin;
+	struct pool_conn *c = r->conn;
+
+	r->runner = NULL;
+	r->conn = NULL;
+	r->pin = NULL;
+	r->state = EXEC_OVER;
+	if (p && clean && !r->abandoned) {
+		p->busy = NULL;
+		pool_on_io(c, exec_pin_io, p);
+		pool_watch(c, EV_READ);
+	} else {
+		if (p)
+			exec_pin_take_out(p);
+		pool_release(c, clean && txn == 'I' && !p);
+	}
+	exec_slot_free(r);
+	exec_settle(r);
+}
+
+static void exec_run_on(struct exec_req *r, struct pool_conn *c)
+{
+	struct runner_user user = {
+		.arg = r,
+		.on_data = exec_on_data,
+		.backlog = exec_backlog,
+		.on_status = exec_on_status,
+		.on_executed = exec_on_executed,
+		.on_end = exec_on_end,
+		.on_done = exec_on_done,
+	};
+
+	r->conn = c;
+	r->state = EXEC_RUNNING;
+	r->started_us = clk_now_us();
+	r->runner = runner_start(r->x->loop, r->x->view, &r->run, c, &user);
+}
+
+static void exec_on_conn(void *arg, struct pool_conn *c)
+{
+	exec_run_on(arg, c);
+}
+
+static void exec_on_fail(void *arg, const char *error)
+{
+	struct exec_req *r = arg;
+
+	exec_failed(r->b);
+	r->state = EXEC_OVER;
+	exec_slot_free(r);
+	exec_end(r, RES_UNREACHABLE, error);
+}
+
+void exec_dispatch(struct exec_backend *b)
+{
+	struct sched_job *j;
+
+	if (b->dispatching)
+		return;
+	b->dispatching = true;
+	while ((j = sched_take(b->sched, clk_now()))) {
+		struct exec_req *r = exec_req_of(j);
+
+		r->has_slot = true;
+		r->state = EXEC_CONNECTING;
+		r->want = (struct pool_want){.arg = r,
+					     .on_conn = exec_on_conn,
+					     .on_fail = exec_on_fail};
+		pool_acquire(b->pool, &r->want);
+	}
+	b->dispatching = false;
+}
+
+/* ---- arrival ---- */
+
+static void exec_start_pinned(struct exec_req *r)
+{
+	struct exec_pin *p = exec_pin_find(r->x, r->run.pin);
+
+	if (!p || p->b != r->b || p->from != r->from ||
+	    strcmp(p->customer, r->run.customer)) {
+		exec_end(r, RES_UNREACHABLE,
+			 "the session's connection is gone");
+		return;
+	}
+	if (p->busy) {
+		exec_end(r, RES_INTERNAL, "the session's connection is busy");
+		return;
+	}
+	p->busy = r;
+	r->pin = p;
+	exec_job(r);
+	sched_force(r->b->sched, &r->job, clk_now());
+	r->has_slot = true;
+	exec_run_on(r, p->conn);
+}
+
+static void exec_queue(struct exec_req *r)
+{
+	enum res res;
+
+	exec_job(r);
+	r->state = EXEC_WAITING;
+	res = sched_add(r->b->sched, &r->job, clk_now());
+	if (res) {
+		exec_end(r, res, NULL);
+		return;
+	}
+	exec_dispatch(r->b);
+}
+
+/* What the newest status says of a read's needs. */
+enum exec_fresh { FRESH_ENOUGH, FRESH_SOON, FRESH_LATER };
+
+static enum exec_fresh exec_freshness(const struct exec_req *r, clk_ms now)
+{
+	const struct exec_hint *h = &r->b->hint;
+	const struct msg_run *run = &r->run;
+	clk_ms waited = now - r->arrived;
+
+	if (!h->heard || r->b->status.primary)
+		return FRESH_ENOUGH;
+	if (run->max_age_ms >= 0 && h->age_ms > run->max_age_ms &&
+	    now - h->heard <= r->x->set->poll_ms * 2)
+		return FRESH_LATER;
+	if (!run->need_term ||
+	    (h->log_term >= run->need_term && h->applied >= run->need_position))
+		return FRESH_ENOUGH;
+	/* Since then it may have caught up; ask before giving a verdict. */
+	if (now - h->heard > EXEC_POLL_FRESH_MS && waited < EXEC_BEHIND_MS)
+		return FRESH_SOON;
+	if (h->log_term < run->need_term || h->age_ms < 0 ||
+	    waited + h->age_ms > EXEC_BEHIND_MS || waited >= run->wait_ms)
+		return FRESH_LATER;
+	return FRESH_SOON;
+}
+
+static void exec_check_fresh(struct exec_req *r)
+{
+	enum exec_fresh fresh = exec_freshness(r, clk_now());
+
+	if (r->state == EXEC_BEHIND)
+		r->b->behind--;
+	r->state = EXEC_OVER;
+	switch (fresh) {
+	case FRESH_ENOUGH:
+		exec_queue(r);
+		break;
+	case FRESH_SOON:
+		r->state = EXEC_BEHIND;
+		r->b->behind++;
+		if (r->b->probe)
+			probe_hurry(r->b->probe);
+		break;
+	case FRESH_LATER:
+		exec_end(r, RES_BEHIND, NULL);
+		break;
+	}
+}
+
+static enum res exec_check_primary(const struct exec_req *r)
+{
+	const struct msg_run *run = &r->run;
+	const struct group_info *g = view_group(r->x->view, run->group);
+
+	if (g && g->term > run->term)
+		return run->pin ? RES_PRIMARY_CHANGED : RES_NO_PRIMARY;
+	if (run->pin)
+		return RES_OK;
+	if (g && g->term == run->term && strcmp(g->primary, run->backend))
+		return RES_NO_PRIMARY;
+	if (!view_lease_valid(r->x->view, run->group, run->term, clk_now()))
+		return RES_NO_LEASE;
+	return RES_OK;
+}
+
+static enum res exec_check(const struct exec_req *r)
+{
+	const struct backend_info *b = view_backend(r->x->view, r->run.backend);
+
+	if (!b)
+		return RES_NOT_OWNER;
+	if (!r->run.pin && (b->leaving || b->silent))
+		return RES_LEAVING;
+	if (exec_needs_primary(&r->run))
+		return exec_check_primary(r);
+	return health_allow(&r->b->health, clk_now()) ? RES_OK
+						      : RES_UNREACHABLE;
+}
+
+void exec_local_start(struct exec_req *r)
+{
+	enum res res;
+
+	r->b = exec_backend_get(r->x, r->run.backend);
+	if (!r->b) {
+		exec_end(r, RES_NOT_OWNER, "backend server is not known");
+		return;
+	}
+	res = exec_check(r);
+	if (res)
+		exec_end(r, res, NULL);
+	else if (r->run.pin)
+		exec_start_pinned(r);
+	else if (r->run.kind == RUN_READ && !(r->run.flags & RUN_CURRENT))
+		exec_check_fresh(r);
+	else
+		exec_queue(r);
+}
+
+/* ---- leaving ---- */
+
+/* Takes a request that does not run yet out of its queue. */
+static void exec_withdraw(struct exec_req *r)
+{
+	if (r->state == EXEC_BEHIND)
+		r->b->behind--;
+	if (r->state == EXEC_WAITING)
+		sched_remove(r->b->sched, &r->job);
+	if (r->state == EXEC_CONNECTING)
+		pool_forget(r->b->pool, &r->want);
+	r->state = EXEC_OVER;
+	exec_slot_free(r);
+}
+
+void exec_local_cancel(struct exec_req *r)
+{
+	if (r->runner) {
+		runner_cancel(r->runner);
+		return;
+	}
+	exec_withdraw(r);
+	exec_end(r, RES_CANCELED, "canceled before it ran");
+}
+
+void exec_local_abandon(struct exec_req *r)
+{
+	r->abandoned = true;
+	r->from = NULL;
+	if (!r->runner) {
+		if (!r->ended)
+			exec_withdraw(r);
+		exec_drop(r);
+		return;
+	}
+	/* A write runs to its end, so that it is not left half done. */
+	if (r->run.kind != RUN_WRITE || r->run.flags & RUN_PIN)
+		runner_expire(r->runner);
+}
+
+void exec_local_expire(struct exec_req *r)
+{
+	bool connecting = r->state == EXEC_CONNECTING;
+
+	if (r->runner) {
+		runner_expire(r->runner);
+		return;
+	}
+	if (r->ended)
+		return;
+	exec_withdraw(r);
+	exec_end(r, connecting ? RES_UNREACHABLE : RES_WAIT_EXCEEDED,
+		 "time limit reached");
+}
+
+void exec_tick_req(struct exec_req *r, clk_ms now)
+{
+	switch (r->state) {
+	case EXEC_BEHIND:
+		exec_check_fresh(r);
+		break;
+	case EXEC_CONNECTING:
+		if (now - r->arrived <= r->run.wait_ms)
+			break;
+		exec_withdraw(r);
+		exec_end(r, RES_WAIT_EXCEEDED, "no connection in time");
+		break;
+	case EXEC_RUNNING:
+		if (r->has_slot && !r->job.is_long &&
+		    cost_overruns(r->b->cost, r->job.cost_us,
+				  clk_now_us() - r->started_us))
+			sched_reclassify(r->b->sched, &r->job);
+		if (runner_stalled(r->runner, r->x->set->suspect_ms))
+			runner_break(r->runner, "no status row in time");
+		break;
+	default:
+		break;
+	}
+}
+
+void exec_recheck_behind(struct exec_backend *b)
+{
+	struct exec_req *r, *tmp;
+
+	HASH_ITER (hh, b->x->reqs, r, tmp) {
+		if (r->b == b && r->state == EXEC_BEHIND)
+			exec_check_fresh(r);
+	}
+}
+
+void exec_tick_backend(struct exec_backend *b, clk_ms now)
+{
+	struct sched_job *j;
+
+	while ((j = sched_expired(b->sched, now))) {
+		struct exec_req *r = exec_req_of(j);
+
+		r->state = EXEC_OVER;
+		exec_end(r, RES_WAIT_EXCEEDED, NULL);
+	}
+	exec_dispatch(b);
+}
--- /dev/null
+++ b/exec_remote.c
@@ -0,0 +1,315 @@
+#include "exec_priv.h"
+
+#include "counter.h"
+#include "link.h"
+#include "peers.h"
+#include "settings.h"
+#include "view.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- routes: which owner holds a pin ---- */
+
+static struct exec_route *exec_route_find(struct exec *x, int64_t pin)
+{
+	struct exec_route *t;
+
+	HASH_FIND(hh, x->routes, &pin, sizeof(pin), t);
+	return t;
+}
+
+static void exec_route_remove(struct exec *x, int64_t pin)
+{
+	struct exec_route *t = exec_route_find(x, pin);
+
+	if (!t)
+		return;
+	HASH_DEL(x->routes, t);
+	free(t);
+}
+
+static void exec_route_add(struct exec *x, int64_t pin, const char *owner)
+{
+	struct exec_route *t = exec_route_find(x, pin);
+
+	if (t)
+		return;
+	t = calloc(1, sizeof(*t));
+	if (!t)
+		abort();
+	t->pin = pin;
+	snprintf(t->owner, sizeof(t->owner), "%s", owner);
+	HASH_ADD(hh, x->routes, pin, sizeof(t->pin), t);
+}
+
+void exec_routes_free(struct exec *x)
+{
+	struct exec_route *t, *tmp;
+
+	HASH_ITER (hh, x->routes, t, tmp) {
+		HASH_DEL(x->routes, t);
+		free(t);
+	}
+}
+
+/* ---- origin side ---- */
+
+bool exec_is_own(struct exec *x, const struct msg_run *run,
+		 const struct backend_info *b, const char **owner)
+{
+	const struct exec_route *t;
+
+	*owner = x->set->id;
+	if (x->set->scheduling == SET_POOLS)
+		return true;
+	if (run->pin) {
+		t = exec_route_find(x, run->pin);
+		if (t)
+			*owner = t->owner;
+	} else {
+		*owner = view_owner(x->view, b);
+	}
+	return !strcmp(*owner, x->set->id);
+}
+
+static struct link *exec_link_to(struct exec *x, const char *proxy)
+{
+	struct link *l = x->peers ? peers_find(x->peers, proxy) : NULL;
+
+	return l && link_is_up(l) ? l : NULL;
+}
+
+void exec_forward(struct exec_req *r, const char *owner)
+{
+	struct link *l = exec_link_to(r->x, owner);
+	struct msg m = {.type = MSG_RUN, .u.run = r->run};
+	clk_ms limit = r->run.limit_ms + EXEC_GRACE_MS;
+
+	if (!l) {
+		exec_end(r, RES_UNREACHABLE, "no link to the owner");
+		return;
+	}
+	m.u.run.run_id = r->id;
+	r->to = l;
+	r->state = EXEC_FORWARDED;
+	ev_timer_stop(r->x->loop, &r->limit);
+	ev_timer_set(&r->limit, (double)limit / 1000.0, 0.);
+	ev_timer_start(r->x->loop, &r->limit);
+	cnt_add(CNT_forwarded, 1);
+	link_send(l, &m);
+}
+
+void exec_remote_cancel(struct exec_req *r)
+{
+	struct msg m = {.type = MSG_CANCEL, .u.cancel = {.run_id = r->id}};
+
+	link_send(r->to, &m);
+}
+
+/* The request stays known until its end, which may name a pin to give up. */
+void exec_remote_abandon(struct exec_req *r)
+{
+	r->abandoned = true;
+	if (r->run.kind == RUN_READ || r->run.kind == RUN_DESCRIBE)
+		exec_remote_cancel(r);
+}
+
+static enum res exec_lost(const struct exec_req *r)
+{
+	if (r->run.kind == RUN_WRITE || r->run.kind == RUN_TXN)
+		return RES_UNKNOWN;
+	return RES_READ_FAILED;
+}
+
+void exec_remote_expire(struct exec_req *r)
+{
+	enum res res = exec_lost(r);
+
+	exec_remote_cancel(r);
+	r->to = NULL;
+	r->state = EXEC_OVER;
+	exec_end(r, res == RES_READ_FAILED ? RES_CANCELED : res,
+		 "time limit reached");
+}
+
+static void exec_send_unpin(struct exec *x, const char *owner, int64_t pin)
+{
+	struct link *l = exec_link_to(x, owner);
+	struct msg m = {.type = MSG_UNPIN, .u.unpin = {.pin = pin}};
+
+	if (l)
+		link_send(l, &m);
+}
+
+static void exec_got_end(struct exec *x, struct link *from,
+			 const struct msg_end *end)
+{
+	struct exec_backend *b;
+	struct exec_req *r;
+
+	HASH_FIND(hh, x->reqs, &end->run_id, sizeof(end->run_id), r);
+	if (!r || r->state != EXEC_FORWARDED || r->to != from) {
+		cnt_add(CNT_late_answers, 1);
+		if (end->pin)
+			exec_send_unpin(x, link_peer_id(from), end->pin);
+		return;
+	}
+	if (r->run.pin && r->run.pin != end->pin)
+		exec_route_remove(x, r->run.pin);
+	if (end->pin && r->abandoned)
+		exec_send_unpin(x, link_peer_id(from), end->pin);
+	else if (end->pin)
+		exec_route_add(x, end->pin, link_peer_id(from));
+	b = exec_backend_get(x, r->run.backend);
+	if (b && end->log_term) {
+		b->hint.log_term = end->log_term;
+		b->hint.applied = end->applied;
+		b->hint.heard = clk_now();
+	}
+	if (b)
+		b->waited_us += (end->waited_us - b->waited_us) / 8;
+	r->to = NULL;
+	r->state = EXEC_OVER;
+	exec_take_end(r, end);
+	exec_settle(r);
+}
+
+static void exec_got_data(struct exec *x, struct link *from,
+			  const struct msg_data *d)
+{
+	struct exec_req *r;
+
+	HASH_FIND(hh, x->reqs, &d->run_id, sizeof(d->run_id), r);
+	if (!r || r->state != EXEC_FORWARDED || r->to != from) {
+		cnt_add(CNT_late_answers, 1);
+		return;
+	}
+	exec_data(r, d->bytes.data, d->bytes.len);
+}
+
+/* ---- owner side ---- */
+
+static void exec_got_run(struct exec *x, struct link *from,
+			 const struct msg_run *run)
+{
+	struct exec_req *r = exec_req_new(x, run);
+
+	r->from = from;
+	r->remote_id = run->run_id;
+	exec_local_start(r);
+}
+
+static void exec_got_cancel(struct exec *x, struct link *from, int64_t run_id)
+{
+	struct exec_req *r, *tmp;
+
+	HASH_ITER (hh, x->reqs, r, tmp) {
+		if (r->from != from || r->remote_id != run_id || r->ended)
+			continue;
+		exec_local_cancel(r);
+		return;
+	}
+}
+
+static void exec_close_pin(struct exec *x, struct link *from, int64_t pin)
+{
+	struct exec_req *busy;
+	struct exec_pin *p;
+
+	HASH_FIND(hh, x->pins, &pin, sizeof(pin), p);
+	if (!p || p->from != from)
+		return;
+	busy = p->busy;
+	if (busy)
+		exec_local_abandon(busy);
+	else
+		exec_pin_close(p);
+}
+
+void exec_message(struct exec *x, struct link *from, const struct msg *m)
+{
+	switch (m->type) {
+	case MSG_RUN:
+		exec_got_run(x, from, &m->u.run);
+		break;
+	case MSG_DATA:
+		exec_got_data(x, from, &m->u.data);
+		break;
+	case MSG_END:
+		exec_got_end(x, from, &m->u.end);
+		break;
+	case MSG_CANCEL:
+		exec_got_cancel(x, from, m->u.cancel.run_id);
+		break;
+	case MSG_UNPIN:
+		exec_close_pin(x, from, m->u.unpin.pin);
+		break;
+	default:
+		break;
+	}
+}
+
+void exec_unpin(struct exec *x, const char *backend, int64_t pin)
+{
+	struct exec_route *t = exec_route_find(x, pin);
+
+	(void)backend;
+	if (!t) {
+		exec_close_pin(x, NULL, pin);
+		return;
+	}
+	exec_send_unpin(x, t->owner, pin);
+	exec_route_remove(x, pin);
+}
+
+static void exec_lose_routes(struct exec *x, const char *owner)
+{
+	struct exec_route *t, *tmp;
+
+	HASH_ITER (hh, x->routes, t, tmp) {
+		if (strcmp(t->owner, owner))
+			continue;
+		HASH_DEL(x->routes, t);
+		free(t);
+	}
+}
+
+static void exec_lose_origin(struct exec *x, struct link *l)
+{
+	struct exec_req *r, *tmp_r;
+	struct exec_pin *p, *tmp_p;
+
+	HASH_ITER (hh, x->reqs, r, tmp_r) {
+		if (r->from == l)
+			exec_local_abandon(r);
+	}
+	HASH_ITER (hh, x->pins, p, tmp_p) {
+		if (p->from == l)
+			exec_pin_close(p);
+	}
+}
+
+static void exec_lose_owner(struct exec *x, struct link *l)
+{
+	struct exec_req *r, *tmp;
+
+	HASH_ITER (hh, x->reqs, r, tmp) {
+		if (r->to != l)
+			continue;
+		r->to = NULL;
+		r->state = EXEC_OVER;
+		exec_end(r, exec_lost(r), "link to the owner broke");
+	}
+}
+
+void exec_link_down(struct exec *x, struct link *link)
+{
+	exec_lose_origin(x, link);
+	exec_lose_owner(x, link);
+	/* The link that the other proxy opened carries no pins of ours. */
+	if (!x->peers || peers_find(x->peers, link_peer_id(link)) == link ||
+	    !exec_link_to(x, link_peer_id(link)))
+		exec_lose_routes(x, link_peer_id(link));
+}
--- a/runner.c
+++ b/runner.c
@@ -61,6 +61,7 @@
 	struct msg_end end = {
 		.res = res,
 		.txn = r->gone || r->dirty ? 'I' : runner_txn(r),
+		.pin = !r->gone && !r->dirty,
 		.log_term = r->status.log_term,
 		.applied = r->status.applied,
 		.cost_us = r->executed_us ? r->executed_us - r->start_us : 0,
@@ -274,6 +275,9 @@
 		return;
 	r->executed = true;
 	r->executed_us = clk_now_us();
+	/* For a write the status that follows counts. */
+	if (r->commits)
+		r->have_status = false;
 	r->user.on_executed(r->user.arg);
 }
 
@@ -406,6 +410,7 @@
 {
 	enum run_step step = r->steps[r->head];
 
+	r->heard = true;
 	switch (PQresultStatus(res)) {
 	case PGRES_PIPELINE_SYNC:
 		r->head++;
@@ -610,6 +615,14 @@
 	runner_done(r);
 }
 
+bool runner_stalled(const struct runner *r, clk_ms limit)
+{
+	if (r->heard || r->gone || r->head >= r->nsteps ||
+	    (r->steps[0] != STEP_STATUS && r->steps[0] != STEP_BEGIN))
+		return false;
+	return clk_now_us() - r->start_us > limit * 1000;
+}
+
 void runner_break(struct runner *r, const char *why)
 {
 	if (r->pumping) {
--- a/runner.h
+++ b/runner.h
@@ -18,6 +18,9 @@
 struct runner;
 struct view;
 
+/* Longest idle time after which a connection is trusted without a check. */
+enum { RUNNER_TRUST_MS = 100 };
+
 struct runner_user {
 	void *arg;
 	void (*on_data)(void *arg, const char *bytes, size_t len);
@@ -32,6 +35,7 @@
 	 * more than once. */
 	void (*on_executed)(void *arg);
 
+	/* end->pin is 1 if the connection may be kept for the caller. */
 	void (*on_end)(void *arg, const struct msg_end *end);
 
 	/* clean: the connection may be given to another caller. txn is its
@@ -54,6 +58,10 @@
 /* The connection can't be used any more, for the reason given. */
 void runner_break(struct runner *r, const char *why);
 
+/* A status row that was sent ahead of the statement is overdue: the connection
+ * no longer delivers data. */
+bool runner_stalled(const struct runner *r, clk_ms limit);
+
 /* The view changed: requests on a replaced primary end at once. */
 void runner_view_changed(struct runner *r);
 
--- a/runner_plan.c
+++ b/runner_plan.c
@@ -231,6 +231,15 @@
 	return PQenterPipelineMode(r->pg);
 }
 
+/* Reads and BEGIN carry a status row in front anyway. */
+static bool plan_checks_first(const struct runner *r)
+{
+	if (pool_rested(r->conn) <= RUNNER_TRUST_MS)
+		return false;
+	return r->run->kind == RUN_WRITE || r->run->kind == RUN_TXN ||
+	       r->run->kind == RUN_DESCRIBE;
+}
+
 static bool plan_first(struct runner *r)
 {
 	if (r->batch)
@@ -238,6 +247,8 @@
 		       plan_batch(r);
 	if (!r->pipelined && !plan_pipeline(r))
 		return false;
+	if (plan_checks_first(r) && !plan_status(r))
+		return false;
 	switch ((enum run_kind)r->run->kind) {
 	case RUN_READ:
 		return plan_read(r);
--- a/runner_priv.h
+++ b/runner_priv.h
@@ -52,6 +52,7 @@
 	bool created; /* the request table was created by this request */
 
 	struct buf out; /* answer that was not released yet */
+	bool heard; /* the first result is in */
 	bool described; /* the row description is written */
 	bool guarded; /* the status row satisfies the request */
 	bool released; /* bytes went out; the lease was checked */
