--- a/cost.c
+++ b/cost.c
@@ -147,7 +147,7 @@
 
 static void cost_refresh_median(struct cost *c)
 {
-	int64_t sorted[COST_RECENT];
+	int64_t sorted[COST_RECENT] = {0};
 	size_t n = c->nrecent < COST_RECENT ? (size_t)c->nrecent : COST_RECENT;
 
 	for (size_t i = 0; i < n; i++)
--- a/exec.c
+++ b/exec.c
@@ -264,15 +264,17 @@
 static void exec_tick(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct exec *x = t->data;
-	struct exec_backend *b, *tmp_b;
-	struct exec_req *r, *tmp_r;
+	struct exec_backend *b, *next_b;
+	struct exec_req *r, *next_r;
 	clk_ms now = clk_now();
 
 	(void)revents;
-	HASH_ITER (hh, x->reqs, r, tmp_r) {
+	for (r = x->reqs; r; r = next_r) {
+		next_r = r->hh.next;
 		exec_tick_req(r, now);
 	}
-	HASH_ITER (hh, x->backends, b, tmp_b) {
+	for (b = x->backends; b; b = next_b) {
+		next_b = b->hh.next;
 		exec_tick_backend(b, now);
 	}
 	if (!x->reqs)
@@ -304,25 +306,29 @@
 
 void exec_free(struct exec *x)
 {
-	struct exec_req *r, *tmp_r;
-	struct exec_pin *p, *tmp_p;
+	struct exec_req *r, *next_r;
+	struct exec_pin *p, *next_p;
 
 	if (!x)
 		return;
 	/* A runner that is expired frees its request by itself. */
-	HASH_ITER (hh, x->reqs, r, tmp_r) {
+	for (r = x->reqs; r; r = next_r) {
+		next_r = r->hh.next;
 		r->abandoned = true;
 		r->from = NULL;
 		if (r->runner)
 			runner_expire(r->runner);
 	}
-	HASH_ITER (hh, x->reqs, r, tmp_r) {
+	for (r = x->reqs; r; r = next_r) {
+		next_r = r->hh.next;
 		if (!r->ended)
 			exec_end(r, RES_STOPPING, NULL);
 	}
 	exec_flush(x->loop, &x->flush, 0);
-	HASH_ITER (hh, x->pins, p, tmp_p)
+	for (p = x->pins; p; p = next_p) {
+		next_p = p->hh.next;
 		exec_pin_close(p);
+	}
 	exec_backends_free(x);
 	exec_flush(x->loop, &x->flush, 0);
 	exec_routes_free(x);
@@ -339,9 +345,10 @@
 
 void exec_view_changed(struct exec *x)
 {
-	struct exec_req *r, *tmp;
+	struct exec_req *r, *next;
 
-	HASH_ITER (hh, x->reqs, r, tmp) {
+	for (r = x->reqs; r; r = next) {
+		next = r->hh.next;
 		if (r->runner)
 			runner_view_changed(r->runner);
 	}
--- a/exec_backend.c
+++ b/exec_backend.c
@@ -63,11 +63,12 @@
 int64_t exec_suspects(struct exec *x, struct suspect *out, int64_t max,
 		      clk_ms now)
 {
-	struct exec_backend *b, *tmp;
+	struct exec_backend *b, *next;
 	int64_t n = 0;
 
 	(void)now;
-	HASH_ITER (hh, x->backends, b, tmp) {
+	for (b = x->backends; b; b = next) {
+		next = b->hh.next;
 		int64_t term;
 
 		exec_update_suspicion(b);
@@ -229,14 +230,16 @@
 
 static void exec_backend_clear(struct exec_backend *b)
 {
-	struct exec_req *r, *tmp_r;
-	struct exec_pin *p, *tmp_p;
+	struct exec_req *r, *next_r;
+	struct exec_pin *p, *next_p;
 
-	HASH_ITER (hh, b->x->reqs, r, tmp_r) {
+	for (r = b->x->reqs; r; r = next_r) {
+		next_r = r->hh.next;
 		if (r->b == b)
 			exec_local_expire(r);
 	}
-	HASH_ITER (hh, b->x->pins, p, tmp_p) {
+	for (p = b->x->pins; p; p = next_p) {
+		next_p = p->hh.next;
 		if (p->b == b)
 			exec_pin_close(p);
 	}
@@ -338,7 +341,7 @@
 
 void exec_backends_update(struct exec *x)
 {
-	struct exec_backend *b, *tmp;
+	struct exec_backend *b, *next;
 	size_t n;
 	const struct backend_info *infos = view_backends(x->view, &n);
 
@@ -347,7 +350,8 @@
 		if (b)
 			exec_backend_update(b, &infos[i]);
 	}
-	HASH_ITER (hh, x->backends, b, tmp) {
+	for (b = x->backends; b; b = next) {
+		next = b->hh.next;
 		if (view_backend(x->view, b->id))
 			continue;
 		exec_backend_free(b);
@@ -356,9 +360,10 @@
 
 void exec_backends_free(struct exec *x)
 {
-	struct exec_backend *b, *tmp;
+	struct exec_backend *b, *next;
 
-	HASH_ITER (hh, x->backends, b, tmp) {
+	for (b = x->backends; b; b = next) {
+		next = b->hh.next;
 		exec_backend_free(b);
 	}
 }
--- a/exec_local.c
+++ b/exec_local.c
@@ -474,9 +474,10 @@
 
 void exec_recheck_behind(struct exec_backend *b)
 {
-	struct exec_req *r, *tmp;
+	struct exec_req *r, *next;
 
-	HASH_ITER (hh, b->x->reqs, r, tmp) {
+	for (r = b->x->reqs; r; r = next) {
+		next = r->hh.next;
 		if (r->b == b && r->state == EXEC_BEHIND)
 			exec_check_fresh(r);
 	}
--- a/exec_remote.c
+++ b/exec_remote.c
@@ -46,9 +46,10 @@
 
 void exec_routes_free(struct exec *x)
 {
-	struct exec_route *t, *tmp;
+	struct exec_route *t, *next;
 
-	HASH_ITER (hh, x->routes, t, tmp) {
+	for (t = x->routes; t; t = next) {
+		next = t->hh.next;
 		HASH_DEL(x->routes, t);
 		free(t);
 	}
@@ -203,9 +204,10 @@
 
 static void exec_got_cancel(struct exec *x, struct link *from, int64_t run_id)
 {
-	struct exec_req *r, *tmp;
+	struct exec_req *r, *next;
 
-	HASH_ITER (hh, x->reqs, r, tmp) {
+	for (r = x->reqs; r; r = next) {
+		next = r->hh.next;
 		if (r->from != from || r->remote_id != run_id || r->ended)
 			continue;
 		exec_local_cancel(r);
@@ -266,9 +268,10 @@
 
 static void exec_lose_routes(struct exec *x, const char *owner)
 {
-	struct exec_route *t, *tmp;
+	struct exec_route *t, *next;
 
-	HASH_ITER (hh, x->routes, t, tmp) {
+	for (t = x->routes; t; t = next) {
+		next = t->hh.next;
 		if (strcmp(t->owner, owner))
 			continue;
 		HASH_DEL(x->routes, t);
@@ -278,14 +281,16 @@
 
 static void exec_lose_origin(struct exec *x, struct link *l)
 {
-	struct exec_req *r, *tmp_r;
-	struct exec_pin *p, *tmp_p;
+	struct exec_req *r, *next_r;
+	struct exec_pin *p, *next_p;
 
-	HASH_ITER (hh, x->reqs, r, tmp_r) {
+	for (r = x->reqs; r; r = next_r) {
+		next_r = r->hh.next;
 		if (r->from == l)
 			exec_local_abandon(r);
 	}
-	HASH_ITER (hh, x->pins, p, tmp_p) {
+	for (p = x->pins; p; p = next_p) {
+		next_p = p->hh.next;
 		if (p->from == l)
 			exec_pin_close(p);
 	}
@@ -293,9 +298,10 @@
 
 static void exec_lose_owner(struct exec *x, struct link *l)
 {
-	struct exec_req *r, *tmp;
+	struct exec_req *r, *next;
 
-	HASH_ITER (hh, x->reqs, r, tmp) {
+	for (r = x->reqs; r; r = next) {
+		next = r->hh.next;
 		if (r->to != l)
 			continue;
 		r->to = NULL;
--- /dev/null
+++ b/t/lib_exec.cc
@@ -0,0 +1,361 @@
+#include "lib_exec.h"
+
+#include <arpa/inet.h>
+#include <ev.h>
+#include <gtest/gtest.h>
+#include <libpq-fe.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define GROUP "orders"
+#define PASSWORD "backend-password"
+
+std::string helper(const char *name)
+{
+	const char *build = getenv("BUILD");
+
+	return std::string(build ? build : "build/release") + "/helper/" + name;
+}
+
+int free_port()
+{
+	struct sockaddr_in a = {};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_family = AF_INET;
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
+	getsockname(fd, (struct sockaddr *)&a, &len);
+	close(fd);
+	return ntohs(a.sin_port);
+}
+
+std::string on_port(int port)
+{
+	return "127.0.0.1:" + std::to_string(port);
+}
+
+Process::Process(const std::vector<std::string> &args)
+{
+	std::vector<char *> argv;
+
+	for (const std::string &a : args)
+		argv.push_back((char *)a.c_str());
+	argv.push_back(NULL);
+	pid = fork();
+	if (pid)
+		return;
+	execv(argv[0], argv.data());
+	_exit(127);
+}
+
+Process::~Process()
+{
+	kill(pid, SIGCONT);
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+}
+
+void Process::send(int sig) const
+{
+	kill(pid, sig);
+}
+
+static uint32_t big32(const std::string &s, size_t at)
+{
+	uint32_t v;
+
+	memcpy(&v, s.data() + at, 4);
+	return ntohl(v);
+}
+
+std::string Answer::types() const
+{
+	std::string out;
+
+	for (size_t at = 0; at + 5 <= data.size();
+	     at += 1 + big32(data, at + 1))
+		out += data[at];
+	return out;
+}
+
+std::vector<std::string> Answer::rows() const
+{
+	std::vector<std::string> out;
+
+	for (size_t at = 0; at + 5 <= data.size();
+	     at += 1 + big32(data, at + 1)) {
+		std::string row;
+		size_t p = at + 7;
+		int n;
+
+		if (data[at] != 'D')
+			continue;
+		n = (unsigned char)data[at + 5] << 8 |
+		    (unsigned char)data[at + 6];
+		for (int i = 0; i < n; i++) {
+			uint32_t len = big32(data, p);
+
+			p += 4;
+			row += i ? "|" : "";
+			if (len == UINT32_MAX)
+				continue;
+			row += data.substr(p, len);
+			p += len;
+		}
+		out.push_back(row);
+	}
+	return out;
+}
+
+Deployment::Deployment(const char *proxy, int nslots) : slots(nslots)
+{
+	char path[] = "/tmp/marjoramlatch-XXXXXX";
+
+	folder = mkdtemp(path);
+	loop = ev_loop_new(EVFLAG_AUTO);
+	snprintf(set.id, sizeof(set.id), "%s", proxy);
+	snprintf(set.zone, sizeof(set.zone), "z1");
+	snprintf(set.backend_password, sizeof(set.backend_password), PASSWORD);
+	set.admission = true;
+	set.short_first = true;
+	set.poll_ms = 100;
+	set.suspect_ms = 500;
+	set.seed = 1;
+	snprintf(group.name, sizeof(group.name), GROUP);
+	view = view_new(proxy, "z1");
+	exec = exec_new(loop, &set, view);
+}
+
+Deployment::~Deployment()
+{
+	exec_free(exec);
+	view_free(view);
+	ev_loop_destroy(loop);
+	for (auto &p : processes)
+		delete p.second;
+	for (Answer *a : answers)
+		delete a;
+	for (std::string *s : texts)
+		delete s;
+	EXPECT_EQ(0, system(("rm -rf " + folder).c_str()));
+}
+
+void Deployment::start(const char *id, const std::vector<std::string> &more,
+		       int via)
+{
+	struct backend_info b = {};
+	std::vector<std::string> args = {helper("backend"),
+					 "--id",
+					 id,
+					 "--group",
+					 GROUP,
+					 "--password",
+					 PASSWORD,
+					 "--data",
+					 folder + "/" + id,
+					 "--slots",
+					 std::to_string(slots)};
+
+	if (!ports[id])
+		ports[id] = free_port();
+	args.push_back("--listen");
+	args.push_back(on_port(ports[id]));
+	args.insert(args.end(), more.begin(), more.end());
+	EXPECT_EQ(0, system(("mkdir -p " + folder + "/" + id).c_str()));
+	processes[id] = new Process(args);
+	snprintf(b.id, sizeof(b.id), "%s", id);
+	snprintf(b.group, sizeof(b.group), GROUP);
+	snprintf(b.zone, sizeof(b.zone), "z1");
+	snprintf(b.addr, sizeof(b.addr), "%s",
+		 on_port(via ? via : ports[id]).c_str());
+	b.slots = slots;
+	b.connections = 30;
+	infos[id] = b;
+	EXPECT_TRUE(until([&] { return sql(id, "SELECT 1") == "1"; })) << id;
+}
+
+void Deployment::stop(const char *id)
+{
+	delete processes[id];
+	processes.erase(id);
+}
+
+std::string Deployment::sql(const char *id, const std::string &text)
+{
+	std::string conninfo =
+		"hostaddr=127.0.0.1 user=marjoramlatch password=" PASSWORD
+		" dbname=" GROUP " sslmode=disable port=" +
+		std::to_string(ports[id]);
+	PGconn *c = PQconnectdb(conninfo.c_str());
+	PGresult *r = PQexec(c, text.c_str());
+	const char *state = PQresultErrorField(r, PG_DIAG_SQLSTATE);
+	std::string out;
+
+	if (PQstatus(c) != CONNECTION_OK)
+		out = "unreachable";
+	else if (PQresultStatus(r) == PGRES_TUPLES_OK)
+		out = PQntuples(r) ? PQgetvalue(r, 0, 0) : "";
+	else
+		out = state ? std::string("error ") + state : "";
+	PQclear(r);
+	PQfinish(c);
+	return out;
+}
+
+void Deployment::tell()
+{
+	std::vector<struct backend_info> backends;
+	struct proxy_info proxy = {};
+	struct msg_answer a = {};
+
+	version++;
+	for (auto &i : infos) {
+		i.second.version = version;
+		backends.push_back(i.second);
+	}
+	snprintf(proxy.id, sizeof(proxy.id), "%s", set.id);
+	snprintf(proxy.zone, sizeof(proxy.zone), "z1");
+	proxy.alive = true;
+	proxy.version = version;
+	group.version = version;
+	group.starts = starts.data();
+	group.nstarts = (int64_t)starts.size();
+	a.view_version = version;
+	a.lease_ms = lease_ms;
+	a.groups = &group;
+	a.ngroups = 1;
+	a.backends = backends.data();
+	a.nbackends = (int64_t)backends.size();
+	a.proxies = &proxy;
+	a.nproxies = 1;
+	view_take(view, &a, clk_now());
+	exec_view_changed(exec);
+}
+
+void Deployment::lead(const char *id, int64_t term)
+{
+	std::string t = std::to_string(term);
+	std::string start = sql(id, "SELECT marjoramlatch_promote(" + t + ")");
+
+	for (auto &p : processes) {
+		if (p.first == id)
+			continue;
+		EXPECT_EQ("ok", sql(p.first.c_str(),
+				    "SELECT marjoramlatch_follow(" + t + ", '" +
+					    on_port(ports[id]) + "')"));
+	}
+	view_term(id, term, atoll(start.c_str()));
+}
+
+void Deployment::view_term(const char *id, int64_t term, int64_t start)
+{
+	group.term = term;
+	snprintf(group.primary, sizeof(group.primary), "%s", id);
+	starts.push_back({.term = term, .start = start});
+	tell();
+}
+
+/* A new view takes the place of the old one, so the lease can get shorter. */
+void Deployment::lease(clk_ms ms)
+{
+	struct msg_answer a = {};
+	struct name changing = {GROUP};
+
+	a.lease_ms = 600000;
+	if (!ms) {
+		a.changing = &changing;
+		a.nchanging = 1;
+	}
+	view_take(view, &a, clk_now() + 1);
+}
+
+void Deployment::leaving(const char *id)
+{
+	infos[id].leaving = true;
+	tell();
+}
+
+static void on_wake(struct ev_loop *, ev_timer *, int)
+{
+}
+
+bool Deployment::until(const std::function<bool()> &condition)
+{
+	clk_ms end = clk_now() + 10000;
+	ev_timer wake;
+	bool good;
+
+	ev_timer_init(&wake, on_wake, 0.005, 0.005);
+	ev_timer_start(loop, &wake);
+	while (!(good = condition()) && clk_now() < end)
+		ev_run(loop, EVRUN_ONCE);
+	ev_timer_stop(loop, &wake);
+	return good;
+}
+
+struct msg_run Deployment::request(int64_t kind, const char *backend,
+				   const std::string &text, int64_t flags)
+{
+	struct msg_run run = {};
+
+	texts.push_back(new std::string(text));
+	run.kind = kind;
+	run.flags = flags;
+	snprintf(run.group, sizeof(run.group), GROUP);
+	snprintf(run.backend, sizeof(run.backend), "%s", backend);
+	snprintf(run.customer, sizeof(run.customer), "shop");
+	run.weight = 1;
+	run.term = group.term;
+	run.max_age_ms = -1;
+	run.wait_ms = 5000;
+	run.limit_ms = 9000;
+	run.fingerprint = (int64_t)std::hash<std::string>()(text);
+	run.sql = {texts.back()->data(), texts.back()->size()};
+	return run;
+}
+
+static void on_data(void *arg, const char *bytes, size_t len)
+{
+	((Answer *)arg)->data.append(bytes, len);
+}
+
+static void on_end(void *arg, const struct msg_end *end)
+{
+	Answer *a = (Answer *)arg;
+
+	a->end = *end;
+	a->text.assign(end->text.data, end->text.len);
+	a->ends++;
+}
+
+Answer *Deployment::begin(const struct msg_run &run)
+{
+	struct exec_sink sink = {};
+	Answer *a = new Answer;
+
+	answers.push_back(a);
+	sink.arg = a;
+	sink.on_data = on_data;
+	sink.on_end = on_end;
+	a->id = exec_start(exec, &run, &sink);
+	EXPECT_EQ(0, a->ends) << "on_end was called from inside exec_start()";
+	return a;
+}
+
+Answer *Deployment::run(const struct msg_run &r)
+{
+	Answer *a = begin(r);
+
+	EXPECT_TRUE(until([&] { return a->ends > 0; }));
+	return a;
+}
+
+Answer *Deployment::run(int64_t kind, const char *backend,
+			const std::string &text, int64_t flags)
+{
+	return run(request(kind, backend, text, flags));
+}
--- /dev/null
+++ b/t/lib_exec.h
@@ -0,0 +1,110 @@
+#ifndef LIB_EXEC_H
+#define LIB_EXEC_H
+
+/* An exec inside the test process, with backend servers as processes. */
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+/* exec.h names a function like a struct, as C allows. */
+#pragma GCC diagnostic ignored "-Wshadow"
+
+extern "C" {
+#include "exec.h"
+#include "settings.h"
+#include "view.h"
+}
+
+/* Path of a helper program; BUILD names the build folder. */
+std::string helper(const char *name);
+
+int free_port();
+std::string on_port(int port);
+
+/* A process that is ended with the test. */
+class Process
+{
+      public:
+	explicit Process(const std::vector<std::string> &args);
+	~Process();
+	void send(int sig) const;
+
+      private:
+	int pid;
+};
+
+/* What a request's sink received. */
+struct Answer {
+	std::string data;
+	std::string text;
+	struct msg_end end = {};
+	int ends = 0;
+	int64_t id = 0;
+
+	/* Values of the DataRow messages, columns joined by "|". */
+	std::vector<std::string> rows() const;
+
+	/* Types of the messages in order, such as "TDC". */
+	std::string types() const;
+};
+
+class Deployment
+{
+      public:
+	explicit Deployment(const char *proxy = "p1", int slots = 5);
+	~Deployment();
+
+	/* Starts a backend server; via gives its address for exec. */
+	void start(const char *id, const std::vector<std::string> &more = {},
+		   int via = 0);
+	void stop(const char *id);
+	int port(const char *id)
+	{
+		return ports[id];
+	}
+
+	/* Makes one server lead a term and the others follow it, and tells
+	 * exec. */
+	void lead(const char *id, int64_t term);
+
+	/* Changes what exec's proxy knows without the servers. */
+	void view_term(const char *id, int64_t term, int64_t start);
+	void lease(clk_ms ms);
+	void leaving(const char *id);
+
+	/* Runs SQL directly on a server; the first value or "error STATE". */
+	std::string sql(const char *id, const std::string &sql);
+
+	/* Runs the loop until the condition holds; false after 10 s. */
+	bool until(const std::function<bool()> &condition);
+
+	struct msg_run request(int64_t kind, const char *backend,
+			       const std::string &sql, int64_t flags = 0);
+	Answer *begin(const struct msg_run &run);
+	Answer *run(int64_t kind, const char *backend, const std::string &sql,
+		    int64_t flags = 0);
+	Answer *run(const struct msg_run &run);
+
+	struct ev_loop *loop;
+	struct settings set = {};
+	struct view *view;
+	struct exec *exec;
+
+      private:
+	void tell();
+	int slots;
+	std::string folder;
+	std::map<std::string, Process *> processes;
+	std::map<std::string, int> ports;
+	std::map<std::string, struct backend_info> infos;
+	struct group_info group = {};
+	std::vector<struct term_start> starts;
+	int64_t version = 0;
+	clk_ms lease_ms = 600000;
+	std::vector<Answer *> answers;
+	std::vector<std::string *> texts;
+};
+
+#endif
