sched, exec: test scheduling, guards, request ids and faults

Ageing counts from when a customer was last served: in an overloaded class every job is old, which put heavy customers before light ones. The owner waits up to 100 ms for a replica that is nearly there.

--- a/exec_local.c
+++ b/exec_local.c
@@ -314,7 +314,8 @@
 	if (now - h->heard > EXEC_POLL_FRESH_MS && waited < EXEC_BEHIND_MS)
 		return FRESH_SOON;
 	if (h->log_term < run->need_term || h->age_ms < 0 ||
-	    waited + h->age_ms > EXEC_BEHIND_MS || waited >= run->wait_ms)
+	    h->age_ms > EXEC_BEHIND_MS || waited >= EXEC_BEHIND_MS ||
+	    waited >= run->wait_ms)
 		return FRESH_LATER;
 	return FRESH_SOON;
 }
--- a/exec_priv.h
+++ b/exec_priv.h
@@ -19,7 +19,7 @@
 	EXEC_RESERVE = 4, /* connections kept for polls and control */
 	EXEC_TICK_MS = 10,
 	EXEC_GRACE_MS = 500, /* an owner may answer this much late */
-	EXEC_BEHIND_MS = 50, /* longest wait for a replica to catch up */
+	EXEC_BEHIND_MS = 100, /* longest wait for a replica to catch up */
 	EXEC_POLL_FRESH_MS = 5, /* age of a hint that needs no new poll */
 	EXEC_PRUNE_MS = 60000 /* between deletions of old request rows */
 };
--- a/sched.c
+++ b/sched.c
@@ -15,6 +15,7 @@
 	int64_t cost_us; /* of the waiting jobs */
 	size_t users; /* jobs that point here */
 	double finish; /* virtual time when its last job is done */
+	clk_ms served; /* when its last job started */
 };
 
 struct sched {
@@ -178,7 +179,7 @@
 		same += f->cost_us;
 		weights += f->weight;
 	}
-	if (own && own->weight < weights) {
+	if (own) {
 		int64_t share = own->cost_us / own->weight * weights;
 
 		if (share < same)
@@ -219,9 +220,15 @@
 	return f->finish > now ? f->finish : now;
 }
 
+/* A flow ages only while it is not served: in an overloaded class all jobs
+ * are old, which must not put them before those of a lighter customer. */
 static int64_t sched_class(const struct sched_flow *f, clk_ms now)
 {
-	return f->priority - (now - f->head->arrived) / SCHED_AGEING_MS;
+	clk_ms since = f->head->arrived;
+
+	if (f->served > since)
+		since = f->served;
+	return f->priority - (now - since) / SCHED_AGEING_MS;
 }
 
 static bool sched_before(const struct sched *s, const struct sched_flow *a,
@@ -278,12 +285,13 @@
 	return sched_best(s, PICK_SHORT, now);
 }
 
-static void sched_begin(struct sched *s, struct sched_job *j)
+static void sched_begin(struct sched *s, struct sched_job *j, clk_ms now)
 {
 	struct sched_flow *f = j->flow;
 	double start = sched_start_tag(s, f);
 
 	f->finish = start + (double)j->cost_us / (double)f->weight;
+	f->served = now;
 	s->virtual_time[f->is_long] = start;
 	j->running = true;
 	s->running++;
@@ -300,7 +308,7 @@
 		return NULL;
 	j = f->head;
 	sched_pull(s, j);
-	sched_begin(s, j);
+	sched_begin(s, j, now);
 	return j;
 }
 
@@ -309,7 +317,7 @@
 	j->arrived = now;
 	j->order = s->order++;
 	sched_hold_flow(s, j);
-	sched_begin(s, j);
+	sched_begin(s, j, now);
 }
 
 struct sched_job *sched_expired(struct sched *s, clk_ms now)
--- a/sched.h
+++ b/sched.h
@@ -4,9 +4,10 @@
 /*
  * Slots of one backend server. Free of I/O; the time is passed in.
  *
- * Short jobs are served by priority class, 0 first; a job that waited moves up
- * one class every SCHED_AGEING_MS, so that none starves. Inside a class
- * customers share by weight (start-time fair queueing over estimated cost).
+ * Short jobs are served by priority class, 0 first; a customer that waits
+ * without being served moves up one class every SCHED_AGEING_MS, so that none
+ * starves. Inside a class customers share by weight (start-time fair queueing
+ * over estimated cost).
  *
  * Long jobs hold at most half of the slots, rounded down, and at least one.
  * They start when no short job waits; the first of them also starts ahead of
--- a/t/lib_exec.cc
+++ b/t/lib_exec.cc
@@ -64,6 +64,43 @@
 	kill(pid, sig);
 }
 
+Relay::Relay(int target)
+    : port(free_port()), control(free_port()),
+      process({helper("relay"), "--control", on_port(control), "--listen",
+	       "b@" + on_port(port) + "=" + on_port(target)})
+{
+}
+
+static int connect_to(int port)
+{
+	struct sockaddr_in a = {};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_family = AF_INET;
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	a.sin_port = htons((uint16_t)port);
+	if (!connect(fd, (struct sockaddr *)&a, sizeof(a)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+void Relay::command(const std::string &text)
+{
+	clk_ms end = clk_now() + 5000;
+	char reply[64] = "";
+	int fd;
+
+	/* The relay may still be starting. */
+	while ((fd = connect_to(control)) < 0 && clk_now() < end)
+		usleep(1000);
+	ASSERT_GE(fd, 0);
+	ASSERT_GT(write(fd, (text + "\n").data(), text.size() + 1), 0);
+	ASSERT_GT(read(fd, reply, sizeof(reply) - 1), 0);
+	EXPECT_EQ("ok\n", std::string(reply));
+	close(fd);
+}
+
 static uint32_t big32(const std::string &s, size_t at)
 {
 	uint32_t v;
@@ -111,7 +148,7 @@
 	return out;
 }
 
-Deployment::Deployment(const char *proxy, int nslots) : slots(nslots)
+Deployment::Deployment(const char *proxy)
 {
 	char path[] = "/tmp/marjoramlatch-XXXXXX";
 
@@ -144,8 +181,7 @@
 	EXPECT_EQ(0, system(("rm -rf " + folder).c_str()));
 }
 
-void Deployment::start(const char *id, const std::vector<std::string> &more,
-		       int via)
+void Deployment::start(const char *id, const std::vector<std::string> &more)
 {
 	struct backend_info b = {};
 	std::vector<std::string> args = {helper("backend"),
@@ -170,14 +206,19 @@
 	snprintf(b.id, sizeof(b.id), "%s", id);
 	snprintf(b.group, sizeof(b.group), GROUP);
 	snprintf(b.zone, sizeof(b.zone), "z1");
-	snprintf(b.addr, sizeof(b.addr), "%s",
-		 on_port(via ? via : ports[id]).c_str());
+	snprintf(b.addr, sizeof(b.addr), "%s", on_port(ports[id]).c_str());
 	b.slots = slots;
 	b.connections = 30;
 	infos[id] = b;
 	EXPECT_TRUE(until([&] { return sql(id, "SELECT 1") == "1"; })) << id;
 }
 
+void Deployment::reach_by(const char *id, int relay_port)
+{
+	snprintf(infos[id].addr, sizeof(infos[id].addr), "%s",
+		 on_port(relay_port).c_str());
+}
+
 void Deployment::stop(const char *id)
 {
 	delete processes[id];
--- a/t/lib_exec.h
+++ b/t/lib_exec.h
@@ -35,6 +35,19 @@
 	int pid;
 };
 
+/* The fault-injecting relay with one route to a port. */
+class Relay
+{
+      public:
+	explicit Relay(int target);
+	void command(const std::string &text);
+	int port;
+
+      private:
+	int control;
+	Process process;
+};
+
 /* What a request's sink received. */
 struct Answer {
 	std::string data;
@@ -53,13 +66,18 @@
 class Deployment
 {
       public:
-	explicit Deployment(const char *proxy = "p1", int slots = 5);
+	explicit Deployment(const char *proxy = "p1");
 	~Deployment();
 
-	/* Starts a backend server; via gives its address for exec. */
-	void start(const char *id, const std::vector<std::string> &more = {},
-		   int via = 0);
+	void start(const char *id, const std::vector<std::string> &more = {});
 	void stop(const char *id);
+	void signal(const char *id, int sig)
+	{
+		processes[id]->send(sig);
+	}
+
+	/* Lets exec reach a server on another port. */
+	void reach_by(const char *id, int relay_port);
 	int port(const char *id)
 	{
 		return ports[id];
@@ -91,10 +109,10 @@
 	struct settings set = {};
 	struct view *view;
 	struct exec *exec;
+	int slots = 5; /* of servers that are started */
 
       private:
 	void tell();
-	int slots;
 	std::string folder;
 	std::map<std::string, Process *> processes;
 	std::map<std::string, int> ports;
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -2,6 +2,10 @@
 
 #include "lib_exec.h"
 
+#include <set>
+#include <signal.h>
+#include <string.h>
+
 namespace
 {
 
@@ -46,4 +50,378 @@
 	EXPECT_EQ(3, a->end.write_position);
 }
 
+/* Guards against a read that goes back behind the session's own write. */
+TEST_F(Exec, ReplicaBehindTheTokenIsNotServed)
+{
+	start("b1");
+	start("b2", {"--lag-ms", "300"});
+	start("b3");
+	lead("b1", 1);
+	Answer *w =
+		run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	ASSERT_EQ(RES_OK, w->end.res) << w->text;
+	struct msg_run read = request(RUN_READ, "b2", "SELECT count(*) FROM t");
+	read.need_term = w->end.write_term;
+	read.need_position = w->end.write_position;
+	Answer *a = run(read);
+	EXPECT_EQ(RES_BEHIND, a->end.res) << a->text;
+	EXPECT_EQ("", a->data);
+	EXPECT_TRUE(until([&] { return run(read)->end.res == RES_OK; }));
+	/* An entry of a term that a later one replaced below its position. */
+	view_term("b1", 1, 0);
+	read.need_term = 2;
+	EXPECT_EQ(RES_BEHIND, run(read)->end.res);
+	/* Data that is too old is not served either. */
+	read.need_term = 0;
+	read.max_age_ms = 50;
+	run(RUN_WRITE, "b1", "INSERT INTO t VALUES (1)", RUN_MAJORITY);
+	EXPECT_TRUE(until([&] { return run(read)->end.res == RES_BEHIND; }));
+	read.max_age_ms = 5000;
+	EXPECT_EQ(RES_OK, run(read)->end.res);
+	EXPECT_EQ(RES_NO_PRIMARY,
+		  run(RUN_WRITE, "b2", "INSERT INTO t VALUES (1)")->end.res);
+}
+
+/* Guards against a replica that is passed over although it is only a few
+ * milliseconds behind. */
+TEST_F(Exec, ReadWaitsForAReplicaThatCatchesUp)
+{
+	start("b1");
+	start("b2", {"--lag-ms", "20"});
+	start("b3");
+	lead("b1", 1);
+	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	int good = 0;
+	for (int i = 0; i < 20; i++) {
+		Answer *w = run(RUN_WRITE, "b1", "INSERT INTO t VALUES (1)",
+				RUN_MAJORITY);
+		struct msg_run read =
+			request(RUN_READ, "b2", "SELECT count(*) FROM t");
+		read.need_term = w->end.write_term;
+		read.need_position = w->end.write_position;
+		Answer *a = run(read);
+		if (a->end.res != RES_OK)
+			continue;
+		good++;
+		EXPECT_EQ(std::to_string(i + 1), a->rows()[0]);
+	}
+	EXPECT_GE(good, 18);
+}
+
+/* Guards against a request that runs twice when its caller asks again. */
+TEST_F(Exec, RequestIdGivesTheFirstAnswer)
+{
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	run(RUN_WRITE, "b1", "CREATE TABLE t (k int primary key)",
+	    RUN_MAJORITY);
+	struct msg_run r =
+		request(RUN_WRITE, "b1", "INSERT INTO t VALUES (7) RETURNING k",
+			ONCE | RUN_DESCRIBED);
+	strcpy(r.request_id, "order-1");
+	Answer *first = run(r);
+	ASSERT_EQ(RES_OK, first->end.res) << first->text;
+	EXPECT_EQ("TDC", first->types());
+	Answer *again = run(r);
+	EXPECT_EQ(RES_OK, again->end.res) << again->text;
+	EXPECT_EQ(first->data, again->data);
+	EXPECT_GT(again->end.write_position, first->end.write_position);
+	r.flags = ONCE;
+	EXPECT_EQ("DC", run(r)->types());
+	/* An error leaves no row: the id can be used again. */
+	strcpy(r.request_id, "order-2");
+	EXPECT_EQ(RES_SQL_ERROR, run(r)->end.res);
+	EXPECT_EQ("1",
+		  sql("b1", "SELECT count(*) FROM marjoramlatch_requests"));
+	struct msg_run b = request(RUN_WRITE, "b1",
+				   "INSERT INTO t VALUES (8); SELECT 'done'",
+				   ONCE | RUN_SIMPLE);
+	strcpy(b.request_id, "order-2");
+	EXPECT_EQ("CTDC", run(b)->types());
+	EXPECT_EQ("CTDC", run(b)->types());
+	EXPECT_EQ("2", sql("b1", "SELECT count(*) FROM t"));
+	/* An answer that is too large is not kept. */
+	struct msg_run l = request(
+		RUN_WRITE, "b1",
+		"INSERT INTO t VALUES (9) RETURNING hex(zeroblob(9000))", ONCE);
+	strcpy(l.request_id, "order-3");
+	EXPECT_EQ(RES_OK, run(l)->end.res);
+	Answer *lost = run(l);
+	EXPECT_EQ(RES_ANSWER_LOST, lost->end.res);
+	EXPECT_EQ("INSERT 0 1", lost->text);
+}
+
+/* Guards against a lost answer that leads to a second order. */
+TEST_F(Exec, RequestIdAfterTheAnswerWasCut)
+{
+	start("b1", {"--members", "1"});
+	Relay relay(port("b1"));
+	reach_by("b1", relay.port);
+	lead("b1", 1);
+	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	struct msg_run r =
+		request(RUN_WRITE, "b1",
+			"INSERT INTO t VALUES (1) /* cost_us=100000 */", ONCE);
+	strcpy(r.request_id, "order-1");
+	ASSERT_EQ(RES_OK, run(r)->end.res);
+	strcpy(r.request_id, "order-2");
+	r.limit_ms = 1000;
+	Answer *cut = begin(r);
+	/* The row of the first attempt is committed, its answer held back. */
+	relay.command("drop b down");
+	EXPECT_TRUE(until([&] { return cut->ends > 0; }));
+	EXPECT_TRUE(cut->end.res == RES_UNKNOWN ||
+		    cut->end.res == RES_NOT_DURABLE)
+		<< res_name((enum res)cut->end.res);
+	relay.command("cut b");
+	relay.command("heal b");
+	r.limit_ms = 5000;
+	Answer *again;
+	EXPECT_TRUE(until([&] {
+		again = run(r);
+		return again->end.res == RES_OK;
+	}));
+	EXPECT_EQ("C", again->types());
+	EXPECT_EQ("2", sql("b1", "SELECT count(*) FROM t"));
+}
+
+/* Guards against statements of two transactions on one connection. */
+TEST_F(Exec, TransactionsOnOneSlotStayApart)
+{
+	slots = 1;
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	std::vector<Answer *> begun;
+	for (int i = 0; i < 6; i++)
+		begun.push_back(begin(request(RUN_BEGIN, "b1", "BEGIN")));
+	for (Answer *a : begun) {
+		ASSERT_TRUE(until([&] { return a->ends > 0; }));
+		ASSERT_EQ(RES_OK, a->end.res) << a->text;
+		EXPECT_EQ('T', a->end.txn);
+		ASSERT_NE(0, a->end.pin);
+	}
+	/* All write at once; the writer lock lets one through at a time. */
+	std::vector<Answer *> ends;
+	for (int i = 0; i < 6; i++) {
+		struct msg_run r = request(RUN_TXN, "b1",
+					   "INSERT INTO t VALUES (" +
+						   std::to_string(i) + ")");
+		r.pin = begun[i]->end.pin;
+		ends.push_back(begin(r));
+	}
+	std::set<int> open = {0, 1, 2, 3, 4, 5};
+	int committed = 0;
+	while (!open.empty()) {
+		int i = -1;
+		ASSERT_TRUE(until([&] {
+			for (int k : open)
+				if (ends[k]->ends)
+					i = k;
+			return i >= 0;
+		}));
+		open.erase(i);
+		ASSERT_EQ(RES_OK, ends[i]->end.res) << ends[i]->text;
+		struct msg_run r =
+			request(RUN_TXN, "b1", i % 2 ? "COMMIT" : "ROLLBACK",
+				RUN_MAJORITY);
+		r.pin = begun[i]->end.pin;
+		Answer *a = run(r);
+		EXPECT_EQ(RES_OK, a->end.res) << a->text;
+		EXPECT_EQ(0, a->end.pin);
+		committed += i % 2;
+		EXPECT_EQ(i % 2 ? 1 + committed : 0, a->end.write_position);
+	}
+	EXPECT_EQ("1|3|5", sql("b1", "SELECT group_concat(k, '|') FROM "
+				     "(SELECT k FROM t ORDER BY k)"));
+	/* A pin that was given up is rolled back and not found again. */
+	Answer *a = run(RUN_BEGIN, "b1", "BEGIN");
+	struct msg_run r = request(RUN_TXN, "b1", "INSERT INTO t VALUES (9)");
+	r.pin = a->end.pin;
+	EXPECT_EQ(RES_OK, run(r)->end.res);
+	exec_unpin(exec, "b1", r.pin);
+	EXPECT_EQ(RES_UNREACHABLE, run(r)->end.res);
+	EXPECT_EQ("3", sql("b1", "SELECT count(*) FROM t"));
+	EXPECT_EQ(RES_OK, run(RUN_WRITE, "b1", "INSERT INTO t VALUES (10)",
+			      RUN_MAJORITY)
+				  ->end.res);
+}
+
+/* Guards against a late answer that reaches the next caller. */
+TEST_F(Exec, CancelledAndLateAnswersReachNobodyElse)
+{
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	std::vector<Answer *> all;
+	for (int i = 0; i < 120; i++) {
+		std::string n = std::to_string(i);
+		struct msg_run r =
+			request(RUN_READ, "b1",
+				"SELECT " + n + " /* cost_us=" +
+					std::to_string(i % 7 * 3000) + " */");
+		r.limit_ms = i % 5 == 4 ? 10 : 8000;
+		all.push_back(begin(r));
+		if (i % 3 == 2)
+			exec_cancel(exec, all[i - 1]->id);
+		if (i % 11 == 10)
+			exec_abandon(exec, all[i]->id);
+		until([&] { return exec_running(exec) < 8; });
+	}
+	ASSERT_TRUE(until([&] { return exec_running(exec) == 0; }));
+	for (int i = 0; i < 120; i++) {
+		if (i % 11 == 10) {
+			EXPECT_EQ(0, all[i]->ends);
+			continue;
+		}
+		ASSERT_EQ(1, all[i]->ends) << i;
+		if (all[i]->end.res == RES_OK)
+			EXPECT_EQ(std::to_string(i), all[i]->rows()[0]);
+		else
+			EXPECT_TRUE(all[i]->rows().empty()) << i;
+	}
+}
+
+/* Guards against an acknowledgement without a lease or by a replaced
+ * primary. */
+TEST_F(Exec, NoAcknowledgementWithoutTheLease)
+{
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	Answer *w = begin(request(RUN_WRITE, "b1",
+				  "INSERT INTO t VALUES (1)"
+				  " /* cost_us=50000 */",
+				  RUN_MAJORITY));
+	lease(0);
+	EXPECT_EQ(RES_NO_LEASE,
+		  run(RUN_WRITE, "b1", "INSERT INTO t VALUES (2)")->end.res);
+	EXPECT_TRUE(until(
+		[&] { return sql("b1", "SELECT count(*) FROM t") == "1"; }));
+	EXPECT_EQ(0, w->ends);
+	/* It is acknowledged once the lease is back. */
+	lease(1);
+	EXPECT_TRUE(until([&] { return w->ends > 0; }));
+	EXPECT_EQ(RES_OK, w->end.res);
+	w = begin(request(RUN_WRITE, "b1",
+			  "INSERT INTO t VALUES (3) /* cost_us=100000 */",
+			  RUN_MAJORITY));
+	Answer *t = run(RUN_BEGIN, "b1", "BEGIN");
+	view_term("b2", 2, 9);
+	EXPECT_TRUE(until([&] { return w->ends > 0; }));
+	EXPECT_EQ(RES_UNKNOWN, w->end.res);
+	struct msg_run r = request(RUN_TXN, "b1", "SELECT 1");
+	r.pin = t->end.pin;
+	r.term = 1;
+	EXPECT_EQ(RES_PRIMARY_CHANGED, run(r)->end.res);
+	r = request(RUN_READ, "b1", "SELECT 1", RUN_CURRENT);
+	EXPECT_EQ(RES_NO_PRIMARY, run(r)->end.res);
+}
+
+/* Guards against a write that is called durable while no majority has it. */
+TEST_F(Exec, WriteWithoutAMajorityIsNotDurable)
+{
+	start("b1");
+	start("b2");
+	start("b3");
+	lead("b1", 1);
+	ASSERT_EQ(RES_OK,
+		  run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY)
+			  ->end.res);
+	stop("b2");
+	stop("b3");
+	struct msg_run r = request(RUN_WRITE, "b1", "INSERT INTO t VALUES (1)",
+				   RUN_MAJORITY);
+	r.limit_ms = 300;
+	EXPECT_EQ(RES_NOT_DURABLE, run(r)->end.res);
+	struct suspect s = {};
+	EXPECT_TRUE(until(
+		[&] { return exec_suspects(exec, &s, 1, clk_now()) == 1; }));
+	EXPECT_EQ(SUSPECT_NO_MAJORITY, s.reason);
+}
+
+static void count(void *arg)
+{
+	++*(int *)arg;
+}
+
+/* Guards against a failed primary that is noticed late. */
+TEST_F(Exec, FrozenAndKilledPrimariesAreSuspected)
+{
+	struct suspect s = {};
+	int told = 0;
+
+	exec_on_suspect(exec, count, &told);
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	ASSERT_EQ(RES_OK, run(RUN_READ, "b1", "SELECT 1")->end.res);
+	EXPECT_EQ(0, exec_suspects(exec, &s, 1, clk_now()));
+	signal("b1", SIGSTOP);
+	clk_ms from = clk_now();
+	Answer *a = begin(request(RUN_READ, "b1", "SELECT 1"));
+	ASSERT_TRUE(until([&] { return told > 0; }));
+	EXPECT_LT(clk_now() - from, 900);
+	ASSERT_EQ(1, exec_suspects(exec, &s, 1, clk_now()));
+	EXPECT_EQ(SUSPECT_UNREACHABLE, s.reason);
+	EXPECT_STREQ("orders", s.group);
+	EXPECT_TRUE(until([&] { return a->ends > 0; }));
+	EXPECT_EQ(RES_READ_FAILED, a->end.res);
+	EXPECT_LT(clk_now() - from, 1500);
+	signal("b1", SIGCONT);
+	EXPECT_TRUE(
+		until([&] { return !exec_suspects(exec, &s, 1, clk_now()); }));
+	EXPECT_TRUE(until([&] {
+		return run(RUN_READ, "b1", "SELECT 1")->end.res == RES_OK;
+	}));
+	told = 0;
+	stop("b1");
+	from = clk_now();
+	ASSERT_TRUE(until([&] { return told > 0; }));
+	EXPECT_LT(clk_now() - from, 600);
+	a = run(RUN_READ, "b1", "SELECT 1");
+	EXPECT_EQ(RES_UNREACHABLE, a->end.res) << a->text;
+}
+
+/* Guards against connections that a middlebox has forgotten: they accept data
+ * and never answer. */
+TEST_F(Exec, ForgottenConnectionsAreReplaced)
+{
+	start("b1", {"--members", "1"});
+	Relay relay(port("b1"));
+	reach_by("b1", relay.port);
+	lead("b1", 1);
+	EXPECT_TRUE(until([&] {
+		return run(RUN_READ, "b1", "SELECT 1")->end.res == RES_OK;
+	}));
+	relay.command("forget b");
+	clk_ms from = clk_now();
+	EXPECT_TRUE(until([&] {
+		return run(RUN_READ, "b1", "SELECT 1")->end.res == RES_OK;
+	}));
+	EXPECT_LT(clk_now() - from, 1500);
+}
+
+/* Guards against new work on a server that leaves, and against requests that
+ * wait longer than they may. */
+TEST_F(Exec, LeavingAndWaiting)
+{
+	slots = 1;
+	set.admission = false;
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	std::string slow = "SELECT 1 /* cost_us=300000 */";
+	ASSERT_EQ(RES_OK, run(RUN_READ, "b1", slow)->end.res);
+	Answer *runs = begin(request(RUN_READ, "b1", slow));
+	std::vector<Answer *> queue;
+	for (int i = 0; i < 8; i++) {
+		struct msg_run r = request(RUN_READ, "b1", "SELECT 2");
+		r.wait_ms = 50;
+		queue.push_back(begin(r));
+	}
+	leaving("b1");
+	EXPECT_EQ(RES_LEAVING, run(RUN_READ, "b1", "SELECT 1")->end.res);
+	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
+	EXPECT_EQ(RES_OK, runs->end.res);
+	EXPECT_EQ(RES_WAIT_EXCEEDED, queue.back()->end.res);
+}
+
 } // namespace
--- /dev/null
+++ b/t/unit_sched.cc
@@ -0,0 +1,371 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "cost.h"
+#include "health.h"
+#include "once.h"
+#include "rng.h"
+#include "sched.h"
+}
+
+namespace
+{
+
+/* Serves jobs in simulated time; a job takes what it is said to cost. */
+class Sim
+{
+      public:
+	struct Job {
+		struct sched_job job = {};
+		int64_t real_us;
+		clk_ms end = -1;
+		clk_ms started = -1;
+		bool refused = false;
+		bool expired = false;
+	};
+
+	explicit Sim(int64_t slots, bool short_first = true,
+		     bool admission = false)
+	    : s(sched_new(slots, short_first, admission))
+	{
+	}
+	~Sim()
+	{
+		sched_free(s);
+	}
+
+	Job *add(const char *customer, int64_t us, bool is_long = false,
+		 int64_t priority = 0, int64_t weight = 1, clk_ms wait = 60000)
+	{
+		jobs.push_back(std::make_unique<Job>());
+		Job *j = jobs.back().get();
+
+		snprintf(j->job.customer, sizeof(j->job.customer), "%s",
+			 customer);
+		j->job.priority = priority;
+		j->job.weight = weight;
+		j->job.cost_us = us;
+		j->job.is_long = is_long;
+		j->job.give_up = now + wait;
+		j->real_us = us;
+		j->refused = sched_add(s, &j->job, now) == RES_OVERLOAD;
+		return j;
+	}
+
+	void step()
+	{
+		for (auto &j : jobs)
+			if (j->end >= 0 && j->end <= now && j->job.running) {
+				sched_finish(s, &j->job, j->real_us);
+				served[j->job.customer] += j->real_us;
+			}
+		while (struct sched_job *e = sched_expired(s, now))
+			of(e)->expired = true;
+		while (struct sched_job *t = sched_take(s, now)) {
+			Job *j = of(t);
+
+			j->started = now;
+			j->end = now + (j->real_us + 999) / 1000;
+		}
+		now++;
+	}
+
+	void run(clk_ms ms)
+	{
+		for (clk_ms end = now + ms; now < end;)
+			step();
+	}
+
+	size_t running_long() const
+	{
+		size_t n = 0;
+
+		for (auto &j : jobs)
+			n += j->job.running && j->job.is_long;
+		return n;
+	}
+
+	struct sched *s;
+	clk_ms now = 1000;
+	std::map<std::string, int64_t> served;
+	std::vector<std::unique_ptr<Job>> jobs;
+
+      private:
+	Job *of(struct sched_job *t)
+	{
+		for (auto &j : jobs)
+			if (&j->job == t)
+				return j.get();
+		return NULL;
+	}
+};
+
+/* Guards against long statements that take all slots. */
+TEST(Sched, LongWorkHoldsAtMostHalfOfTheSlots)
+{
+	for (int64_t slots : {1, 2, 5}) {
+		Sim sim(slots);
+		size_t bound = slots == 1 ? 1 : (size_t)slots / 2;
+		size_t most = 0;
+
+		for (int i = 0; i < 20; i++)
+			sim.add("batch", 500000, true);
+		for (int i = 0; i < 300; i++) {
+			sim.add("shop", 2000);
+			sim.run(10);
+			most = std::max(most, sim.running_long());
+		}
+		EXPECT_EQ(bound, most) << slots;
+		/* Short work uses every slot that long work leaves. */
+		Sim quick(slots);
+		for (int i = 0; i < 10; i++)
+			quick.add("shop", 1000);
+		quick.step();
+		EXPECT_EQ((size_t)slots, sched_running(quick.s));
+	}
+}
+
+/* Guards against long work that never runs while short work keeps coming. */
+TEST(Sched, LongWorkAlwaysProgresses)
+{
+	for (int64_t slots : {1, 2, 5}) {
+		Sim sim(slots);
+		Sim::Job *job = sim.add("batch", 300000, true, 9);
+
+		for (int i = 0; i < 3000 && job->started < 0; i++) {
+			for (int k = 0; k < slots + 1; k++)
+				sim.add("shop", 2000);
+			sim.run(2);
+		}
+		EXPECT_GE(job->started, 0) << slots;
+		EXPECT_LE(job->started - 1000, SCHED_PATIENCE_ONE_MS + 50);
+	}
+}
+
+/* Guards against short statements that wait behind long ones. */
+TEST(Sched, ShortBeforeLong)
+{
+	Sim sim(2);
+	Sim::Job *worst = NULL;
+
+	for (int i = 0; i < 8; i++)
+		sim.add("batch", 400000, true);
+	for (int i = 0; i < 100; i++) {
+		Sim::Job *j = sim.add("shop", 2000);
+
+		sim.run(10);
+		if (!worst || j->started - j->job.arrived >
+				      worst->started - worst->job.arrived)
+			worst = j;
+	}
+	EXPECT_LE(worst->started - worst->job.arrived, 4);
+	/* In order of arrival they wait for the long ones. */
+	Sim plain(2, false);
+	for (int i = 0; i < 8; i++)
+		plain.add("batch", 400000, true);
+	Sim::Job *last = plain.add("shop", 2000);
+	plain.run(2000);
+	EXPECT_GE(last->started - last->job.arrived, 1000);
+}
+
+/* Guards against a customer that gets more than its weight by asking more. */
+TEST(Sched, CustomersShareByWeight)
+{
+	Sim sim(2);
+
+	for (int i = 0; i < 3000; i++)
+		sim.add("a", 2000, false, 0, 3);
+	for (int i = 0; i < 1000; i++)
+		sim.add("b", 4000, false, 0, 1);
+	sim.run(1000);
+	double share = (double)sim.served["a"] / (double)sim.served["b"];
+	EXPECT_NEAR(3.0, share, 0.2);
+	/* One that comes later is served at once, with no credit for before. */
+	Sim::Job *late = sim.add("c", 2000);
+	sim.run(20);
+	EXPECT_GE(late->started, 0);
+}
+
+/* Guards against underestimated statements that buy a larger share. */
+TEST(Sched, ShareIsChargedWithTheMeasuredCost)
+{
+	Sim sim(1);
+
+	for (int i = 0; i < 600; i++) {
+		sim.add("liar", 1000)->real_us = 4000;
+		sim.add("honest", 4000);
+	}
+	sim.run(1000);
+	EXPECT_NEAR(1.0,
+		    (double)sim.served["liar"] / (double)sim.served["honest"],
+		    0.1);
+}
+
+/* Guards against a priority class that starves the ones below it. */
+TEST(Sched, PriorityWithAgeing)
+{
+	Sim sim(1);
+	Sim::Job *low = sim.add("browse", 5000, false, 3);
+	Sim::Job *high = sim.add("order", 5000, false, 0);
+
+	sim.step();
+	EXPECT_GE(high->started, 0);
+	EXPECT_LT(low->started, 0);
+	for (int i = 0; i < 2000 && low->started < 0; i++) {
+		sim.add("order", 5000, false, 0);
+		sim.run(4);
+	}
+	EXPECT_GE(low->started, 0);
+	EXPECT_LE(low->started - low->job.arrived, 5 * SCHED_AGEING_MS);
+}
+
+/* Guards against requests that wait in vain, and against a light customer
+ * that is refused for the queue of a heavy one. */
+TEST(Sched, WaitIsBounded)
+{
+	Sim sim(2, true, true);
+	int refused = 0;
+
+	for (int i = 0; i < 200; i++)
+		refused += sim.add("heavy", 10000, false, 0, 1, 500)->refused;
+	EXPECT_NEAR(100, refused, 2);
+	EXPECT_FALSE(sim.add("light", 10000, false, 0, 1, 100)->refused);
+	EXPECT_FALSE(sim.add("order", 10000, false, -1, 1, 5)->refused);
+	sim.run(600);
+	int expired = 0;
+	for (auto &j : sim.jobs)
+		expired += j->expired;
+	EXPECT_LE(expired, 3);
+	EXPECT_EQ(0u, sched_waiting(sim.s));
+	Sim off(1);
+	for (int i = 0; i < 50; i++)
+		EXPECT_FALSE(off.add("x", 10000, false, 0, 1, 100)->refused);
+	off.run(200);
+	EXPECT_EQ(0u, sched_waiting(off.s));
+}
+
+/* Guards against a slot that is lost or counted twice. */
+TEST(Sched, ForcedAndReclassifiedJobs)
+{
+	Sim sim(2);
+	struct sched_job forced = {};
+
+	sim.add("a", 50000);
+	Sim::Job *b = sim.add("a", 50000);
+	sim.step();
+	forced.weight = 1;
+	sched_force(sim.s, &forced, sim.now);
+	EXPECT_EQ(3u, sched_running(sim.s));
+	sched_reclassify(sim.s, &b->job);
+	sim.add("a", 1000, true);
+	sched_finish(sim.s, &forced, 10);
+	sim.run(20);
+	/* The only long slot is taken by the reclassified job. */
+	EXPECT_EQ(2u, sched_running(sim.s));
+	EXPECT_EQ(1u, sched_waiting(sim.s));
+	sim.run(100);
+	EXPECT_EQ(0u, sched_running(sim.s));
+	EXPECT_EQ(0u, sched_waiting(sim.s));
+}
+
+/* Guards against unknown statements that are kept waiting as long ones, and
+ * against estimates that never change. */
+TEST(Cost, LearnsAndForgets)
+{
+	struct cost *c = cost_new(4);
+
+	EXPECT_EQ(COST_FIRST_US, cost_estimate(c, 1));
+	for (int i = 0; i < 40; i++)
+		cost_learn(c, 1, 2000);
+	EXPECT_EQ(2000, cost_median(c));
+	EXPECT_EQ(2000, cost_estimate(c, 99));
+	EXPECT_FALSE(cost_is_long(c, cost_estimate(c, 99)));
+	cost_learn(c, 2, 500000);
+	EXPECT_TRUE(cost_is_long(c, cost_estimate(c, 2)));
+	for (int i = 0; i < 40; i++)
+		cost_learn(c, 2, 3000);
+	EXPECT_FALSE(cost_is_long(c, cost_estimate(c, 2)));
+	EXPECT_TRUE(cost_overruns(c, 2000, 400000));
+	EXPECT_FALSE(cost_overruns(c, 200000, 400000));
+	EXPECT_FALSE(cost_overruns(c, 2000, 9000));
+	/* 1 was used least recently and makes room. */
+	cost_estimate(c, 2);
+	for (int64_t f = 3; f <= 5; f++)
+		cost_learn(c, f, 7000);
+	EXPECT_EQ(cost_median(c), cost_estimate(c, 1));
+	EXPECT_NE(cost_median(c), cost_estimate(c, 2));
+	for (int64_t f = 0; f < 1000; f++)
+		cost_learn(c, f, 100 + f);
+	EXPECT_EQ(1099, cost_estimate(c, 999));
+	cost_free(c);
+}
+
+/* Guards against a failed server that gets every request, and against one
+ * that is never tried again. */
+TEST(Health, PutsAsideAndTriesAgain)
+{
+	struct rng *rng = rng_new(7);
+	struct health h = {};
+	clk_ms now = 1000;
+	clk_ms last = 0;
+
+	health_failure(&h, rng, now);
+	health_failure(&h, rng, now);
+	EXPECT_TRUE(health_allow(&h, now));
+	health_failure(&h, rng, now);
+	EXPECT_FALSE(health_allow(&h, now));
+	for (int i = 0; i < 8; i++) {
+		clk_ms from = now;
+
+		while (!health_allow(&h, now))
+			now++;
+		EXPECT_FALSE(health_allow(&h, now)) << "one at a time";
+		EXPECT_LE(now - from, HEALTH_MAX_MS);
+		EXPECT_GT(now - from, i < 3 ? last / 2 : 0);
+		last = now - from;
+		health_failure(&h, rng, now);
+	}
+	EXPECT_GE(last, HEALTH_MAX_MS / 2);
+	health_success(&h);
+	EXPECT_TRUE(health_allow(&h, now));
+	for (int i = 0; i < 20; i++)
+		health_measure(&h, 20000, 500, rng, now);
+	EXPECT_TRUE(health_allow(&h, now));
+	for (int i = 0; i < 20; i++)
+		health_measure(&h, 300000, 500, rng, now);
+	EXPECT_FALSE(health_allow(&h, now));
+	rng_free(rng);
+}
+
+/* Guards against a first answer that is repeated in part. */
+TEST(Once, OutcomeRoundTrip)
+{
+	std::string answer("T\0\0\0\4\xff\n-", 8);
+	struct buf text = BUF_INIT;
+	struct buf out = BUF_INIT;
+	char tag[ONCE_TAG_LEN];
+
+	once_encode(&text, "INSERT 0 1", answer.data(), answer.size());
+	ASSERT_TRUE(once_decode(buf_str(&text), tag, &out));
+	EXPECT_STREQ("INSERT 0 1", tag);
+	EXPECT_EQ(answer, std::string(buf_data(&out), buf_len(&out)));
+	buf_free(&out);
+	buf_free(&text);
+	answer.assign(ONCE_MAX_ANSWER + 1, 'x');
+	once_encode(&text, "SELECT 5", answer.data(), answer.size());
+	EXPECT_FALSE(once_decode(buf_str(&text), tag, &out));
+	EXPECT_STREQ("SELECT 5", tag);
+	EXPECT_FALSE(once_decode("", tag, &out));
+	EXPECT_STREQ("", tag);
+	EXPECT_FALSE(once_decode("INSERT 0 1\n*", tag, &out));
+	buf_free(&out);
+	buf_free(&text);
+}
+
+} // namespace
