--- a/pool.c
+++ b/pool.c
@@ -15,8 +15,10 @@
 	struct pool_conn *next;
 	PGconn *pg;
 	enum pool_state state;
+	bool tainted;
 	clk_ms opened;
 	clk_ms since; /* of the state */
+	clk_ms rested; /* idle before it was handed out */
 	ev_io io;
 	int events;
 	void (*on_io)(void *arg, int revents);
@@ -278,7 +280,8 @@
 		struct pool_want *w = pool_next_want(p);
 
 		c->state = POOL_USED;
-		c->since = clk_now();
+		c->rested = clk_now() - c->since;
+		c->since += c->rested;
 		w->on_conn(w->arg, c);
 	}
 	if (p->wants)
@@ -375,7 +378,7 @@
 {
 	struct pool *p = c->pool;
 
-	if (clean && PQstatus(c->pg) == CONNECTION_OK &&
+	if (clean && !c->tainted && PQstatus(c->pg) == CONNECTION_OK &&
 	    PQtransactionStatus(c->pg) == PQTRANS_IDLE)
 		pool_make_idle(c);
 	else
@@ -384,6 +387,11 @@
 		pool_serve(p);
 }
 
+void pool_taint(struct pool_conn *c)
+{
+	c->tainted = true;
+}
+
 void pool_drop_idle(struct pool *p, clk_ms opened_before)
 {
 	struct pool_conn *next;
@@ -407,6 +415,11 @@
 	pool_set_events(c, events);
 }
 
+clk_ms pool_rested(const struct pool_conn *c)
+{
+	return c->rested;
+}
+
 PGconn *pool_pg(struct pool_conn *c)
 {
 	return c->pg;
--- a/pool.h
+++ b/pool.h
@@ -61,6 +61,9 @@
 /* Gives back a connection; it is closed unless clean. */
 void pool_release(struct pool_conn *c, bool clean);
 
+/* Lets a connection be closed when it is given back. */
+void pool_taint(struct pool_conn *c);
+
 /* Closes idle connections opened before a time. */
 void pool_drop_idle(struct pool *p, clk_ms opened_before);
 
@@ -71,6 +74,9 @@
 /* Sets the events that are watched, EV_READ and EV_WRITE. */
 void pool_watch(struct pool_conn *c, int events);
 
+/* How long a connection that is handed out now had been idle. */
+clk_ms pool_rested(const struct pool_conn *c);
+
 PGconn *pool_pg(struct pool_conn *c);
 
 int64_t pool_open(const struct pool *p);
