--- a/lists.h
+++ b/lists.h
@@ -55,7 +55,7 @@
 	char digest[ID_LEN]; /* XXH3 of the text, in hex */
 	char *text; /* as accepted */
 	size_t len;
-	struct plan *plans;
+	struct plan *plans; /* sorted by name */
 	int64_t nplans;
 	struct customer *customers; /* sorted by name */
 	int64_t ncustomers;
@@ -84,14 +84,18 @@
 
 /*
  * Joins two files, one with "plans" and one with "customers" (either may hold
- * both), into the canonical text of one document. The result is malloc'ed.
+ * both), into the canonical text of one document. second is NULL for a single
+ * file that holds both. The result is malloc'ed.
  */
 char *lst_merge(const char *first, const char *first_name, const char *second,
 		const char *second_name, struct err *e);
 
+/* The canonical text: no comments, every value, sorted by name. Appends. */
+struct buf;
+void lst_canonical(const struct lists *l, struct buf *out);
+
 /* Differences between two lists, one line each: "+ plan x", "- customer y",
  * "~ plan x connections 5 -> 8". Appends to out. */
-struct buf;
 void lst_diff(const struct lists *from, const struct lists *to,
 	      struct buf *out);
 
