--- /dev/null
+++ b/builtin/admin.c
@@ -0,0 +1,231 @@
+#include "buf.h"
+#include "builtin.h"
+#include "settings.h"
+
+#include <inttypes.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { ADMIN_TIMEOUT_MS = 10000 };
+
+struct arg_str *admin_arg_to(void)
+{
+	return arg_strn(NULL, "to", "IP:PORT", 1, CMD_MAX_TO,
+			"proxy to ask; repeat it to name others to try next");
+}
+
+struct arg_file *admin_arg_password(void)
+{
+	return arg_file0(NULL, "password-file", "FILE",
+			 "operator password (else MARJORAMLATCH_PASSWORD)");
+}
+
+enum res admin_init(struct admin *a, const struct arg_str *to,
+		    const struct arg_file *password, struct err *e)
+{
+	const char *env = getenv("MARJORAMLATCH_PASSWORD");
+
+	*a = (struct admin){.nto = to->count};
+	for (int i = 0; i < to->count; i++) {
+		a->to[i] = to->sval[i];
+		if (set_check_addr(a->to[i], "--to", e))
+			return RES_BAD_LIST;
+	}
+	if (password->count)
+		return cmd_read_password(password->filename[0], a->password,
+					 sizeof(a->password), e);
+	if (!env || !*env || strlen(env) >= sizeof(a->password))
+		return err_set(e, RES_AUTH,
+			       "no operator password: give --password-file or "
+			       "set MARJORAMLATCH_PASSWORD");
+	strcpy(a->password, env);
+	return RES_OK;
+}
+
+static PGconn *admin_connect(const struct admin *a, const char *addr)
+{
+	static const char *const keys[] = {"hostaddr",	 "port",
+					   "user",	 "dbname",
+					   "password",	 "sslmode",
+					   "gssencmode", "connect_timeout",
+					   "options",	 "application_name",
+					   NULL};
+	char host[ADDR_LEN];
+	char *port;
+	const char *values[] = {host,	     NULL,
+				"operator",  "marjoramlatch",
+				a->password, "disable",
+				"disable",   "3",
+				"",	     "marjoramlatch",
+				NULL};
+
+	snprintf(host, sizeof(host), "%s", addr);
+	port = strrchr(host, ':');
+	*port = '\0';
+	values[1] = port + 1;
+	return PQconnectdbParams(keys, values, 0);
+}
+
+/* Waits for input until the deadline; false when it has passed. */
+static bool admin_wait(PGconn *c, clk_ms deadline)
+{
+	struct pollfd p = {.fd = PQsocket(c), .events = POLLIN};
+	clk_ms left = deadline - clk_now();
+
+	return left > 0 && poll(&p, 1, (int)left) > 0;
+}
+
+/* The last result of what was sent, or NULL if the connection failed. */
+static PGresult *admin_answer(PGconn *c, clk_ms deadline)
+{
+	PGresult *last = NULL;
+	PGresult *r;
+
+	for (;;) {
+		while (PQisBusy(c)) {
+			if (!admin_wait(c, deadline) || !PQconsumeInput(c)) {
+				PQclear(last);
+				return NULL;
+			}
+		}
+		r = PQgetResult(c);
+		if (!r)
+			break;
+		PQclear(last);
+		last = r;
+	}
+	if (PQstatus(c) == CONNECTION_OK)
+		return last;
+	PQclear(last);
+	return NULL;
+}
+
+/* Copies libpq's message without its line end. */
+static enum res admin_error(struct err *e, const char *addr, const char *text)
+{
+	int len = (int)strcspn(text, "\n");
+
+	return err_set(e, RES_UNREACHABLE, "%s: %.*s", addr, len, text);
+}
+
+/*
+ * A login refused by one proxy is refused by all, but one that is stopping or
+ * full is not, so the next one is tried in either case.
+ */
+enum admin_outcome admin_try(struct admin *a, const char *sql, clk_ms timeout,
+			     PGresult **out, struct err *e)
+{
+	*out = NULL;
+	for (int i = 0; i < a->nto; i++) {
+		int at = (a->last + i) % a->nto;
+		const char *addr = a->to[at];
+		PGconn *c = admin_connect(a, addr);
+
+		if (PQstatus(c) != CONNECTION_OK) {
+			admin_error(e, addr, PQerrorMessage(c));
+			PQfinish(c);
+			continue;
+		}
+		a->last = at;
+		if (PQsendQuery(c, sql))
+			*out = admin_answer(c, clk_now() + timeout);
+		if (!*out)
+			err_set(e, RES_UNKNOWN, "%s: the answer was lost",
+				addr);
+		PQfinish(c);
+		if (*out)
+			return ADMIN_ANSWERED;
+		a->last = (at + 1) % a->nto;
+		return ADMIN_LOST;
+	}
+	return ADMIN_NOT_SENT;
+}
+
+PGresult *admin_query(struct admin *a, const char *sql, struct err *e)
+{
+	PGresult *r = NULL;
+
+	/* Each proxy is asked once; a->last moves on after a lost answer. */
+	for (int i = 0; i < a->nto && !r; i++)
+		if (admin_try(a, sql, ADMIN_TIMEOUT_MS, &r, e) ==
+		    ADMIN_NOT_SENT)
+			return NULL;
+	if (!r || PQresultStatus(r) == PGRES_TUPLES_OK)
+		return r;
+	err_set(e, RES_SQL_ERROR, "%s: %s (SQLSTATE %s)", a->to[a->last],
+		PQresultErrorField(r, PG_DIAG_MESSAGE_PRIMARY),
+		PQresultErrorField(r, PG_DIAG_SQLSTATE));
+	PQclear(r);
+	return NULL;
+}
+
+int admin_column(const PGresult *r, const char *names)
+{
+	char name[ID_LEN];
+
+	while (*names) {
+		size_t len = strcspn(names, "|");
+		int i;
+
+		snprintf(name, sizeof(name), "%.*s", (int)len, names);
+		i = PQfnumber(r, name);
+		if (i >= 0)
+			return i;
+		names += len + (names[len] == '|');
+	}
+	return -1;
+}
+
+const char *admin_value(const PGresult *r, int row, const char *names)
+{
+	int i = admin_column(r, names);
+
+	return i < 0 || row >= PQntuples(r) ? "" : PQgetvalue(r, row, i);
+}
+
+static int admin_width(const PGresult *r, int col)
+{
+	int width = (int)strlen(PQfname(r, col));
+
+	for (int row = 0; row < PQntuples(r); row++)
+		if (PQgetlength(r, row, col) > width)
+			width = PQgetlength(r, row, col);
+	return width;
+}
+
+void admin_print(const PGresult *r)
+{
+	int cols = PQnfields(r);
+
+	for (int row = -1; row < PQntuples(r); row++) {
+		for (int col = 0; col < cols; col++) {
+			const char *v = row < 0 ? PQfname(r, col)
+						: PQgetvalue(r, row, col);
+
+			if (col + 1 < cols)
+				printf("%-*s  ", admin_width(r, col), v);
+			else
+				printf("%s\n", v);
+		}
+	}
+}
+
+enum res admin_config(struct admin *a, int64_t *version, struct lists **lists,
+		      struct err *e)
+{
+	PGresult *r = admin_query(a, "SHOW CONFIG", e);
+	const char *text;
+
+	*version = 0;
+	*lists = NULL;
+	if (!r)
+		return e->code;
+	text = admin_value(r, 0, "lists|text");
+	*version = strtoll(admin_value(r, 0, "version"), NULL, 10);
+	if (*version && *text)
+		*lists = lst_parse(text, strlen(text), *version, e);
+	PQclear(r);
+	return !*version || *lists ? RES_OK : RES_BAD_LIST;
+}
