load: add a load client that verifies each order

Orders carry a request id and are resent after an unknown outcome. After the run each one is looked up at the primary. The key is not declared unique, so that an order applied twice shows as two rows.

--- /dev/null
+++ b/builtin/load_report.c
@@ -0,0 +1,137 @@
+#include "load.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+static const double quantiles[] = {0.5, 0.9, 0.99};
+static const char *const quantile_names[] = {"p50_us", "p90_us", "p99_us"};
+
+const char *load_kind_name(enum load_kind k)
+{
+	static const char *const names[LOAD_KINDS] = {
+		"browse", "order", "order_read", "ticket", "long", "own_read"};
+
+	return names[k];
+}
+
+static void put(struct json_object *o, const char *key, uint64_t value)
+{
+	json_object_object_add(o, key, json_object_new_uint64(value));
+}
+
+static struct json_object *report_kind(const struct load *l, enum load_kind k)
+{
+	const struct load_stats *s = &l->stats[k];
+	struct json_object *o = json_object_new_object();
+	struct json_object *reasons = json_object_new_object();
+
+	put(o, "sent", s->sent);
+	put(o, "ok", s->ok);
+	put(o, "refused", s->refused);
+	put(o, "failed", s->failed);
+	put(o, "unknown", s->unknown);
+	put(o, "given_up", s->given_up);
+	json_object_object_add(
+		o, "goodput",
+		json_object_new_double((double)s->in_time / l->opt.seconds));
+	for (int i = 0; i < 3; i++)
+		put(o, quantile_names[i],
+		    (uint64_t)hist_quantile(s->latency, quantiles[i]));
+	put(o, "max_us", (uint64_t)hist_max(s->latency));
+	for (int i = 0; i < l->nreasons; i++)
+		if (l->reasons[i].kind == k)
+			put(reasons, l->reasons[i].text, l->reasons[i].count);
+	json_object_object_add(o, "reasons", reasons);
+	return o;
+}
+
+static struct json_object *report_series(const uint64_t *series, int n)
+{
+	struct json_object *a = json_object_new_array();
+
+	for (int i = 0; i < n; i++)
+		json_object_array_add(a, json_object_new_uint64(series[i]));
+	return a;
+}
+
+static void report_json(const struct load *l)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *kinds = json_object_new_object();
+	const struct load_verdict *v = &l->verdict;
+	int n = (int)(l->opt.seconds + 0.999);
+
+	json_object_object_add(o, "run", json_object_new_string(l->run));
+	put(o, "seed", l->opt.seed);
+	json_object_object_add(o, "seconds",
+			       json_object_new_double(l->opt.seconds));
+	for (int k = 0; k < LOAD_KINDS; k++)
+		if (l->stats[k].sent)
+			json_object_object_add(
+				kinds, load_kind_name((enum load_kind)k),
+				report_kind(l, (enum load_kind)k));
+	json_object_object_add(o, "kinds", kinds);
+	put(o, "longest_gap_us", (uint64_t)l->longest_gap_us);
+	put(o, "stale_own_reads", l->stale_reads);
+	json_object_object_add(o, "verified",
+			       json_object_new_boolean(v->complete));
+	put(o, "acked", v->acked);
+	put(o, "lost", v->lost);
+	put(o, "doubled", v->doubled);
+	put(o, "not_run_but_present", v->ghosts);
+	put(o, "unresolved", v->unresolved);
+	json_object_object_add(o, "ok_per_s", report_series(l->ok_per_s, n));
+	json_object_object_add(o, "orders_per_s",
+			       report_series(l->orders_per_s, n));
+	printf("%s\n",
+	       json_object_to_json_string_ext(
+		       o, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_SPACED));
+	json_object_put(o);
+}
+
+static void report_kind_text(const struct load *l, enum load_kind k)
+{
+	const struct load_stats *s = &l->stats[k];
+
+	printf("%-10s %8" PRIu64 " %8" PRIu64 " %8" PRIu64 " %7" PRIu64
+	       " %7" PRIu64 " %8" PRIu64 " %9.1f",
+	       load_kind_name(k), s->sent, s->ok, s->refused, s->failed,
+	       s->unknown, s->given_up, (double)s->in_time / l->opt.seconds);
+	for (int i = 0; i < 3; i++)
+		printf(" %8.1f",
+		       (double)hist_quantile(s->latency, quantiles[i]) / 1000);
+	printf(" %8.1f\n", (double)hist_max(s->latency) / 1000);
+}
+
+static void report_text(const struct load *l)
+{
+	const struct load_verdict *v = &l->verdict;
+
+	printf("%-10s %8s %8s %8s %7s %7s %8s %9s %8s %8s %8s %8s\n", "kind",
+	       "sent", "ok", "refused", "failed", "unknown", "given_up", "ok/s",
+	       "p50 ms", "p90 ms", "p99 ms", "max ms");
+	for (int k = 0; k < LOAD_KINDS; k++)
+		if (l->stats[k].sent)
+			report_kind_text(l, (enum load_kind)k);
+	for (int i = 0; i < l->nreasons; i++)
+		printf("%8" PRIu64 " x %s: %s\n", l->reasons[i].count,
+		       load_kind_name(l->reasons[i].kind), l->reasons[i].text);
+	printf("longest gap between orders: %.2f s\n",
+	       (double)l->longest_gap_us / 1e6);
+	printf("stale own reads: %" PRIu64 "\n", l->stale_reads);
+	printf("orders: %" PRIu64 " acknowledged, %" PRIu64 " lost, %" PRIu64
+	       " doubled, %" PRIu64 " not run but present, %" PRIu64
+	       " unresolved%s\n",
+	       v->acked, v->lost, v->doubled, v->ghosts, v->unresolved,
+	       v->complete ? "" : " (not all were verified)");
+}
+
+void load_report(const struct load *l)
+{
+	if (l->opt.json)
+		report_json(l);
+	else
+		report_text(l);
+}
