--- a/builtin/show.c
+++ b/builtin/show.c
@@ -7,20 +7,41 @@
 
 /* The commands that show one table of a proxy: status, log and counters. */
 
+/* Reads the options; with_choice adds those that select another table. */
 static int show_options(int argc, char **argv, const char *about,
-			struct admin *a)
+			struct admin *a, bool with_choice, const char **sql)
 {
 	struct arg_str *to = admin_arg_to();
 	struct arg_file *password = admin_arg_password();
-	void *table[] = {arg_lit0(NULL, "help", "show this text"), to, password,
-			 arg_end(8)};
+	struct arg_lit *groups = arg_lit0(
+		NULL, "groups", "show each group's term and primary instead");
+	struct arg_lit *backends =
+		arg_lit0(NULL, "backends", "show the backend servers instead");
+	struct arg_lit *proxies =
+		arg_lit0(NULL, "proxies", "show the proxies' roster instead");
+	struct arg_end *end = arg_end(8);
+	void *all[] = {arg_lit0(NULL, "help", "show this text"),
+		       to,
+		       password,
+		       groups,
+		       backends,
+		       proxies,
+		       end};
+	void *some[] = {all[0], to, password, end};
 	struct err e = ERR_INIT;
-	int rc = cmd_parse(argc, argv, table, 4, about);
+	int rc = with_choice ? cmd_parse(argc, argv, all, 7, about)
+			     : cmd_parse(argc, argv, some, 4, about);
 
 	if (rc == CMD_GO_ON && admin_init(a, to, password, &e))
 		rc = cmd_fail(&e);
+	if (groups->count)
+		*sql = "SHOW GROUPS";
+	if (backends->count)
+		*sql = "SHOW BACKENDS";
+	if (proxies->count)
+		*sql = "SHOW PROXIES";
 	/* The strings of --to point into argv and stay valid. */
-	arg_freetable(table, 4);
+	arg_freetable(all, 7);
 	return rc;
 }
 
@@ -29,7 +50,7 @@
 	struct admin a;
 	struct err e = ERR_INIT;
 	PGresult *r;
-	int rc = show_options(argc, argv, about, &a);
+	int rc = show_options(argc, argv, about, &a, false, &sql);
 
 	if (rc != CMD_GO_ON)
 		return rc;
@@ -99,19 +120,21 @@
 {
 	struct admin a;
 	struct err e = ERR_INIT;
+	const char *sql = "SHOW STATUS";
 	PGresult *r;
 	int rc = show_options(argc, argv,
 			      "Shows which version of the lists each proxy has "
 			      "in force.",
-			      &a);
+			      &a, true, &sql);
 
 	if (rc != CMD_GO_ON)
 		return rc;
-	r = admin_query(&a, "SHOW STATUS", &e);
+	r = admin_query(&a, sql, &e);
 	if (!r)
 		return cmd_fail(&e);
 	admin_print(r);
-	status_summary(r);
+	if (!strcmp(sql, "SHOW STATUS"))
+		status_summary(r);
 	PQclear(r);
 	return CMD_OK;
 }
