--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,10 @@
 	$(MAKE) SAN=$(SAN) -j$(shell nproc) tests
 	t/run.sh $(B)
 
+demo: packages
+	$(MAKE) SAN=$(SAN) -j$(shell nproc) all helpers
+	t/demo.sh $(B)
+
 packages:
 	@sh .ci/packages
 
@@ -99,5 +103,5 @@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all helpers tests test packages format lint clean
+.PHONY: all helpers tests test demo packages format lint clean
 .SECONDARY:
