--- a/builtin/load.h
+++ b/builtin/load.h
@@ -137,6 +137,7 @@
 	struct load *load;
 	int id;
 	int home; /* index of the proxy it is connected to */
+	int away_shift; /* see caller_away() */
 	struct lconn conn;
 	struct lconn away; /* to another proxy, for own reads */
 	struct ev_timer pause; /* before a retry or the next request */
--- a/builtin/load_run.c
+++ b/builtin/load_run.c
@@ -92,9 +92,13 @@
 	ev_timer_start(c->load->loop, &c->pause);
 }
 
+/* The next connection goes to another proxy than the one that failed. */
 static void caller_next_proxy(struct load_caller *c)
 {
-	c->home = (c->home + 1) % c->load->opt.nto;
+	if (c->reading)
+		c->away_shift++;
+	else
+		c->home = (c->home + 1) % c->load->opt.nto;
 }
 
 /* Takes the next request of the open loop that is not too old. */
@@ -227,13 +231,20 @@
 	caller_send(c);
 }
 
+/* A proxy other than the one the caller is connected to, if there is one. */
+static int caller_away(const struct load_caller *c)
+{
+	int n = c->load->opt.nto;
+
+	return n > 1 ? (c->home + 1 + c->away_shift % (n - 1)) % n : 0;
+}
+
 /* Reads the own order through another proxy, with the token of the write. */
 static void caller_read_own(struct load_caller *c)
 {
 	struct load *l = c->load;
 	const char *token =
 		PQparameterStatus(c->conn.pg, "marjoramlatch.session");
-	int away = (c->home + 1) % l->opt.nto;
 	char sql[SQL_LEN];
 
 	l->stats[LOAD_OWN_READ].sent++;
@@ -250,7 +261,7 @@
 		 "/* marjoramlatch.session=%s */ SELECT count(*) FROM %s "
 		 "WHERE run = '%s' AND caller = %d AND n = %d",
 		 token, l->opt.table, l->run, c->id, c->norders - 1);
-	lconn_run(&c->away, l->opt.to[away], sql,
+	lconn_run(&c->away, l->opt.to[caller_away(c)], sql,
 		  load_answer_timeout(l, LOAD_OWN_READ));
 }
 
@@ -284,19 +295,26 @@
 }
 
 /*
- * True if the request may have run. A request id in progress means that an
- * earlier attempt may still run.
+ * What an error says about the request: a proxy states it in the detail.
+ * Without one, the SQLSTATE decides.
  */
-static bool state_is_unknown(const char *state)
+static enum res_ran error_ran(const PGresult *r)
 {
 	static const char *const unknown[] = {"08007", "08006", "57014",
-					      "55006", "XX000", "XX001",
-					      "58030", NULL};
-
-	for (int i = 0; unknown[i]; i++)
+					      "XX000", "XX001", "58030"};
+	const char *state = PQresultErrorField(r, PG_DIAG_SQLSTATE);
+	const char *detail = PQresultErrorField(r, PG_DIAG_MESSAGE_DETAIL);
+
+	if (detail && strstr(detail, "was not run"))
+		return RES_RAN_NOT_RUN;
+	if (detail && strstr(detail, "may have run"))
+		return RES_RAN_MAYBE;
+	if (detail && strstr(detail, "request ran"))
+		return RES_RAN_RAN;
+	for (size_t i = 0; i < sizeof(unknown) / sizeof(unknown[0]); i++)
 		if (!strcmp(state, unknown[i]))
-			return true;
-	return false;
+			return RES_RAN_MAYBE;
+	return RES_RAN_NOT_RUN;
 }
 
 /* An order whose outcome is unknown is sent again with its request id. */
@@ -307,12 +325,11 @@
 	caller_pause(c, 0.05, 0.2);
 }
 
-static void caller_failed(struct load_caller *c, const char *state,
-			  const char *text)
+static void caller_failed(struct load_caller *c, bool unknown,
+			  const char *state, const char *text)
 {
 	struct load *l = c->load;
 	enum load_kind kind = c->reading ? LOAD_OWN_READ : c->kind;
-	bool unknown = state_is_unknown(state);
 
 	load_count_reason(l, kind, state, text);
 	if (is_order(kind) && unknown) {
@@ -332,32 +349,40 @@
 	caller_ended_badly(c);
 }
 
+static void caller_on_error(struct load_caller *c, const PGresult *r,
+			    const char *state)
+{
+	const char *text = PQresultErrorField(r, PG_DIAG_MESSAGE_PRIMARY);
+	enum res_ran ran = error_ran(r);
+
+	if (ran == RES_RAN_RAN && is_order(c->kind) && !c->reading)
+		caller_succeeded(c, r);
+	else
+		caller_failed(c, ran == RES_RAN_MAYBE, state, text ? text : "");
+}
+
 static void caller_on_done(void *arg, enum lconn_end end, const PGresult *r,
 			   const char *text)
 {
 	struct load_caller *c = arg;
 	const char *state;
 
+	(void)text;
 	if (end == LCONN_NOT_SENT) {
 		caller_next_proxy(c);
-		caller_failed(c, "08001", "can't connect");
+		caller_failed(c, false, "08001", "can't connect");
 		return;
 	}
 	if (end == LCONN_LOST) {
 		caller_next_proxy(c);
-		caller_failed(c, "08006", "connection lost");
+		caller_failed(c, true, "08006", "connection lost");
 		return;
 	}
 	state = PQresultErrorField(r, PG_DIAG_SQLSTATE);
-	text = PQresultErrorField(r, PG_DIAG_MESSAGE_PRIMARY);
-	if (!state)
-		caller_succeeded(c, r);
-	else if (is_order(c->kind) && !c->reading && text &&
-		 !strncmp(text, res_text(RES_ANSWER_LOST),
-			  strlen(res_text(RES_ANSWER_LOST))))
-		caller_succeeded(c, r); /* it ran */
+	if (state)
+		caller_on_error(c, r, state);
 	else
-		caller_failed(c, state, text ? text : "");
+		caller_succeeded(c, r);
 }
 
 static void caller_on_pause(struct ev_loop *loop, struct ev_timer *w,
