--- a/builtin/load_run.c
+++ b/builtin/load_run.c
@@ -95,10 +95,12 @@
 /* The next connection goes to another proxy than the one that failed. */
 static void caller_next_proxy(struct load_caller *c)
 {
-	if (c->reading)
+	if (c->reading) {
 		c->away_shift++;
-	else
-		c->home = (c->home + 1) % c->load->opt.nto;
+		return;
+	}
+	c->home = (c->home + 1) % c->load->opt.nto;
+	lconn_close(&c->away); /* it may lead to the new proxy */
 }
 
 /* Takes the next request of the open loop that is not too old. */
