--- a/builtin.h
+++ b/builtin.h
@@ -21,7 +21,8 @@
 	CMD_USAGE = 129,
 	CMD_GO_ON = -1, /* the command line was fine */
 	CMD_MAX_TO = 16, /* proxies named by --to */
-	CMD_PASSWORD_LEN = 128
+	CMD_PASSWORD_LEN = 128,
+	CMD_MAX_LISTS = (4 << 20) - 4096 /* bytes, below PGW_MAX_MESSAGE */
 };
 
 int cmd_apply(int argc, char **argv);
--- a/builtin/common.c
+++ b/builtin/common.c
@@ -70,5 +70,13 @@
 				   n > 1 ? files[1] : NULL, e);
 	free(text[0]);
 	free(text[1]);
+	if (merged && strlen(merged) > CMD_MAX_LISTS) {
+		err_set(e, RES_TOO_LARGE,
+			"the lists take %zu bytes, expected at most %d, which "
+			"one message can carry",
+			strlen(merged), CMD_MAX_LISTS);
+		free(merged);
+		return NULL;
+	}
 	return merged;
 }
--- a/t/unit_errors_doc.cc
+++ b/t/unit_errors_doc.cc
@@ -5,9 +5,20 @@
 #include <string>
 
 extern "C" {
+#include "counter.h"
 #include "result.h"
 }
 
+static std::string read_page(const char *path)
+{
+	std::ifstream file(path);
+	std::stringstream page;
+
+	EXPECT_TRUE(file) << path << " can't be read";
+	page << file.rdbuf();
+	return page.str();
+}
+
 /* Guards against a code that callers can get and that docs/errors.md does not
  * explain, or explains with another number, SQLSTATE or outcome. Tests run in
  * the root of the repository. */
@@ -15,18 +26,51 @@
 {
 	static const char *const ran[] = {"not about a request", "no",
 					  "may have", "yes"};
-	std::ifstream file("docs/errors.md");
-	std::stringstream page;
+	const std::string page = read_page("docs/errors.md");
 
-	ASSERT_TRUE(file) << "docs/errors.md can't be read";
-	page << file.rdbuf();
-#define X(name, num, state, r, text)                                       \
-	EXPECT_NE(std::string::npos,                                       \
-		  page.str().find("| " + std::to_string(num) +             \
-				  " | " #name " | " state " | " +          \
-				  ran[RES_RAN_##r] + " | "))               \
-		<< #name " is missing or has another number, SQLSTATE or " \
+#define X(name, num, state, r, text)                                           \
+	EXPECT_NE(std::string::npos, page.find("| " + std::to_string(num) +    \
+					       " | " #name " | " state " | " + \
+					       ran[RES_RAN_##r] + " | "))      \
+		<< #name " is missing or has another number, SQLSTATE or "     \
 			 "outcome";
 	RES_TABLE(X)
 #undef X
 }
+
+/* Guards against a counter whose meaning operators can't look up. */
+TEST(OperatorsDoc, ListsEveryCounter)
+{
+	const std::string page = read_page("docs/operators.md");
+
+#define X(name)                                                \
+	EXPECT_NE(std::string::npos, page.find("`" #name "`")) \
+		<< #name << " is missing";
+	CNT_TABLE(X)
+#undef X
+}
+
+/* Guards against a setting that operators can't look up. */
+TEST(OperatorsDoc, ListsEverySetting)
+{
+	const std::string page = read_page("docs/operators.md");
+	std::ifstream code("settings.c");
+	std::string line;
+	int n = 0;
+
+	while (std::getline(code, line) &&
+	       line.find("set_keys[] = {") == std::string::npos)
+		continue;
+	do {
+		size_t from = line.find('"');
+		size_t to = line.find('"', from + 1);
+
+		if (from == std::string::npos)
+			break;
+		std::string key = line.substr(from + 1, to - from - 1);
+		EXPECT_NE(std::string::npos, page.find("| `" + key + "` |"))
+			<< key << " is missing";
+		n++;
+	} while (std::getline(code, line));
+	EXPECT_GE(n, 24);
+}
