--- a/t/demo.sh
+++ b/t/demo.sh
@@ -128,10 +128,11 @@
 
 echo "starting 3 control instances, 7 entry instances, 3 members on $ip"
 for i in 1 2 3; do
-	start control$i "$b/marjoramlatch-control" "$dir/control$i.json"
+	start control$i "$b/marjoramlatch-control" --settings \
+		"$dir/control$i.json"
 done
 for i in 1 2 3 4 5 6 7; do
-	start entry$i "$b/marjoramlatchd" "$dir/entry$i.json"
+	start entry$i "$b/marjoramlatchd" --settings "$dir/entry$i.json"
 done
 for i in 1 2 3; do
 	start member$i "$b/helper/backend" --id member$i --group orders \
--- /dev/null
+++ b/t/sys_cli.cc
@@ -0,0 +1,98 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <sys/wait.h>
+
+/* The command line of marjoramlatch without a system behind it. Tests run in
+ * the root of the repository. */
+
+struct Outcome {
+	int status;
+	std::string out; /* standard output and standard error */
+};
+
+static Outcome run(const std::string &args, const std::string &before = "")
+{
+	const char *build = getenv("BUILD");
+	std::string cmd = before +
+			  std::string(build ? build : "build/release") +
+			  "/marjoramlatch " + args + " 2>&1";
+	FILE *f = popen(cmd.c_str(), "r");
+	Outcome r = {-1, ""};
+	char buf[4096];
+	size_t n;
+
+	while ((n = fread(buf, 1, sizeof(buf), f)))
+		r.out.append(buf, n);
+	int status = pclose(f);
+	r.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	return r;
+}
+
+/* Guards against scripts that take a wrong command line for a refusal. */
+TEST(Cli, HelpAndUsage)
+{
+	for (const char *c : {"apply", "check", "counters", "diff", "load",
+			      "log", "status", "version"}) {
+		Outcome help = run(std::string(c) + " --help");
+
+		EXPECT_EQ(0, help.status) << c;
+		EXPECT_NE(std::string::npos, help.out.find("usage:")) << c;
+		EXPECT_EQ(help.out, run(std::string("help ") + c).out);
+		EXPECT_EQ(129, run(std::string(c) + " --no-such").status) << c;
+	}
+	EXPECT_EQ(0, run("--help").status);
+	EXPECT_EQ(0, run("help").status);
+	EXPECT_EQ(129, run("").status);
+	EXPECT_EQ(129, run("no-such").status);
+	EXPECT_EQ(129, run("help no-such").status);
+	EXPECT_EQ(129, run("check").status);
+	EXPECT_EQ(129, run("apply --to 127.0.0.1:1").status);
+}
+
+/* Guards against samples and documentation that the program refuses. */
+TEST(Cli, ChecksSamples)
+{
+	for (const char *d : {"threlfall", "barfani"}) {
+		std::string dir = std::string("samples/") + d;
+		Outcome two = run("check " + dir + "/plans.json " + dir +
+				  "/customers.json");
+
+		EXPECT_EQ(0, two.status) << two.out;
+		EXPECT_EQ(1, run("check " + dir + "/plans.json").status);
+	}
+	/* The key file that the samples name does not exist here. */
+	for (const char *role : {"proxy", "control"}) {
+		Outcome r = run(std::string("check --") + role + " samples/" +
+				role + ".json");
+
+		EXPECT_EQ(1, r.status);
+		EXPECT_NE(std::string::npos, r.out.find("key_file: ")) << r.out;
+	}
+}
+
+TEST(Cli, HashesPasswords)
+{
+	Outcome r = run("check --hash-password", "echo secret123 | ");
+
+	EXPECT_EQ(0, r.status);
+	EXPECT_EQ(0u, r.out.find("$argon2id$")) << r.out;
+	EXPECT_EQ(1, run("check --hash-password", "echo | ").status);
+}
+
+/* Guards against commands that hang or claim success with no proxy up. */
+TEST(Cli, FailsWithoutProxy)
+{
+	const std::string env = "MARJORAMLATCH_PASSWORD=operator1 ";
+
+	for (const char *c : {"status", "log", "counters"}) {
+		Outcome r = run(std::string(c) + " --to 127.0.0.1:1", env);
+
+		EXPECT_EQ(1, r.status) << c;
+		EXPECT_NE(std::string::npos, r.out.find("127.0.0.1:1")) << c;
+	}
+	EXPECT_EQ(1, run("status --to 127.0.0.1:1").status);
+	EXPECT_EQ(1, run("status --to localhost:1", env).status);
+}
