--- a/t/unit_quota.cc
+++ b/t/unit_quota.cc
@@ -13,7 +13,7 @@
 /* Proxies and a sequence of leaders over links that delay and lose messages
  * and break. */
 struct Quota {
-	static const int G = 2000, CUSTOMERS = 3;
+	static constexpr int G = 2000, CUSTOMERS = 3;
 	struct Message {
 		clk_ms at, asked;
 		int link;
