--- a/t/unit_quota.cc
+++ b/t/unit_quota.cc
@@ -13,7 +13,7 @@
 /* Proxies and a sequence of leaders over links that delay and lose messages
  * and break. */
 struct Quota {
-	static const int G = 2000, CUSTOMERS = 3;
+	enum { G = 2000, CUSTOMERS = 3 };
 	struct Message {
 		clk_ms at, asked;
 		int link;
@@ -323,6 +323,6 @@
 	EXPECT_EQ(0, q.proxies[0].answers.back().answer.grant_ms);
 	m.ask.answer_seen = q.answers;
 	q.serve(q.proxies[0], m);
-	EXPECT_EQ(q.G, q.proxies[0].answers.back().answer.grant_ms);
+	EXPECT_EQ((int)q.G, q.proxies[0].answers.back().answer.grant_ms);
 	EXPECT_GT(q.proxies[0].answers.back().grants[0].units, 0);
 }
