--- a/ctlcore.c
+++ b/ctlcore.c
@@ -163,6 +163,20 @@
 	return false;
 }
 
+/* Tells what a committed change of members did; it is the newest one, since
+ * only one is made at a time. */
+static void ctl_log_members(const struct ctl *c)
+{
+	const struct raft_members *m = raft_voters(c->raft);
+	const char *last = m->n ? m->list[m->n - 1].id : "";
+
+	if (m->n == c->set->ncontrols)
+		log_info("control", "event=member_added id=%s voters=%d", last,
+			 m->n);
+	else
+		log_info("control", "event=members_changed voters=%d", m->n);
+}
+
 static void ctl_apply_entry(struct ctl *c, const struct raft_entry *entry,
 			    clk_ms now)
 {
@@ -171,6 +185,9 @@
 	struct err e = ERR_INIT;
 
 	c->log_bytes += entry->data.len;
+	/* The first entry is the formation. */
+	if (entry->kind == RAFT_MEMBERS && entry->index > 1)
+		ctl_log_members(c);
 	if (entry->kind == RAFT_COMMAND &&
 	    state_apply(c->state, &entry->data, &done, &e))
 		log_error("control", "event=bad_entry index=%lld error=\"%s\"",
--- /dev/null
+++ b/t/sys_control.cc
@@ -0,0 +1,329 @@
+/* Control instances as processes, with stand-in members and an entry instance
+ * played by the test. */
+
+#include <gtest/gtest.h>
+
+#include <ev.h>
+
+#include "lib_cluster.h"
+
+extern "C" {
+#include "link.h"
+#include "settings.h"
+#include "view.h"
+}
+
+using namespace cluster;
+
+struct Entry {
+	Cluster &cluster;
+	struct settings set = {};
+	struct ev_loop *loop = ev_loop_new(0);
+	struct link *links[3] = {};
+	struct view *view = view_new("p1", "za");
+	int64_t seq = 0, seen[3] = {}, asked[64] = {};
+	int leader = -1, denials = 0;
+	int64_t answered = 0, next_ask = 0;
+	bool announce = true;
+	msg_applied applied = {};
+	std::string applied_text;
+	std::vector<std::string> cells;
+
+	Entry(Cluster &c) : cluster(c)
+	{
+		struct err e = {};
+		struct link_handler h = {this, up, message, up};
+		std::string file = c.dir().path() + "/c1.json";
+
+		if (set_load(&set, file.c_str(), SET_CONTROL, &e))
+			throw std::runtime_error(e.text);
+		strcpy(set.id, "p1");
+		for (int i = 0; i < 3; i++)
+			links[i] = link_open(
+				loop, &set, "proxy",
+				c.addr("c" + std::to_string(i + 1)).c_str(), 1,
+				&h);
+	}
+	~Entry()
+	{
+		for (auto *l : links)
+			link_free(l);
+		view_free(view);
+		ev_loop_destroy(loop);
+	}
+	static void up(void *, struct link *)
+	{
+	}
+	static void message(void *arg, struct link *l, const struct msg *m)
+	{
+		((Entry *)arg)->on_message(l, m);
+	}
+	void on_message(struct link *l, const struct msg *m)
+	{
+		int i = 0;
+
+		while (links[i] != l)
+			i++;
+		if (m->type == MSG_ANSWER && m->u.answer.res)
+			denials++;
+		else if (m->type == MSG_ANSWER)
+			on_answer(i, &m->u.answer);
+		else if (m->type == MSG_APPLIED) {
+			applied = m->u.applied;
+			applied_text.assign(m->u.applied.text.data,
+					    m->u.applied.text.len);
+		} else if (m->type == MSG_ROWS) {
+			cells.clear();
+			for (int64_t c = 0; c < m->u.rows.ncells; c++)
+				cells.push_back(m->u.rows.cells[c].text.data);
+		}
+	}
+	void on_answer(int i, const struct msg_answer *a)
+	{
+		view_take(view, a, asked[a->ask_seq % 64]);
+		if (!a->ask_seq)
+			return;
+		leader = i;
+		answered = clk_now();
+		seen[i] = a->answer_seq;
+	}
+	void ask()
+	{
+		std::vector<struct backend_info> list;
+		struct msg m = {};
+
+		for (auto &id : cluster.members("orders")) {
+			struct backend_info b = {};
+
+			if (!cluster.process(id).running() || !announce)
+				continue;
+			strcpy(b.id, id.c_str());
+			strcpy(b.group, "orders");
+			strcpy(b.addr, cluster.addr(id).c_str());
+			strcpy(b.zone, cluster.zone_of(id).c_str());
+			b.slots = 5;
+			b.connections = 30;
+			list.push_back(b);
+		}
+		m.type = MSG_ASK;
+		m.u.ask.seq = ++seq;
+		m.u.ask.view_version = view_version(view);
+		strcpy(m.u.ask.addr, "127.0.0.1:1");
+		if (view_lists(view))
+			m.u.ask.cfg_version = view_lists(view)->version;
+		m.u.ask.announces = list.data();
+		m.u.ask.nannounces = (int64_t)list.size();
+		asked[seq % 64] = clk_now();
+		for (int i = 0; i < 3; i++) {
+			m.u.ask.answer_seen = seen[i];
+			link_send(links[i], &m);
+		}
+	}
+	bool run(int ms, const std::function<bool()> &done)
+	{
+		return wait_until(ms, [&] {
+			if (clk_now() >= next_ask) {
+				next_ask = clk_now() + 100;
+				ask();
+			}
+			ev_run(loop, EVRUN_NOWAIT);
+			return done();
+		});
+	}
+	bool lead(int ms)
+	{
+		int64_t since = clk_now();
+
+		return run(ms, [&] { return answered > since; });
+	}
+	const struct group_info *group()
+	{
+		return view_group(view, "orders");
+	}
+	int64_t term()
+	{
+		return group() ? group()->term : 0;
+	}
+	bool leased()
+	{
+		return view_lease_valid(view, "orders", term(), clk_now());
+	}
+	bool primary_after(int64_t old, int ms)
+	{
+		return run(ms, [&] { return term() > old && leased(); });
+	}
+	/* Sends to the leader until it replies. */
+	int64_t apply(const char *id, const char *by, int64_t base,
+		      const std::string &lists)
+	{
+		struct msg m = {};
+		int64_t due = 0;
+
+		m.type = MSG_APPLY;
+		m.u.apply.seq = ++seq;
+		strcpy(m.u.apply.request_id, id);
+		strcpy(m.u.apply.operator_name, by);
+		m.u.apply.base_version = base;
+		m.u.apply.lists = {lists.data(), lists.size()};
+		applied = {};
+		run(10000, [&] {
+			if (clk_now() >= due && leader >= 0) {
+				due = clk_now() + 500;
+				link_send(links[leader], &m);
+			}
+			return applied.seq == m.u.apply.seq &&
+			       applied.res != RES_NOT_LEADER;
+		});
+		return applied.res;
+	}
+	bool query(const char *what)
+	{
+		struct msg m = {};
+
+		m.type = MSG_QUERY;
+		m.u.query.what = {what, strlen(what)};
+		cells.clear();
+		link_send(links[leader], &m);
+		return run(5000, [&] { return !cells.empty(); });
+	}
+	std::string leader_name()
+	{
+		return "c" + std::to_string(leader + 1);
+	}
+};
+
+struct Control : testing::Test {
+	static Spec spec()
+	{
+		Spec s;
+
+		s.proxies = 0;
+		return s;
+	}
+	Cluster c{spec()};
+	Entry e{c};
+
+	void SetUp() override
+	{
+		for (auto *id : {"c1", "c2", "c3"})
+			c.start(id);
+		c.start_members();
+		ASSERT_TRUE(e.lead(10000)) << c.process("c1").log();
+		ASSERT_TRUE(e.primary_after(0, 10000))
+			<< c.process(e.leader_name()).log();
+	}
+	std::string role(const std::string &id)
+	{
+		auto m = c.member(id);
+
+		return m.exec("SELECT * FROM marjoramlatch_status()")
+			.value("role");
+	}
+};
+
+/* Guards against an accepted configuration being lost or decided twice. */
+TEST_F(Control, DecidesBetweenOperatorsAndKeepsItOverRestarts)
+{
+	std::string one = default_lists(), two = default_lists();
+
+	EXPECT_EQ(RES_OK, e.apply("r1", "anna", 0, one));
+	EXPECT_EQ(1, e.applied.version);
+	EXPECT_EQ(RES_CONFLICT, e.apply("r2", "bert", 0, two));
+	EXPECT_STREQ("anna", e.applied.by);
+	EXPECT_NE("", e.applied_text);
+	EXPECT_EQ(RES_BAD_LIST, e.apply("r3", "bert", 1, "{"));
+	for (auto *id : {"c1", "c2", "c3"})
+		c.process(id).kill();
+	for (auto *id : {"c1", "c2", "c3"})
+		c.start(id);
+	ASSERT_TRUE(e.lead(10000));
+	EXPECT_EQ(RES_OK, e.apply("r1", "anna", 0, one)) << "resent";
+	EXPECT_EQ(RES_CONFLICT, e.apply("r2", "bert", 0, two)) << "resent";
+	EXPECT_EQ(RES_OK, e.apply("r4", "bert", 1, two));
+	EXPECT_EQ(2, e.applied.version);
+	ASSERT_TRUE(e.run(5000, [&] {
+		return view_lists(e.view) && view_lists(e.view)->version == 2;
+	}));
+	ASSERT_TRUE(e.query("log"));
+	EXPECT_EQ("2", e.cells[4]);
+	ASSERT_TRUE(e.query("status"));
+	EXPECT_EQ("p1", e.cells[7]);
+}
+
+/* Guards against a failed primary staying in place, and against it coming
+ * back as a second one. */
+TEST_F(Control, ReplacesAKilledPrimaryAndItsOwnLeader)
+{
+	for (int round = 0; round < 2; round++) {
+		std::string old = e.group()->primary;
+		int64_t term = e.term(), began = clk_now();
+
+		c.process(old).kill();
+		if (round)
+			c.process(e.leader_name()).kill();
+		ASSERT_TRUE(e.primary_after(term, 15000));
+		printf("interruption %lld ms\n",
+		       (long long)(clk_now() - began));
+		EXPECT_LT(clk_now() - began, 7000);
+		EXPECT_NE(old, e.group()->primary);
+		c.start(old);
+		EXPECT_TRUE(e.run(10000, [&] {
+			return role(old) == "replica" &&
+			       role(e.group()->primary) == "primary";
+		}));
+	}
+}
+
+/* Guards against a control instance that lost its disk counting as before,
+ * and against a second failure right after the repair stopping the cluster. */
+TEST_F(Control, ReplacesALostDiskAndSurvivesTheNextFailure)
+{
+	int lost = (e.leader + 1) % 3;
+	std::string id = "c" + std::to_string(lost + 1);
+
+	ASSERT_EQ(RES_OK, e.apply("r1", "anna", 0, default_lists()));
+	c.wipe(id);
+	c.start(id);
+	ASSERT_TRUE(e.run(10000, [&] {
+		return c.process(e.leader_name())
+			       .log()
+			       .find("event=member_added") != std::string::npos;
+	}));
+	c.process(e.leader_name()).kill();
+	ASSERT_TRUE(e.lead(10000));
+	EXPECT_EQ(RES_OK, e.apply("r1", "anna", 0, default_lists()));
+	EXPECT_EQ(1, e.applied.version);
+}
+
+/* Guards against a planned stop that costs an election timeout. */
+TEST_F(Control, StopsWithStatusZeroAndHandsOver)
+{
+	std::string old = e.leader_name();
+	int64_t began = clk_now();
+
+	c.process(old).terminate();
+	EXPECT_EQ(0, c.process(old).wait(5000));
+	ASSERT_TRUE(e.run(5000, [&] {
+		return e.answered > began + 10 && e.leader_name() != old;
+	}));
+	EXPECT_TRUE(e.leased()) << "leases lapsed";
+}
+
+/* Guards against work being lost when a primary announces its leaving. */
+TEST_F(Control, MovesAwayFromAPrimaryThatLeaves)
+{
+	std::string old = e.group()->primary;
+	int64_t term = e.term();
+	struct msg m = {};
+	struct backend_info b = *view_backend(e.view, old.c_str());
+
+	b.leaving = true;
+	m.type = MSG_ASK;
+	m.u.ask.seq = ++e.seq;
+	strcpy(m.u.ask.addr, "127.0.0.1:1");
+	m.u.ask.announces = &b;
+	m.u.ask.nannounces = 1;
+	link_send(e.links[e.leader], &m);
+	ASSERT_TRUE(e.primary_after(term, 10000));
+	EXPECT_NE(old, e.group()->primary);
+}
