--- a/quota_client.c
+++ b/quota_client.c
@@ -1,5 +1,6 @@
 #include "quota.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -59,12 +60,11 @@
 static const struct quota_grant *grant_find(const struct quota_client *q,
 					    const char *customer)
 {
-	struct quota_grant key;
+	struct quota_grant key = {0};
 
 	if (!q->n)
 		return NULL;
-	strncpy(key.customer, customer, ID_LEN - 1);
-	key.customer[ID_LEN - 1] = '\0';
+	snprintf(key.customer, ID_LEN, "%s", customer);
 	return bsearch(&key, q->grants, q->n, sizeof(*q->grants), grant_order);
 }
 
