--- /dev/null
+++ b/t/unit_state.cc
@@ -0,0 +1,210 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "state.h"
+}
+
+struct State : testing::Test {
+	struct state *s = state_new();
+	const struct state_request *done = nullptr;
+
+	void TearDown() override
+	{
+		state_free(s);
+	}
+	enum res run(struct buf *cmd, struct state *to = nullptr)
+	{
+		struct blob b = {buf_data(cmd), buf_len(cmd)};
+		enum res r = state_apply(to ? to : s, &b, &done, nullptr);
+
+		buf_free(cmd);
+		return r;
+	}
+	static std::string lists(int connections)
+	{
+		return "{\"plans\": [{\"name\": \"p\", \"connections\": " +
+		       std::to_string(connections) +
+		       ", \"max_age_ms\": 1, \"max_wait_ms\": 1}], "
+		       "\"customers\": []}";
+	}
+	enum res apply(const std::string &id, const char *by, int64_t base,
+		       const std::string &text)
+	{
+		struct msg_apply m = {};
+		struct buf b = BUF_INIT;
+
+		snprintf(m.request_id, REQUEST_ID_LEN, "%s", id.c_str());
+		snprintf(m.operator_name, ID_LEN, "%s", by);
+		m.base_version = base;
+		m.lists = {text.data(), text.size()};
+		state_cmd_apply(&b, &m, 1234);
+		EXPECT_EQ(RES_OK, run(&b));
+		return done ? done->res : RES_INTERNAL;
+	}
+	void change(int64_t next)
+	{
+		struct group_info g = {};
+		struct buf b = BUF_INIT;
+
+		strcpy(g.name, "orders");
+		g.changing = true;
+		g.next_term = next;
+		state_cmd_group(&b, &g);
+		run(&b);
+	}
+	void primary(int64_t term, const char *id, int64_t start)
+	{
+		struct term_start t = {term, start};
+		struct group_info g = {};
+		struct buf b = BUF_INIT;
+
+		strcpy(g.name, "orders");
+		strcpy(g.primary, id);
+		g.term = term;
+		g.starts = &t;
+		g.nstarts = 1;
+		state_cmd_group(&b, &g);
+		run(&b);
+	}
+	void backend(const char *id, const char *addr, bool silent)
+	{
+		struct backend_info x = {};
+		struct buf b = BUF_INIT;
+
+		strcpy(x.id, id);
+		strcpy(x.group, "orders");
+		strcpy(x.addr, addr);
+		x.silent = silent;
+		state_cmd_backend(&b, &x);
+		run(&b);
+	}
+	void proxy(const char *id, const char *addr)
+	{
+		struct proxy_info x = {};
+		struct buf b = BUF_INIT;
+
+		strcpy(x.id, id);
+		strcpy(x.addr, addr);
+		state_cmd_proxy(&b, &x);
+		run(&b);
+	}
+	std::string encoded(struct state *from)
+	{
+		struct buf b = BUF_INIT;
+
+		state_encode(from, &b);
+		std::string out(buf_data(&b), buf_len(&b));
+		buf_free(&b);
+		return out;
+	}
+};
+
+/* Guards against two configurations being accepted on the same base, and
+ * against a resent request being decided anew. */
+TEST_F(State, OneOfTwoWithEqualBaseIsAccepted)
+{
+	EXPECT_EQ(RES_OK, apply("r1", "anna", 0, lists(5)));
+	EXPECT_EQ(RES_CONFLICT, apply("r2", "bert", 0, lists(8)));
+	EXPECT_STREQ("anna", done->by);
+	EXPECT_EQ(1234, done->at);
+	EXPECT_NE(nullptr, strstr(done->text, "5 -> 8")) << done->text;
+	EXPECT_EQ(RES_OK, apply("r3", "bert", 1, lists(8)));
+	EXPECT_EQ(RES_CONFLICT, apply("r2", "bert", 2, lists(9)));
+	EXPECT_EQ(RES_OK, apply("r1", "anna", 0, lists(5)));
+	EXPECT_EQ(1, done->version);
+	EXPECT_EQ(2, state_version(s));
+	EXPECT_EQ(RES_BAD_LIST, apply("r4", "bert", 2, "{"));
+	EXPECT_EQ(2, state_version(s));
+}
+
+/* Guards against memory that grows with every request. */
+TEST_F(State, RequestIdsAndLogAreBounded)
+{
+	size_t n;
+
+	for (int i = 0; i < STATE_REQUESTS + 5; i++)
+		apply("r" + std::to_string(i), "anna", i, lists(1 + i % 9));
+	EXPECT_EQ(nullptr, state_find_request(s, "r4"));
+	EXPECT_NE(nullptr, state_find_request(s, "r5"));
+	EXPECT_EQ(STATE_REQUESTS + 5, state_log(s, &n)[STATE_LOG - 1].version);
+	EXPECT_EQ((size_t)STATE_LOG, n);
+}
+
+/* Guards against a delayed command of an older change ending a newer one. */
+TEST_F(State, OnlyTheNewestChangeOfAGroupEnds)
+{
+	change(1);
+	primary(1, "a", 0);
+	change(3);
+	change(2);
+	primary(2, "b", 10);
+	const struct group_info *g = state_group(s, "orders");
+	EXPECT_TRUE(g->changing);
+	EXPECT_EQ(3, g->next_term);
+	EXPECT_STREQ("a", g->primary);
+	primary(3, "c", 20);
+	primary(3, "d", 30);
+	EXPECT_FALSE(g->changing);
+	EXPECT_EQ(3, g->term);
+	EXPECT_STREQ("c", g->primary);
+	ASSERT_EQ(2, g->nstarts);
+	EXPECT_EQ(20, g->starts[1].start);
+	for (int t = 4; t < 30; t++) {
+		change(t);
+		primary(t, "a", t * 10);
+	}
+	EXPECT_EQ(GROUP_TERMS, g->nstarts);
+	EXPECT_EQ(290, g->starts[GROUP_TERMS - 1].start);
+}
+
+/* Guards against answers that repeat the whole view, or leave something out
+ * of it. */
+TEST_F(State, DeltaHoldsWhatIsNewer)
+{
+	struct msg_answer a = {};
+
+	backend("b1", "1:1", false);
+	proxy("p1", "2:2");
+	int64_t since = state_view_version(s);
+	backend("b1", "1:1", false);
+	EXPECT_EQ(since, state_view_version(s)) << "nothing changed";
+	backend("b2", "1:2", false);
+	backend("b1", "1:1", true);
+	change(1);
+	state_delta(s, since, &a);
+	EXPECT_EQ(2, a.nbackends);
+	EXPECT_EQ(1, a.ngroups);
+	EXPECT_EQ(0, a.nproxies);
+	EXPECT_EQ(since + 3, a.view_version);
+	proxy("p1", "");
+	EXPECT_EQ(nullptr, state_proxy(s, "p1"));
+}
+
+/* Guards against an instance that starts from a snapshot deciding in another
+ * way than one that applied every entry. */
+TEST_F(State, SnapshotHoldsEverything)
+{
+	struct state *copy = state_new();
+
+	apply("r1", "anna", 0, lists(5));
+	apply("r2", "bert", 0, lists(8));
+	backend("b1", "1:1", false);
+	proxy("p1", "2:2");
+	change(1);
+	primary(1, "b1", 0);
+	change(2);
+	std::string bytes = encoded(s);
+	struct blob b = {bytes.data(), bytes.size()};
+	ASSERT_EQ(RES_OK, state_decode(copy, &b, nullptr));
+	EXPECT_EQ(bytes, encoded(copy));
+	EXPECT_EQ(1, state_version(copy));
+	EXPECT_TRUE(state_group(copy, "orders")->changing);
+	EXPECT_STREQ("anna", state_find_request(copy, "r2")->by);
+	for (size_t n = 1; n < bytes.size(); n += 7) {
+		b.len = n;
+		state_decode(copy, &b, nullptr);
+	}
+	state_free(copy);
+}
