--- a/caller.c
+++ b/caller.c
@@ -334,23 +334,17 @@
 
 size_t callers_busy(const struct callers *all)
 {
-	const struct caller *c;
 	size_t busy = 0;
 
-	DL_FOREACH(all->list, c)
-	{
+	for (const struct caller *c = all->list; c; c = c->next)
 		busy += caller_busy(c) || c->txn != 'I';
-	}
 	return busy;
 }
 
 void callers_stop(struct callers *all)
 {
-	struct caller *c;
-
 	all->stopping = true;
-	DL_FOREACH(all->list, c)
-	{
+	for (struct caller *c = all->list; c; c = c->next) {
 		if (caller_busy(c) || c->txn != 'I')
 			continue;
 		caller_fatal(c, RES_STOPPING, res_text(RES_STOPPING));
--- a/caller_prep.c
+++ b/caller_prep.c
@@ -161,13 +161,10 @@
 
 void caller_ext_free(struct caller *c)
 {
-	struct prep_named *n;
-	struct prep_named *next;
-
 	if (!c->ext)
 		return;
-	HASH_ITER (hh, c->ext->named, n, next)
-		prep_drop_named(c->ext, n);
+	while (c->ext->named)
+		prep_drop_named(c->ext, c->ext->named);
 	caller_prep_unref(c->ext->unnamed);
 	c->ext->unnamed = NULL;
 	caller_portals_free(c);
--- a/retry.c
+++ b/retry.c
@@ -47,8 +47,7 @@
 	case RES_LEAVING:
 		return true;
 	case RES_READ_FAILED:
-		return kind == RUN_DESCRIBE ||
-		       (kind == RUN_READ && repeatable);
+		return kind == RUN_DESCRIBE || (kind == RUN_READ && repeatable);
 	case RES_UNKNOWN:
 	case RES_NOT_DURABLE:
 		return repeatable && kind == RUN_WRITE;
--- a/uplink.c
+++ b/uplink.c
@@ -82,9 +82,10 @@
 	struct upl_announce *a;
 	struct upl_announce *next;
 
-	HASH_ITER (hh, u->announces, a, next) {
+	for (a = u->announces; a; a = next) {
 		clk_ms keep = a->info.leaving ? UPL_LEAVE_MS : UPL_ANNOUNCE_MS;
 
+		next = a->hh.next;
 		if (now - a->heard <= keep)
 			continue;
 		HASH_DEL(u->announces, a);
@@ -115,7 +116,8 @@
 	struct upl_announce *a;
 	struct upl_announce *next;
 
-	HASH_ITER (hh, u->announces, a, next) {
+	for (a = u->announces; a; a = next) {
+		next = a->hh.next;
 		if (!a->sent || a->sent > seq)
 			continue;
 		HASH_DEL(u->announces, a);
@@ -340,7 +342,8 @@
 
 	(void)loop;
 	(void)events;
-	HASH_ITER (hh, u->requests, r, next) {
+	for (r = u->requests; r; r = next) {
+		next = r->hh.next;
 		if (now >= r->deadline)
 			upl_reply(u, r->id, RES_TIMEOUT, NULL);
 		else if (now - r->sent >= UPL_RESEND_MS)
@@ -394,12 +397,15 @@
 	ev_timer_stop(u->cfg.loop, &u->tick);
 	for (int i = 0; i < (int)u->cfg.set->ncontrols; i++)
 		link_free(u->controls[i].link);
-	HASH_ITER (hh, u->announces, a, next_a) {
+	for (a = u->announces; a; a = next_a) {
+		next_a = a->hh.next;
 		HASH_DEL(u->announces, a);
 		free(a);
 	}
-	HASH_ITER (hh, u->requests, r, next_r)
+	for (r = u->requests; r; r = next_r) {
+		next_r = r->hh.next;
 		upl_forget(u, r);
+	}
 	ask_free(u->ask);
 	free(u);
 }
