--- a/admin.c
+++ b/admin.c
@@ -60,7 +60,8 @@
 
 	if (!a)
 		return;
-	HASH_ITER (hh, a->requests, r, next) {
+	for (r = a->requests; r; r = next) {
+		next = r->hh.next;
 		uplink_abandon(a->cfg.up, r->id);
 		adm_forget(a, r);
 	}
--- a/caller.c
+++ b/caller.c
@@ -258,10 +258,10 @@
 
 	(void)loop;
 	(void)events;
-	DL_FOREACH_SAFE(all->list, c, next)
-	{
+	for (c = all->list; c; c = next) {
 		clk_ms age = now - c->since;
 
+		next = c->next;
 		if (c->phase == CALLER_READY)
 			continue;
 		if (age > (c->phase == CALLER_CLOSING ? CALLER_CLOSE_MS
