--- a/t/unit_caller.cc
+++ b/t/unit_caller.cc
@@ -138,6 +138,16 @@
 		a.ngroups = 1;
 		a.view_version = 1;
 		view_take(view, &a, clk_now());
+		/* A unit, so that requests are refused for the lack of
+		 * backend servers. */
+		struct quota_grant grant = {};
+		snprintf(grant.customer, sizeof(grant.customer), "shop");
+		grant.units = 5;
+		a.grants = &grant;
+		a.ngrants = 1;
+		a.grant_ms = 600000;
+		a.answer_seq = 1;
+		quota_client_take(quota, &a, clk_now());
 	}
 	void connect()
 	{
