peers, uplink, request: keep links to stopping proxies, take pushed records

Requests and transactions that run at a stopping proxy must finish, so its link stays while it is up. A leader pushes changed groups without an ask. A caller that reads slowly now slows its backend.

--- a/caller_run.c
+++ b/caller_run.c
@@ -359,11 +359,19 @@
 		ses_clear_request_id(&c->ses);
 }
 
+/* What the caller has not taken yet, so that a slow one slows its backend. */
+static size_t run_backlog(void *arg)
+{
+	return buf_len(caller_out(arg));
+}
+
 static void run_submit(struct caller *c, struct caller_run *run)
 {
 	struct flt_request rq = {.kind = run->kind};
-	struct exec_sink sink = {
-		.arg = c, .on_data = run_on_data, .on_end = run_on_end};
+	struct exec_sink sink = {.arg = c,
+				 .on_data = run_on_data,
+				 .on_end = run_on_end,
+				 .backlog = run_backlog};
 
 	snprintf(rq.customer, sizeof(rq.customer), "%s", c->customer);
 	snprintf(rq.group, sizeof(rq.group), "%s", c->group);
--- a/peers.c
+++ b/peers.c
@@ -77,6 +77,8 @@
 	const struct lists *l = view_lists(p->view);
 	struct msg m = {.type = MSG_CONFIG};
 
+	if (fetch->cfg_version > peers_version(p))
+		peers_send_fetch(p, link);
 	if (!l || l->version <= fetch->cfg_version)
 		return;
 	m.u.config.version = l->version;
@@ -174,10 +176,12 @@
 	exec_view_changed(peer->peers->exec);
 }
 
+/* A proxy that has just started knows no peers, but they open links to it. */
 static void peers_on_accepted(void *arg, struct link *link)
 {
-	(void)arg;
 	log_debug("peers", "event=accepted peer=%s", link_peer_id(link));
+	if (!strcmp(link_peer_role(link), "proxy"))
+		peers_send_fetch(arg, link);
 }
 
 static void peers_on_accepted_message(void *arg, struct link *link,
@@ -194,6 +198,8 @@
 	exec_link_down(p->exec, link);
 }
 
+static void peers_drop_stale(struct peers *p);
+
 /* Asks the next peer whose link is up. */
 static void peers_on_fetch(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -201,6 +207,7 @@
 
 	(void)loop;
 	(void)events;
+	peers_drop_stale(p);
 	for (size_t i = 0; i < p->n; i++) {
 		struct peer *peer = p->list[p->next_fetch++ % p->n];
 
@@ -294,13 +301,26 @@
 	return strcmp((*x)->id, (*y)->id);
 }
 
-/* True if the view still wants this link. */
+/* True if the view wants a link to this proxy. */
 static bool peers_wanted(const struct peers *p, const struct proxy_info *info)
 {
 	return info && info->alive && info->addr[0] &&
 	       strcmp(info->id, p->set->id) != 0;
 }
 
+/*
+ * A link to a proxy that is stopping stays while it is up: requests and
+ * transactions that run there are to finish.
+ */
+static bool peers_keep(const struct peers *p, const struct peer *peer)
+{
+	const struct proxy_info *info = view_proxy(p->view, peer->id);
+
+	if (!info || strcmp(info->addr, peer->addr) != 0)
+		return false;
+	return peer->up || peers_wanted(p, info);
+}
+
 /* Closes links that the view no longer wants, after they left the table, as
  * exec looks peers up when one goes down. */
 static void peers_drop_stale(struct peers *p)
@@ -313,9 +333,8 @@
 		abort();
 	for (size_t i = 0; i < p->n; i++) {
 		struct peer *peer = p->list[i];
-		const struct proxy_info *info = view_proxy(p->view, peer->id);
 
-		if (peers_wanted(p, info) && !strcmp(info->addr, peer->addr))
+		if (peers_keep(p, peer))
 			p->list[kept++] = peer;
 		else
 			stale[nstale++] = peer;
--- a/request.c
+++ b/request.c
@@ -60,11 +60,20 @@
 	req_drain(q);
 }
 
+static size_t req_backlog(void *arg)
+{
+	const struct req_run *r = arg;
+
+	return r->sink.backlog ? r->sink.backlog(r->sink.arg) : 0;
+}
+
 static void req_run(struct req_engine *q, const struct flt_action *a)
 {
 	struct req_run *r = req_find(q, a->id);
-	struct exec_sink sink = {
-		.arg = r, .on_data = req_on_data, .on_end = req_on_end};
+	struct exec_sink sink = {.arg = r,
+				 .on_data = req_on_data,
+				 .on_end = req_on_end,
+				 .backlog = req_backlog};
 
 	if (!r)
 		return;
--- a/uplink.c
+++ b/uplink.c
@@ -227,6 +227,20 @@
 	u->cfg.on_answer(u->cfg.arg);
 }
 
+/*
+ * A leader pushes records that changed, with no ask to count a lease from.
+ * Whether the lease covers the change is known after the next ask.
+ */
+static void upl_pushed(struct uplink *u, const struct msg_answer *a)
+{
+	struct msg_answer records = *a;
+
+	records.lease_ms = 0;
+	if (view_take(u->cfg.view, &records, 0))
+		u->cfg.on_view(u->cfg.arg);
+	uplink_wake(u);
+}
+
 static void upl_answer(struct uplink *u, int control,
 		       const struct msg_answer *a)
 {
@@ -284,7 +298,10 @@
 	(void)l;
 	switch (m->type) {
 	case MSG_ANSWER:
-		upl_answer(c->up, c->index, &m->u.answer);
+		if (m->u.answer.ask_seq)
+			upl_answer(c->up, c->index, &m->u.answer);
+		else if (m->u.answer.res == RES_OK)
+			upl_pushed(c->up, &m->u.answer);
 		break;
 	case MSG_ROWS:
 		upl_reply(c->up, m->u.rows.seq, (enum res)m->u.rows.res, m);
