--- a/exec.c
+++ b/exec.c
@@ -369,3 +369,8 @@
 		n += !r->ended;
 	return n;
 }
+
+size_t exec_pins(const struct exec *x)
+{
+	return HASH_COUNT(x->pins);
+}
--- a/exec.h
+++ b/exec.h
@@ -90,6 +90,9 @@
 /* Requests that have not ended, for a graceful stop. */
 size_t exec_running(const struct exec *x);
 
+/* Connections pinned to callers, here or at other proxies. */
+size_t exec_pins(const struct exec *x);
+
 /* Rows for SHOW BACKENDS: one call per owned backend. */
 struct exec_backend_stats {
 	const char *id;
