--- a/peers.c
+++ b/peers.c
@@ -20,7 +20,9 @@
 	char id[ID_LEN];
 	char addr[ADDR_LEN];
 	struct link *link;
+	clk_ms opened;
 	bool up;
+	bool marked; /* as unreachable in the view */
 };
 
 struct peers {
@@ -151,6 +153,7 @@
 		return;
 	}
 	peer->up = true;
+	peer->marked = false;
 	view_mark_link(peer->peers->view, peer->id, true);
 	peers_send_fetch(peer->peers, link);
 	exec_view_changed(peer->peers->exec);
@@ -171,6 +174,7 @@
 	if (!peer->up)
 		return;
 	peer->up = false;
+	peer->marked = true;
 	view_mark_link(peer->peers->view, peer->id, false);
 	exec_link_down(peer->peers->exec, link);
 	exec_view_changed(peer->peers->exec);
@@ -200,6 +204,26 @@
 
 static void peers_drop_stale(struct peers *p);
 
+/* A proxy that was never reached from here can't own a backend. */
+static void peers_mark_unreached(struct peers *p)
+{
+	clk_ms now = clk_now();
+	bool changed = false;
+
+	for (size_t i = 0; i < p->n; i++) {
+		struct peer *peer = p->list[i];
+
+		if (peer->up || peer->marked ||
+		    now - peer->opened < LINK_CONNECT_MS)
+			continue;
+		peer->marked = true;
+		view_mark_link(p->view, peer->id, false);
+		changed = true;
+	}
+	if (changed)
+		exec_view_changed(p->exec);
+}
+
 /* Asks the next peer whose link is up. */
 static void peers_on_fetch(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -208,6 +232,7 @@
 	(void)loop;
 	(void)events;
 	peers_drop_stale(p);
+	peers_mark_unreached(p);
 	for (size_t i = 0; i < p->n; i++) {
 		struct peer *peer = p->list[p->next_fetch++ % p->n];
 
@@ -286,6 +311,7 @@
 	if (!peer)
 		abort();
 	peer->peers = p;
+	peer->opened = clk_now();
 	snprintf(peer->id, sizeof(peer->id), "%s", info->id);
 	snprintf(peer->addr, sizeof(peer->addr), "%s", info->addr);
 	peer->link =
--- a/proxy.c
+++ b/proxy.c
@@ -23,8 +23,9 @@
 
 #define PROXY_STOP_CHECK_S 0.02 /* between looks whether all has ended */
 
-/* Time for the last messages and the ask that tells of the stop. */
-#define PROXY_STOP_LINGER_MS 100
+/* Beyond ask_ms, until the other proxies have asked control and send nothing
+ * more here. */
+#define PROXY_STOP_LINGER_MS 200
 
 struct proxy {
 	struct ev_loop *loop;
@@ -41,7 +42,7 @@
 	struct net_listener *listener;
 	ev_timer stop;
 	clk_ms stop_began; /* 0 while running */
-	clk_ms idle_since; /* all requests have ended; 0 before */
+	clk_ms quiet_since; /* nothing runs and control knows; 0 before */
 };
 
 /* Newer lists are in force: keep them for a restart without contact. */
@@ -229,23 +230,42 @@
 static bool proxy_is_idle(const struct proxy *p)
 {
 	return !callers_busy(p->callers) && !req_running(p->req) &&
-	       !exec_running(p->exec);
+	       !exec_running(p->exec) && !exec_pins(p->exec);
 }
 
+/* True once control has told, or can't be asked, that this proxy stops. */
+static bool proxy_is_announced(const struct proxy *p, clk_ms now)
+{
+	const struct proxy_info *self = view_proxy(p->view, p->set->id);
+	clk_ms age = uplink_age(p->up, now);
+
+	return !self || !self->alive || age < 0 || age > p->set->lease_ms;
+}
+
+/*
+ * Ends the loop when nothing has run for as long as it takes the other proxies
+ * to learn of the stop: until then they may still send requests for backends
+ * that this proxy owned.
+ */
 static void proxy_on_stop(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct proxy *p = w->data;
 	clk_ms now = clk_now();
+	clk_ms linger = p->set->ask_ms + PROXY_STOP_LINGER_MS;
 
 	(void)events;
-	if (!p->idle_since && proxy_is_idle(p))
-		p->idle_since = now;
-	if (p->idle_since && now - p->idle_since >= PROXY_STOP_LINGER_MS) {
+	if (!proxy_is_idle(p) || !proxy_is_announced(p, now))
+		p->quiet_since = 0;
+	else if (!p->quiet_since)
+		p->quiet_since = now;
+	if (p->quiet_since && now - p->quiet_since >= linger) {
 		log_info("proxy", "event=stopped running=0");
 		ev_break(loop, EVBREAK_ALL);
 	} else if (now - p->stop_began >= p->set->stop_ms) {
-		log_warn("proxy", "event=stopped callers=%zu running=%zu",
-			 callers_busy(p->callers), req_running(p->req));
+		log_warn("proxy",
+			 "event=stopped callers=%zu running=%zu pins=%zu",
+			 callers_busy(p->callers), exec_running(p->exec),
+			 exec_pins(p->exec));
 		ev_break(loop, EVBREAK_ALL);
 	}
 }
