--- a/peers.c
+++ b/peers.c
@@ -20,7 +20,9 @@
 	char id[ID_LEN];
 	char addr[ADDR_LEN];
 	struct link *link;
+	clk_ms opened;
 	bool up;
+	bool marked; /* as unreachable in the view */
 };
 
 struct peers {
@@ -77,6 +79,8 @@
 	const struct lists *l = view_lists(p->view);
 	struct msg m = {.type = MSG_CONFIG};
 
+	if (fetch->cfg_version > peers_version(p))
+		peers_send_fetch(p, link);
 	if (!l || l->version <= fetch->cfg_version)
 		return;
 	m.u.config.version = l->version;
@@ -149,6 +153,7 @@
 		return;
 	}
 	peer->up = true;
+	peer->marked = false;
 	view_mark_link(peer->peers->view, peer->id, true);
 	peers_send_fetch(peer->peers, link);
 	exec_view_changed(peer->peers->exec);
@@ -169,15 +174,18 @@
 	if (!peer->up)
 		return;
 	peer->up = false;
+	peer->marked = true;
 	view_mark_link(peer->peers->view, peer->id, false);
 	exec_link_down(peer->peers->exec, link);
 	exec_view_changed(peer->peers->exec);
 }
 
+/* A proxy that has just started knows no peers, but they open links to it. */
 static void peers_on_accepted(void *arg, struct link *link)
 {
-	(void)arg;
 	log_debug("peers", "event=accepted peer=%s", link_peer_id(link));
+	if (!strcmp(link_peer_role(link), "proxy"))
+		peers_send_fetch(arg, link);
 }
 
 static void peers_on_accepted_message(void *arg, struct link *link,
@@ -194,6 +202,28 @@
 	exec_link_down(p->exec, link);
 }
 
+static void peers_drop_stale(struct peers *p);
+
+/* A proxy that was never reached from here can't own a backend. */
+static void peers_mark_unreached(struct peers *p)
+{
+	clk_ms now = clk_now();
+	bool changed = false;
+
+	for (size_t i = 0; i < p->n; i++) {
+		struct peer *peer = p->list[i];
+
+		if (peer->up || peer->marked ||
+		    now - peer->opened < LINK_CONNECT_MS)
+			continue;
+		peer->marked = true;
+		view_mark_link(p->view, peer->id, false);
+		changed = true;
+	}
+	if (changed)
+		exec_view_changed(p->exec);
+}
+
 /* Asks the next peer whose link is up. */
 static void peers_on_fetch(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -201,6 +231,8 @@
 
 	(void)loop;
 	(void)events;
+	peers_drop_stale(p);
+	peers_mark_unreached(p);
 	for (size_t i = 0; i < p->n; i++) {
 		struct peer *peer = p->list[p->next_fetch++ % p->n];
 
@@ -279,6 +311,7 @@
 	if (!peer)
 		abort();
 	peer->peers = p;
+	peer->opened = clk_now();
 	snprintf(peer->id, sizeof(peer->id), "%s", info->id);
 	snprintf(peer->addr, sizeof(peer->addr), "%s", info->addr);
 	peer->link =
@@ -294,13 +327,26 @@
 	return strcmp((*x)->id, (*y)->id);
 }
 
-/* True if the view still wants this link. */
+/* True if the view wants a link to this proxy. */
 static bool peers_wanted(const struct peers *p, const struct proxy_info *info)
 {
 	return info && info->alive && info->addr[0] &&
 	       strcmp(info->id, p->set->id) != 0;
 }
 
+/*
+ * A link to a proxy that is stopping stays while it is up: requests and
+ * transactions that run there are to finish.
+ */
+static bool peers_keep(const struct peers *p, const struct peer *peer)
+{
+	const struct proxy_info *info = view_proxy(p->view, peer->id);
+
+	if (!info || strcmp(info->addr, peer->addr) != 0)
+		return false;
+	return peer->up || peers_wanted(p, info);
+}
+
 /* Closes links that the view no longer wants, after they left the table, as
  * exec looks peers up when one goes down. */
 static void peers_drop_stale(struct peers *p)
@@ -313,9 +359,8 @@
 		abort();
 	for (size_t i = 0; i < p->n; i++) {
 		struct peer *peer = p->list[i];
-		const struct proxy_info *info = view_proxy(p->view, peer->id);
 
-		if (peers_wanted(p, info) && !strcmp(info->addr, peer->addr))
+		if (peers_keep(p, peer))
 			p->list[kept++] = peer;
 		else
 			stale[nstale++] = peer;
--- a/uplink.c
+++ b/uplink.c
@@ -82,9 +82,10 @@
 	struct upl_announce *a;
 	struct upl_announce *next;
 
-	HASH_ITER (hh, u->announces, a, next) {
+	for (a = u->announces; a; a = next) {
 		clk_ms keep = a->info.leaving ? UPL_LEAVE_MS : UPL_ANNOUNCE_MS;
 
+		next = a->hh.next;
 		if (now - a->heard <= keep)
 			continue;
 		HASH_DEL(u->announces, a);
@@ -115,7 +116,8 @@
 	struct upl_announce *a;
 	struct upl_announce *next;
 
-	HASH_ITER (hh, u->announces, a, next) {
+	for (a = u->announces; a; a = next) {
+		next = a->hh.next;
 		if (!a->sent || a->sent > seq)
 			continue;
 		HASH_DEL(u->announces, a);
@@ -225,6 +227,20 @@
 	u->cfg.on_answer(u->cfg.arg);
 }
 
+/*
+ * A leader pushes records that changed, with no ask to count a lease from.
+ * Whether the lease covers the change is known after the next ask.
+ */
+static void upl_pushed(struct uplink *u, const struct msg_answer *a)
+{
+	struct msg_answer records = *a;
+
+	records.lease_ms = 0;
+	if (view_take(u->cfg.view, &records, 0))
+		u->cfg.on_view(u->cfg.arg);
+	uplink_wake(u);
+}
+
 static void upl_answer(struct uplink *u, int control,
 		       const struct msg_answer *a)
 {
@@ -282,7 +298,10 @@
 	(void)l;
 	switch (m->type) {
 	case MSG_ANSWER:
-		upl_answer(c->up, c->index, &m->u.answer);
+		if (m->u.answer.ask_seq)
+			upl_answer(c->up, c->index, &m->u.answer);
+		else if (m->u.answer.res == RES_OK)
+			upl_pushed(c->up, &m->u.answer);
 		break;
 	case MSG_ROWS:
 		upl_reply(c->up, m->u.rows.seq, (enum res)m->u.rows.res, m);
@@ -340,7 +359,8 @@
 
 	(void)loop;
 	(void)events;
-	HASH_ITER (hh, u->requests, r, next) {
+	for (r = u->requests; r; r = next) {
+		next = r->hh.next;
 		if (now >= r->deadline)
 			upl_reply(u, r->id, RES_TIMEOUT, NULL);
 		else if (now - r->sent >= UPL_RESEND_MS)
@@ -394,12 +414,15 @@
 	ev_timer_stop(u->cfg.loop, &u->tick);
 	for (int i = 0; i < (int)u->cfg.set->ncontrols; i++)
 		link_free(u->controls[i].link);
-	HASH_ITER (hh, u->announces, a, next_a) {
+	for (a = u->announces; a; a = next_a) {
+		next_a = a->hh.next;
 		HASH_DEL(u->announces, a);
 		free(a);
 	}
-	HASH_ITER (hh, u->requests, r, next_r)
+	for (r = u->requests; r; r = next_r) {
+		next_r = r->hh.next;
 		upl_forget(u, r);
+	}
 	ask_free(u->ask);
 	free(u);
 }
