marjoramlatch: wait for a proxy that is behind before basing a change on it

A change based on the lists of a proxy that has not yet heard of the newest version was refused, though nobody else had changed anything. status now tells apart proxies that are behind from those not in contact.

--- a/builtin/admin.c
+++ b/builtin/admin.c
@@ -7,8 +7,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
-enum { ADMIN_TIMEOUT_MS = 10000 };
+enum { ADMIN_TIMEOUT_MS = 10000, ADMIN_PAUSE_MS = 100 };
 
 struct arg_str *admin_arg_to(void)
 {
@@ -185,47 +186,129 @@
 	return i < 0 || row >= PQntuples(r) ? "" : PQgetvalue(r, row, i);
 }
 
+/* A cell as it is shown: wall-clock times as dates, all else unchanged. */
+static const char *admin_cell(const PGresult *r, int row, int col, char *out,
+			      size_t size)
+{
+	const char *v = PQgetvalue(r, row, col);
+	long long ms = strtoll(v, NULL, 10);
+	time_t s = (time_t)(ms / 1000);
+	struct tm tm;
+
+	if (strcmp(PQfname(r, col), "at_ms") != 0 || ms <= 0 ||
+	    !gmtime_r(&s, &tm))
+		return v;
+	strftime(out, size, "%Y-%m-%dT%H:%M:%SZ", &tm);
+	return out;
+}
+
 static int admin_width(const PGresult *r, int col)
 {
 	int width = (int)strlen(PQfname(r, col));
+	char text[32];
+
+	for (int row = 0; row < PQntuples(r); row++) {
+		int n = (int)strlen(
+			admin_cell(r, row, col, text, sizeof(text)));
 
-	for (int row = 0; row < PQntuples(r); row++)
-		if (PQgetlength(r, row, col) > width)
-			width = PQgetlength(r, row, col);
+		if (n > width)
+			width = n;
+	}
 	return width;
 }
 
+/* Row -1 is the head of the table. */
+static void admin_print_row(const PGresult *r, int row, const int *widths)
+{
+	int cols = PQnfields(r);
+	char text[32];
+
+	for (int col = 0; col < cols; col++) {
+		const char *v = PQfname(r, col);
+
+		if (row >= 0)
+			v = admin_cell(r, row, col, text, sizeof(text));
+		else if (!strcmp(v, "at_ms"))
+			v = "at";
+		if (col + 1 < cols)
+			printf("%-*s  ", widths[col], v);
+		else
+			printf("%s\n", v);
+	}
+}
+
 void admin_print(const PGresult *r)
 {
 	int cols = PQnfields(r);
+	int *widths = calloc((size_t)cols + 1, sizeof(*widths));
 
-	for (int row = -1; row < PQntuples(r); row++) {
-		for (int col = 0; col < cols; col++) {
-			const char *v = row < 0 ? PQfname(r, col)
-						: PQgetvalue(r, row, col);
+	if (!widths)
+		abort();
+	for (int col = 0; col < cols; col++)
+		widths[col] = admin_width(r, col);
+	for (int row = -1; row < PQntuples(r); row++)
+		admin_print_row(r, row, widths);
+	free(widths);
+}
 
-			if (col + 1 < cols)
-				printf("%-*s  ", admin_width(r, col), v);
-			else
-				printf("%s\n", v);
-		}
+/* Newest version that control accepted, 0 before the first. */
+static enum res admin_newest(struct admin *a, int64_t *version, struct err *e)
+{
+	PGresult *r = admin_query(a, "SHOW LOG", e);
+
+	*version = 0;
+	if (!r)
+		return e->code;
+	for (int i = 0; i < PQntuples(r); i++) {
+		int64_t v = strtoll(admin_value(r, i, "version"), NULL, 10);
+
+		if (v > *version)
+			*version = v;
 	}
+	PQclear(r);
+	return RES_OK;
+}
+
+static void admin_pause(void)
+{
+	struct timespec ts = {.tv_nsec = ADMIN_PAUSE_MS * 1000000L};
+
+	nanosleep(&ts, NULL);
 }
 
+/*
+ * A proxy may be a moment behind control, and a change based on its older
+ * lists would be refused, so it is asked until it has caught up.
+ */
 enum res admin_config(struct admin *a, int64_t *version, struct lists **lists,
 		      struct err *e)
 {
-	PGresult *r = admin_query(a, "SHOW CONFIG", e);
-	const char *text;
+	clk_ms deadline = clk_now() + ADMIN_TIMEOUT_MS;
+	int64_t newest;
 
 	*version = 0;
 	*lists = NULL;
-	if (!r)
+	if (admin_newest(a, &newest, e))
 		return e->code;
-	text = admin_value(r, 0, "lists|text");
-	*version = strtoll(admin_value(r, 0, "version"), NULL, 10);
-	if (*version && *text)
-		*lists = lst_parse(text, strlen(text), *version, e);
-	PQclear(r);
+	for (;;) {
+		PGresult *r = admin_query(a, "SHOW CONFIG", e);
+		const char *text;
+
+		if (!r)
+			return e->code;
+		text = admin_value(r, 0, "lists");
+		*version = strtoll(admin_value(r, 0, "version"), NULL, 10);
+		if (*version >= newest && *text)
+			*lists = lst_parse(text, strlen(text), *version, e);
+		PQclear(r);
+		if (*version >= newest)
+			break;
+		if (clk_now() >= deadline)
+			return err_set(e, RES_TIMEOUT,
+				       "%s has version %" PRId64 " in force, "
+				       "but %" PRId64 " was accepted",
+				       a->to[a->last], *version, newest);
+		admin_pause();
+	}
 	return !*version || *lists ? RES_OK : RES_BAD_LIST;
 }
--- a/builtin/apply.c
+++ b/builtin/apply.c
@@ -70,20 +70,18 @@
 
 static int apply_refused(const struct apply *a, const PGresult *r)
 {
-	const char *detail = apply_field(r, PG_DIAG_MESSAGE_DETAIL);
+	const char *text = apply_field(r, PG_DIAG_MESSAGE_PRIMARY);
 	const char *hint = apply_field(r, PG_DIAG_MESSAGE_HINT);
+	const char *state = apply_field(r, PG_DIAG_SQLSTATE);
+	size_t len = strlen(text);
 
-	fprintf(stderr, "marjoramlatch: refused: %s (SQLSTATE %s)\n",
-		apply_field(r, PG_DIAG_MESSAGE_PRIMARY),
-		apply_field(r, PG_DIAG_SQLSTATE));
-	if (*detail)
-		fprintf(stderr, "%s\n", detail);
+	fprintf(stderr, "marjoramlatch: refused (SQLSTATE %s): %s%s", state,
+		text, len && text[len - 1] == '\n' ? "" : "\n");
 	if (*hint)
 		fprintf(stderr, "%s\n", hint);
-	if (!strcmp(apply_field(r, PG_DIAG_SQLSTATE),
-		    res_sqlstate(RES_CONFLICT)))
+	if (!strcmp(state, res_sqlstate(RES_CONFLICT)))
 		fprintf(stderr,
-			"The lists in force are newer than version %" PRId64
+			"This change is based on version %" PRId64
 			". Look at marjoramlatch diff, then apply again.\n",
 			a->base);
 	return CMD_FAILED;
--- a/builtin/load_report.c
+++ b/builtin/load_report.c
@@ -118,6 +118,8 @@
 	for (int i = 0; i < l->nreasons; i++)
 		printf("%8" PRIu64 " x %s: %s\n", l->reasons[i].count,
 		       load_kind_name(l->reasons[i].kind), l->reasons[i].text);
+	if (!l->stats[LOAD_ORDER].sent && !l->stats[LOAD_ORDER_READ].sent)
+		return;
 	printf("longest gap between orders: %.2f s\n",
 	       (double)l->longest_gap_us / 1e6);
 	printf("stale own reads: %" PRIu64 "\n", l->stale_reads);
--- a/builtin/show.c
+++ b/builtin/show.c
@@ -81,39 +81,68 @@
 	return strtoll(admin_value(r, row, "version|config_version"), NULL, 10);
 }
 
-/* Says whether every proxy has the newest version, with one digest. */
-static void status_summary(const PGresult *r)
+struct status_count {
+	int64_t newest;
+	const char *digest; /* of the newest version */
+	int in_force;
+	int behind;
+	int differ; /* newest version with another digest */
+	int silent; /* not in contact; may be behind */
+};
+
+static bool status_alive(const PGresult *r, int row)
+{
+	const char *alive = admin_value(r, row, "alive");
+
+	return !*alive || !strcmp(alive, "yes") || !strcmp(alive, "true");
+}
+
+static struct status_count status_count(const PGresult *r)
 {
-	int64_t newest = 0;
-	const char *digest = "";
-	int behind = 0;
-	int differ = 0;
+	struct status_count c = {.digest = ""};
 
 	for (int i = 0; i < PQntuples(r); i++) {
-		if (status_version(r, i) > newest) {
-			newest = status_version(r, i);
-			digest = admin_value(r, i, "digest");
+		if (status_version(r, i) > c.newest) {
+			c.newest = status_version(r, i);
+			c.digest = admin_value(r, i, "digest");
 		}
 	}
 	for (int i = 0; i < PQntuples(r); i++) {
-		if (status_version(r, i) < newest)
-			behind++;
-		else if (strcmp(admin_value(r, i, "digest"), digest))
-			differ++;
+		if (!status_alive(r, i))
+			c.silent++;
+		else if (status_version(r, i) < c.newest)
+			c.behind++;
+		else if (strcmp(admin_value(r, i, "digest"), c.digest) != 0)
+			c.differ++;
+		else
+			c.in_force++;
 	}
-	if (!newest)
+	return c;
+}
+
+/* Says whether every proxy has the newest version, with one digest. */
+static void status_summary(const PGresult *r)
+{
+	struct status_count c = status_count(r);
+
+	if (!c.newest) {
 		printf("no lists are in force yet (%d proxies)\n",
 		       PQntuples(r));
-	else if (differ)
-		printf("version %" PRId64 ": %d proxies have another digest\n",
-		       newest, differ);
-	else if (behind)
-		printf("version %" PRId64 " digest %s: %d of %d behind\n",
-		       newest, digest, behind, PQntuples(r));
-	else
-		printf("version %" PRId64
-		       " digest %s: in force everywhere (%d proxies)\n",
-		       newest, digest, PQntuples(r));
+		return;
+	}
+	printf("version %" PRId64 " digest %s: ", c.newest, c.digest);
+	if (c.in_force == PQntuples(r)) {
+		printf("in force everywhere (%d proxies)\n", c.in_force);
+		return;
+	}
+	printf("in force on %d of %d proxies", c.in_force, PQntuples(r));
+	if (c.behind)
+		printf(", %d behind", c.behind);
+	if (c.differ)
+		printf(", %d with another digest", c.differ);
+	if (c.silent)
+		printf(", %d not in contact", c.silent);
+	printf("\n");
 }
 
 int cmd_status(int argc, char **argv)
--- a/builtin/version.c
+++ b/builtin/version.c
@@ -1,11 +1,8 @@
 #include "builtin.h"
+#include "version.h"
 
 #include <stdio.h>
 
-#ifndef MARJORAMLATCH_VERSION
-#define MARJORAMLATCH_VERSION "0.1"
-#endif
-
 int cmd_version(int argc, char **argv)
 {
 	void *table[] = {arg_lit0(NULL, "help", "show this text"), arg_end(4)};
--- /dev/null
+++ b/t/sys_tools.cc
@@ -0,0 +1,173 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstring>
+#include <string>
+#include <sys/wait.h>
+#include <thread>
+
+#include "lib_cluster.h"
+
+using namespace cluster;
+
+/* The commands of marjoramlatch against a deployment. */
+
+struct Outcome {
+	int status;
+	std::string out; /* standard output and standard error */
+};
+
+static Outcome run(const std::string &args)
+{
+	std::string cmd =
+		"MARJORAMLATCH_PASSWORD=" + std::string(OPERATOR_PASSWORD) +
+		" " + program("marjoramlatch") + " " + args + " 2>&1";
+	FILE *f = popen(cmd.c_str(), "r");
+	Outcome r = {-1, ""};
+	char buf[4096];
+	size_t n;
+
+	while ((n = fread(buf, 1, sizeof(buf), f)))
+		r.out.append(buf, n);
+	int status = pclose(f);
+	r.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	return r;
+}
+
+static void expect_text(const Outcome &r, const std::string &text)
+{
+	EXPECT_NE(std::string::npos, r.out.find(text))
+		<< "missing: " << text << "\n"
+		<< r.out;
+}
+
+class Tools : public testing::Test
+{
+      protected:
+	Cluster cluster{Spec()};
+	std::string to;
+
+	void SetUp() override
+	{
+		ASSERT_TRUE(cluster.start());
+		for (const char *p : {"p1", "p2", "p3"})
+			to += " --to " + cluster.own_addr(p);
+	}
+	/* Lists as at the start, with another limit. */
+	std::string write_lists(const std::string &name, int connections)
+	{
+		std::string file = cluster.dir().path() + "/" + name;
+		FILE *f = fopen(file.c_str(), "w");
+
+		fprintf(f,
+			"{\"plans\": [{\"name\": \"standard\", "
+			"\"connections\": %d, \"max_age_ms\": 0, "
+			"\"max_wait_ms\": 5000}],\n\"customers\": [%s]}",
+			connections,
+			customer_json("shop", "standard", "shop-password")
+				.c_str());
+		fclose(f);
+		return file;
+	}
+	std::string load(const std::string &args)
+	{
+		std::string file = cluster.dir().path() + "/shop.password";
+		FILE *f = fopen(file.c_str(), "w");
+
+		fputs("shop-password\n", f);
+		fclose(f);
+		return "load" + to +
+		       " --user shop --database orders --password-file " +
+		       file + " " + args;
+	}
+};
+
+/* Guards against a change that overwrites another operator's, is applied
+ * twice after a lost answer, or is not in force everywhere. */
+TEST_F(Tools, AppliesAndShowsLists)
+{
+	std::string a = write_lists("a.json", 11);
+	std::string b = write_lists("b.json", 12);
+	Outcome first = run("apply" + to +
+			    " --operator anna --base 1 --request-id r1 " + a);
+
+	ASSERT_EQ(0, first.status) << first.out;
+	expect_text(first, "accepted: version 2");
+	Outcome again = run("apply" + to +
+			    " --operator anna --base 1 --request-id r1 " + a);
+	EXPECT_EQ(0, again.status);
+	expect_text(again, "accepted: version 2");
+	Outcome conflict = run("apply" + to + " --operator bob --base 1 " + b);
+	EXPECT_EQ(1, conflict.status);
+	expect_text(conflict, "SQLSTATE 40001");
+	expect_text(conflict, "anna");
+	expect_text(conflict, "connections");
+	Outcome diff = run("diff" + to + " " + b);
+	EXPECT_EQ(0, diff.status);
+	expect_text(diff, "~ plan standard connections 11 -> 12");
+	Outcome base = run("apply" + to + " --operator bob " + b);
+	EXPECT_EQ(0, base.status);
+	expect_text(base, "based on version 2");
+	expect_text(base, "accepted: version 3");
+	EXPECT_TRUE(wait_until(7000, [&] {
+		return run("status" + to)
+			       .out.find("in force everywhere (3 proxies)") !=
+		       std::string::npos;
+	}));
+	expect_text(run("log" + to), "bob");
+	expect_text(run("counters" + to), "config_applied");
+	expect_text(run("status --groups" + to), "orders");
+}
+
+/* Guards against a command that needs one particular proxy. */
+TEST_F(Tools, TriesTheNextProxy)
+{
+	cluster.process("p1").kill();
+	EXPECT_EQ(0, run("log" + to).status);
+	EXPECT_EQ(0, run("apply" + to + " --operator anna " +
+			 write_lists("a.json", 11))
+			     .status);
+	EXPECT_TRUE(wait_until(10000, [&] {
+		return run("status" + to).out.find("1 not in contact") !=
+		       std::string::npos;
+	}));
+}
+
+/* Guards against a load client that passes whatever happened to the orders:
+ * it must accept a sound run and notice a row that is gone or doubled. */
+TEST_F(Tools, LoadVerifiesOrders)
+{
+	Outcome sound = run(load("--seconds 2 --callers 6 "
+				 "--mix order:2,order_read:1,browse:2"));
+
+	EXPECT_EQ(0, sound.status) << sound.out;
+	expect_text(sound, " 0 lost, 0 doubled");
+	for (std::string change :
+	     {"DELETE FROM load_%s WHERE n = 3",
+	      "INSERT INTO load_%s SELECT run, caller, n FROM load_%s "
+	      "WHERE n = 3"}) {
+		bool gone = change[0] == 'D';
+		std::string table = gone ? "load_gone" : "load_doubled";
+		std::string sql = change;
+		Outcome r;
+		std::thread t([&] {
+			r = run(load("--seconds 3 --callers 2 --rate 40 "
+				     "--mix order:1 --table " +
+				     table));
+		});
+		Caller c = cluster.member(cluster.primary("orders"));
+
+		for (size_t at; (at = sql.find("load_%s")) != sql.npos;)
+			sql.replace(at, strlen("load_%s"), table);
+		/* Both callers have placed this order, the run goes on. */
+		EXPECT_TRUE(wait_until(3000, [&] {
+			return c.exec("SELECT count(*) FROM " + table +
+				      " WHERE n = 3")
+				       .value() == "2";
+		}));
+		EXPECT_TRUE(c.exec(sql).ok);
+		t.join();
+		EXPECT_EQ(1, r.status) << sql << "\n" << r.out;
+		expect_text(r, gone ? "found 0 times" : "found 2 times");
+	}
+}
