--- a/t/run.sh
+++ b/t/run.sh
@@ -28,6 +28,10 @@
 		grep -q "FAILED TEST" "$out/$n.txt" ||
 			echo "[  FAILED  ] 1 test (crash)" >>"$out/$n.txt"
 	fi'
+if [ "$what" = all ]; then
+	t/model/run.sh "$b" >"$out/model.txt" 2>&1
+	grep -E '^(ok|FAILED)' "$out/model.txt"
+fi
 passed=$(cat "$out"/*.txt | sed -n 's/^\[  PASSED  \] \([0-9]*\) test.*/\1/p' |
 	awk '{s += $1} END {print s + 0}')
 failed=$(cat "$out"/*.txt | sed -n 's/^\[  FAILED  \] \([0-9]*\) test.*/\1/p' |
