failover: start a change at once under a new control leader

A fresh group now gives all its members that time to answer, or goes on when all have. The leader counts heartbeat answers for 450 of the 500 ms for which voters refuse votes, so that their clocks may differ in rate.

--- a/failover.c
+++ b/failover.c
@@ -179,8 +179,6 @@
 	const struct group_info *info = fo_info(f, g);
 
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
-	if (now < f->led + fo_wait(f))
-		return;
 	if (info && info->term > 0)
 		fo_probing_known(f, g, info, now);
 	else
@@ -198,13 +196,19 @@
 	g->phase = FO_FENCING;
 }
 
-/* True when no lease of the old term is valid any more. */
+/*
+ * True when no lease of the old term is valid any more. A fresh group has none,
+ * but its members get the same time to answer, since one that lacks data must
+ * not be promoted only because it answered first.
+ */
 static bool fo_leases_over(const struct fo *f, const struct fo_group *g,
 			   clk_ms now)
 {
 	const struct group_info *info = fo_info(f, g);
 
-	return !info || info->term == 0 || now >= g->listed + fo_wait(f);
+	if ((!info || info->term == 0) && fo_fenced(g, true) == g->nmembers)
+		return true;
+	return now >= g->listed + fo_wait(f);
 }
 
 /* A planned change lets a replica catch up after the last acknowledged
@@ -415,7 +419,6 @@
 {
 	fo_clear(f);
 	f->leading = true;
-	f->led = led;
 	fo_update(f);
 	for (size_t i = 0; i < f->ngroups; i++) {
 		struct fo_group *g = &f->groups[i];
--- a/failover_priv.h
+++ b/failover_priv.h
@@ -54,7 +54,6 @@
 	struct fo_config cfg;
 	const struct state *state;
 	bool leading;
-	clk_ms led;
 	int64_t calls;
 	struct fo_group *groups;
 	size_t ngroups;
--- a/raft.c
+++ b/raft.c
@@ -178,9 +178,13 @@
 
 bool raft_has_authority(const struct raft *r, clk_ms now)
 {
+	/* Voters refuse votes for election_min_ms by their own clocks, which
+	 * may run up to a tenth faster than the leader's. */
+	clk_ms held = r->cfg.election_min_ms - r->cfg.election_min_ms / 10;
+
 	return r->role == RAFT_LEADER && !r->handing_over &&
 	       r->commit >= r->first_own &&
-	       raft_quorum(r, RAFT_ROUND, now - r->cfg.election_min_ms);
+	       raft_quorum(r, RAFT_ROUND, now - held);
 }
 
 static void raft_reset_deadline(struct raft *r, clk_ms now)
