--- a/t/sys_caller.cc
+++ b/t/sys_caller.cc
@@ -393,18 +393,36 @@
 	EXPECT_EQ("1", a.exec("SELECT 1").value());
 }
 
-/* Guards against a planned stop that aborts requests in flight. Last, as it
- * ends a proxy. */
+/* Guards against a planned stop that aborts requests in flight: those of its
+ * own callers, and those that other proxies run through it because it owns
+ * the primary. Last, as it ends a proxy. */
 TEST_F(SysCaller, ZGracefulStop)
 {
-	Caller idle = c->customer("p2", "orders");
-	Caller busy = c->customer("p2", "orders");
-	Caller txn = c->customer("p2", "orders");
-	table("stopping");
+	Result groups = c->admin("p1").exec("SHOW GROUPS");
+	std::string primary = groups.value("primary");
+	std::string stops;
+	for (const auto &row : c->admin("p1").exec("SHOW BACKENDS").rows)
+		if (row[0] == primary)
+			stops = row[9];
+	ASSERT_TRUE(stops == "p1" || stops == "p2") << stops;
+	std::string stays = stops == "p1" ? "p2" : "p1";
+	Caller idle = c->customer(stops, "orders");
+	Caller busy = c->customer(stops, "orders");
+	Caller txn = c->customer(stops, "orders");
+	Caller far_busy = c->customer(stays, "orders");
+	Caller far_txn = c->customer(stays, "orders");
+	Caller far = c->customer(stays, "orders");
+
+	ASSERT_TRUE(far.exec("CREATE TABLE stopping (a int)").ok);
 	ASSERT_TRUE(txn.exec("BEGIN").ok);
-	ASSERT_TRUE(PQsendQuery(busy.raw(), "SELECT 5 /* cost_us=500000 */"));
-	usleep(100000); /* any time while it runs will do */
-	c->process("p2").terminate();
+	ASSERT_TRUE(txn.exec("SELECT 1").ok);
+	ASSERT_TRUE(far_txn.exec("BEGIN").ok);
+	ASSERT_TRUE(far_txn.exec("SELECT 1").ok);
+	for (Caller *x : {&busy, &far_busy})
+		ASSERT_TRUE(PQsendQuery(x->raw(),
+					"INSERT INTO stopping VALUES (1) "
+					"/* cost_us=300000 */"));
+	usleep(50000); /* any time while they run will do */
 	/* libpq hands an error that arrives while idle to this function. */
 	std::string notice;
 	PQsetNoticeProcessor(
@@ -413,6 +431,7 @@
 			*(std::string *)arg += text;
 		},
 		&notice);
+	c->process(stops).terminate();
 	EXPECT_TRUE(wait_until(5000, [&] {
 		bool open = PQconsumeInput(idle.raw());
 
@@ -420,14 +439,28 @@
 		return !open;
 	}));
 	EXPECT_NE(std::string::npos, notice.find("stopping")) << notice;
-	PGresult *r = PQgetResult(busy.raw());
-	EXPECT_EQ(PGRES_TUPLES_OK, PQresultStatus(r))
-		<< PQerrorMessage(busy.raw());
-	PQclear(r);
-	ASSERT_TRUE(txn.exec("INSERT INTO stopping VALUES (1, 'x')").ok);
-	EXPECT_EQ("COMMIT", txn.exec("COMMIT").tag);
-	EXPECT_EQ(0, c->process("p2").wait(10000));
-	EXPECT_EQ("1", count(a, "stopping"));
+	for (Caller *x : {&busy, &far_busy}) {
+		PGresult *r = PQgetResult(x->raw());
+
+		EXPECT_EQ(PGRES_COMMAND_OK, PQresultStatus(r))
+			<< PQerrorMessage(x->raw());
+		PQclear(r);
+	}
+	for (Caller *x : {&txn, &far_txn}) {
+		ASSERT_TRUE(x->exec("INSERT INTO stopping VALUES (2)").ok);
+		EXPECT_EQ("COMMIT", x->exec("COMMIT").tag);
+	}
+	int wrote = 0;
+	EXPECT_TRUE(wait_until(10000, [&] {
+		Result r = far.exec("INSERT INTO stopping VALUES (3)");
+
+		EXPECT_TRUE(r.ok) << r.sqlstate << " " << r.message;
+		wrote += r.ok;
+		return !c->process(stops).running();
+	}));
+	EXPECT_EQ(0, c->process(stops).wait(10000));
+	EXPECT_TRUE(far.exec("INSERT INTO stopping VALUES (4)").ok);
+	EXPECT_EQ(std::to_string(wrote + 5), count(far, "stopping"));
 }
 
 } // namespace
