--- /dev/null
+++ b/t/sys_proxy.cc
@@ -0,0 +1,108 @@
+#include "lib_cluster.h"
+
+#include <gtest/gtest.h>
+
+using namespace cluster;
+
+namespace
+{
+
+std::string config_version(Cluster &c, const std::string &proxy)
+{
+	return c.admin(proxy).exec("SHOW CONFIG").value("version");
+}
+
+Spec small(int controls)
+{
+	Spec spec;
+
+	spec.proxies = 2;
+	spec.controls = controls;
+	return spec;
+}
+
+/* Guards against a proxy that keeps asking a leader that was frozen, so that
+ * its lease lapses for longer than an election takes. */
+TEST(SysProxy, FindsTheNextControlLeader)
+{
+	Cluster c(small(3));
+
+	ASSERT_TRUE(c.start());
+	Caller a = c.customer("p1", "orders");
+	ASSERT_TRUE(a.exec("CREATE TABLE t (a int)").ok);
+	std::string leader = c.admin("p1").exec("SHOW VERSION").value("leader");
+	ASSERT_NE("", leader);
+	c.process(leader).freeze();
+	int64_t began = now_ms();
+	std::string next;
+	EXPECT_TRUE(wait_until(7000, [&] {
+		next = c.admin("p1").exec("SHOW VERSION").value("leader");
+		return next != "" && next != leader;
+	}));
+	EXPECT_TRUE(wait_until(7000 - (int)(now_ms() - began), [&] {
+		return a.exec("INSERT INTO t VALUES (1)").ok;
+	}));
+	printf("writes after %lld ms\n", (long long)(now_ms() - began));
+	c.process(leader).thaw();
+	Caller x = c.admin("p2");
+	EXPECT_TRUE(wait_until(7000, [&] { return x.exec("SHOW STATUS").ok; }));
+}
+
+/* Guards against a proxy that restarts in a partitioned zone and has no lists,
+ * so that it refuses every caller. */
+TEST(SysProxy, RestartedProxyGetsTheListsFromAPeer)
+{
+	Cluster c(small(1));
+
+	ASSERT_TRUE(c.start());
+	ASSERT_EQ("1", config_version(c, "p2"));
+	c.process("p2").kill();
+	c.process("c1").kill();
+	c.start("p2");
+	EXPECT_TRUE(wait_until(10000,
+			       [&] { return config_version(c, "p2") == "1"; }));
+}
+
+/* The same with no peer left, from the proxy's own disk. */
+TEST(SysProxy, RestartedProxyHasItsListsFromDisk)
+{
+	TempDir data;
+	Spec spec = small(1);
+
+	spec.proxies = 1;
+	spec.settings["data"] = "\"" + data.path() + "\"";
+	Cluster c(spec);
+	ASSERT_TRUE(c.start());
+	c.process("p1").kill();
+	c.process("c1").kill();
+	c.start("p1");
+	EXPECT_TRUE(wait_until(10000,
+			       [&] { return config_version(c, "p1") == "1"; }));
+}
+
+/* Guards against accepted lists that one proxy learns of late or never. */
+TEST(SysProxy, NewListsAreInForceEverywhere)
+{
+	Cluster c(small(3));
+
+	ASSERT_TRUE(c.start());
+	for (int version = 2; version <= 5; version++) {
+		std::string lists = default_lists() + "// " +
+				    std::to_string(version) + "\n";
+		int64_t began = now_ms();
+		Result r = c.apply("p1", lists, version - 1);
+
+		ASSERT_TRUE(r.ok) << r.message;
+		EXPECT_EQ(std::to_string(version), r.value("version"));
+		for (const char *p : {"p1", "p2"})
+			EXPECT_TRUE(wait_until(7000, [&] {
+				return config_version(c, p) ==
+				       std::to_string(version);
+			})) << p;
+		printf("in force after %lld ms\n",
+		       (long long)(now_ms() - began));
+	}
+	EXPECT_EQ("40001", c.apply("p2", default_lists(), 2).sqlstate);
+}
+
+} // namespace
