--- a/counter.h
+++ b/counter.h
@@ -17,7 +17,8 @@
 	X(reads_replica) X(reads_primary) X(reads_replica_eligible) \
 	X(writes) X(forwarded) X(config_applied) X(config_ignored_older) \
 	X(lease_granted) X(lease_lapsed) X(backend_connects) \
-	X(backend_connect_failures) X(backend_silent) X(late_answers) \
+	X(backend_connect_failures) X(backend_full) \
+	X(backend_silent) X(late_answers) \
 	X(token_lost) X(dedup_hits) X(links_refused) \
 	X(retry_unreachable) X(retry_behind) X(retry_no_primary) \
 	X(retry_no_lease) X(retry_read_failed) X(retry_not_owner) \
--- a/exec.c
+++ b/exec.c
@@ -351,6 +351,8 @@
 		next = r->hh.next;
 		if (r->runner)
 			runner_view_changed(r->runner);
+		else
+			exec_local_recheck(r);
 	}
 	exec_backends_update(x);
 }
--- a/exec_backend.c
+++ b/exec_backend.c
@@ -193,14 +193,21 @@
 static void exec_on_silent(void *arg)
 {
 	struct exec_backend *b = arg;
+	struct exec_req *r, *next;
 
 	if (!b->silent_since)
 		b->silent_since = clk_now();
 	cnt_add(CNT_backend_silent, 1);
 	/* What is as old as the silent connection may be forgotten as well. */
 	pool_drop_idle(b->pool, clk_now());
-	exec_failed(b);
+	health_down(&b->health, b->x->rng, clk_now());
 	exec_update_suspicion(b);
+	for (r = b->x->reqs; r; r = next) {
+		next = r->hh.next;
+		/* A second silence was on a new connection. */
+		if (r->b == b)
+			exec_local_silent(r, probe_failures(b->probe) > 1);
+	}
 }
 
 static void exec_on_refused(void *arg)
--- a/exec_local.c
+++ b/exec_local.c
@@ -7,7 +7,6 @@
 #include "token.h"
 #include "view.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -53,83 +52,6 @@
 	j->give_up = r->arrived + run->wait_ms;
 }
 
-/* ---- pins ---- */
-
-static struct exec_pin *exec_pin_find(struct exec *x, int64_t id)
-{
-	struct exec_pin *p;
-
-	HASH_FIND(hh, x->pins, &id, sizeof(id), p);
-	return p;
-}
-
-static struct pool_conn *exec_pin_take_out(struct exec_pin *p)
-{
-	struct pool_conn *c = p->conn;
-
-	HASH_DEL(p->x->pins, p);
-	free(p);
-	return c;
-}
-
-void exec_pin_close(struct exec_pin *p)
-{
-	/* The runner releases the connection of a statement that runs. */
-	if (p->busy) {
-		p->busy->pin = NULL;
-		exec_pin_take_out(p);
-		return;
-	}
-	pool_release(exec_pin_take_out(p), false);
-}
-
-/* An idle pinned connection has nothing to say but that it was closed. */
-static void exec_pin_io(void *arg, int revents)
-{
-	struct exec_pin *p = arg;
-
-	(void)revents;
-	if (!PQconsumeInput(pool_pg(p->conn)) ||
-	    PQstatus(pool_pg(p->conn)) != CONNECTION_OK)
-		exec_pin_close(p);
-}
-
-static struct exec_pin *exec_pin_new(struct exec_req *r)
-{
-	struct exec_pin *p = calloc(1, sizeof(*p));
-
-	if (!p)
-		abort();
-	/* Unpredictable, and unique among the pins of all owners. */
-	randombytes_buf(&p->id, sizeof(p->id));
-	p->id = (p->id & INT64_MAX) | 1;
-	p->x = r->x;
-	p->b = r->b;
-	p->conn = r->conn;
-	p->from = r->from;
-	p->term = r->run.term;
-	memcpy(p->customer, r->run.customer, sizeof(p->customer));
-	p->busy = r;
-	r->pin = p;
-	HASH_ADD(hh, r->x->pins, id, sizeof(p->id), p);
-	return p;
-}
-
-/* Decides at a request's end whether its connection stays with its caller. */
-static int64_t exec_pin_update(struct exec_req *r, const struct msg_end *end)
-{
-	bool keep = end->pin && !r->abandoned &&
-		    (end->txn != 'I' || r->run.flags & RUN_PIN);
-
-	if (keep)
-		return r->pin ? r->pin->id : exec_pin_new(r)->id;
-	if (r->pin) {
-		exec_pin_take_out(r->pin);
-		r->pin = NULL;
-	}
-	return 0;
-}
-
 /* ---- running ---- */
 
 static void exec_on_data(void *arg, const char *bytes, size_t len)
@@ -190,9 +112,7 @@
 	r->pin = NULL;
 	r->state = EXEC_OVER;
 	if (p && clean && !r->abandoned) {
-		p->busy = NULL;
-		pool_on_io(c, exec_pin_io, p);
-		pool_watch(c, EV_READ);
+		exec_pin_rest(p);
 	} else {
 		if (p)
 			exec_pin_take_out(p);
@@ -448,6 +368,35 @@
 		 "time limit reached");
 }
 
+/* Ends a request that waits in vain after the view changed. */
+void exec_local_recheck(struct exec_req *r)
+{
+	enum res res;
+
+	if (r->ended || r->runner || r->state == EXEC_FORWARDED || !r->b)
+		return;
+	res = exec_check(r);
+	if (!res || res == RES_NO_LEASE || res == RES_UNREACHABLE)
+		return;
+	exec_withdraw(r);
+	exec_end(r, res, NULL);
+}
+
+/* Reads on a server that does not answer can be served by others. */
+void exec_local_silent(struct exec_req *r, bool certain)
+{
+	if (r->ended || r->run.kind != RUN_READ || r->run.flags & RUN_CURRENT ||
+	    r->run.pin)
+		return;
+	if (r->runner) {
+		if (certain)
+			runner_break(r->runner, "backend server is silent");
+		return;
+	}
+	exec_withdraw(r);
+	exec_end(r, RES_UNREACHABLE, "backend server is silent");
+}
+
 void exec_tick_req(struct exec_req *r, clk_ms now)
 {
 	switch (r->state) {
--- a/exec_priv.h
+++ b/exec_priv.h
@@ -149,7 +149,15 @@
 void exec_recheck_behind(struct exec_backend *b);
 void exec_tick_backend(struct exec_backend *b, clk_ms now);
 void exec_dispatch(struct exec_backend *b);
+void exec_local_recheck(struct exec_req *r);
+void exec_local_silent(struct exec_req *r, bool certain);
+
+/* exec_pin.c */
+struct exec_pin *exec_pin_find(struct exec *x, int64_t id);
+struct pool_conn *exec_pin_take_out(struct exec_pin *p);
 void exec_pin_close(struct exec_pin *p);
+void exec_pin_rest(struct exec_pin *p);
+int64_t exec_pin_update(struct exec_req *r, const struct msg_end *end);
 
 /* exec_backend.c */
 struct exec_backend *exec_backend_get(struct exec *x, const char *id);
--- a/health.c
+++ b/health.c
@@ -36,6 +36,12 @@
 		health_put_aside(h, rng, now);
 }
 
+void health_down(struct health *h, struct rng *rng, clk_ms now)
+{
+	if (!h->aside || now >= h->retry_at)
+		health_put_aside(h, rng, now);
+}
+
 void health_measure(struct health *h, int64_t us, int64_t others_us,
 		    struct rng *rng, clk_ms now)
 {
--- a/health.h
+++ b/health.h
@@ -40,6 +40,9 @@
 /* One failed. */
 void health_failure(struct health *h, struct rng *rng, clk_ms now);
 
+/* It does not answer status polls. */
+void health_down(struct health *h, struct rng *rng, clk_ms now);
+
 /* Round trip of a status poll, and the median of the group's others (0 is
  * unknown). */
 void health_measure(struct health *h, int64_t us, int64_t others_us,
--- a/pool.c
+++ b/pool.c
@@ -49,6 +49,7 @@
 {
 	char host[ADDR_LEN];
 	char *colon;
+	PGconn *pg;
 	const char *keys[] = {"hostaddr", "port",	"user",
 			      "password", "dbname",	"application_name",
 			      "sslmode",  "gssencmode", NULL};
@@ -68,7 +69,10 @@
 		return NULL;
 	*colon = '\0';
 	values[1] = colon + 1;
-	return PQconnectStartParams(keys, values, 0);
+	pg = PQconnectStartParams(keys, values, 0);
+	if (pg)
+		PQsetErrorVerbosity(pg, PQERRORS_VERBOSE);
+	return pg;
 }
 
 static void pool_set_events(struct pool_conn *c, int events)
@@ -143,20 +147,28 @@
 	}
 }
 
+/* The server has no connection left: the wishes wait for the next attempt.
+ * pool_connect() makes libpq put the SQLSTATE into the message. */
+static bool pool_is_full(const char *error)
+{
+	return strstr(error, "53300:") != NULL;
+}
+
 static void pool_failed(struct pool_conn *c, const char *error)
 {
 	struct pool *p = c->pool;
+	bool full = pool_is_full(error);
 
 	snprintf(p->error, sizeof(p->error), "%.*s", (int)strcspn(error, "\n"),
 		 error);
 	if (!p->failures++)
 		log_warn("pool", "addr=%s connect failed: %s", p->addr,
 			 p->error);
-	cnt_add(CNT_backend_connect_failures, 1);
+	cnt_add(full ? CNT_backend_full : CNT_backend_connect_failures, 1);
 	p->retry_at = clk_now() + POOL_RETRY_MS;
 	pool_close(c);
 	/* A connection that is in use serves them when it comes back. */
-	if (!p->conns)
+	if (!p->conns && !full)
 		pool_fail_wants(p);
 }
 
@@ -173,6 +185,7 @@
 		c->pool->failures = 0;
 		c->opened = clk_now();
 		PQsetnonblocking(c->pg, 1);
+		PQsetErrorVerbosity(c->pg, PQERRORS_DEFAULT);
 		cnt_add(CNT_backend_connects, 1);
 		pool_make_idle(c);
 		pool_serve(c->pool);
--- a/pool.h
+++ b/pool.h
@@ -51,7 +51,8 @@
 
 /*
  * Asks for a connection; the answer may come at once. Wishes fail when an
- * attempt to connect fails and no other connection is open or being opened.
+ * attempt to connect fails and no other connection is open or being opened,
+ * unless the server only had no connection left (SQLSTATE 53300).
  */
 void pool_acquire(struct pool *p, struct pool_want *w);
 
--- a/t/lib_exec.cc
+++ b/t/lib_exec.cc
@@ -6,6 +6,7 @@
 #include <libpq-fe.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -48,6 +49,8 @@
 	pid = fork();
 	if (pid)
 		return;
+	/* A test that is killed leaves nothing behind. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	execv(argv[0], argv.data());
 	_exit(127);
 }
@@ -148,29 +151,50 @@
 	return out;
 }
 
-Deployment::Deployment(const char *proxy)
+void Deployment::open_proxy(Proxy *p, const char *id)
+{
+	struct settings &o = p->set;
+	struct err e = ERR_INIT;
+	struct peers_handler none = {};
+
+	snprintf(o.id, sizeof(o.id), "%s", id);
+	snprintf(o.zone, sizeof(o.zone), "z1");
+	snprintf(o.link, sizeof(o.link), "%s", on_port(free_port()).c_str());
+	snprintf(o.backend_password, sizeof(o.backend_password), PASSWORD);
+	o.admission = true;
+	o.short_first = true;
+	o.poll_ms = 100;
+	o.suspect_ms = 500;
+	o.seed = 1;
+	p->view = view_new(id, "z1");
+	p->exec = exec_new(loop, &o, p->view);
+	none.on_lists = [](void *) {};
+	EXPECT_EQ(RES_OK, peers_new(&p->peers, loop, &o, p->view, p->exec,
+				    p - proxies + 1, &none, &e))
+		<< e.text;
+	exec_set_peers(p->exec, p->peers);
+}
+
+Deployment::Deployment() : set(proxies[0].set)
 {
 	char path[] = "/tmp/marjoramlatch-XXXXXX";
 
 	folder = mkdtemp(path);
 	loop = ev_loop_new(EVFLAG_AUTO);
-	snprintf(set.id, sizeof(set.id), "%s", proxy);
-	snprintf(set.zone, sizeof(set.zone), "z1");
-	snprintf(set.backend_password, sizeof(set.backend_password), PASSWORD);
-	set.admission = true;
-	set.short_first = true;
-	set.poll_ms = 100;
-	set.suspect_ms = 500;
-	set.seed = 1;
+	open_proxy(&proxies[0], "p1");
+	view = proxies[0].view;
+	exec = proxies[0].exec;
+	owner = &proxies[0];
 	snprintf(group.name, sizeof(group.name), GROUP);
-	view = view_new(proxy, "z1");
-	exec = exec_new(loop, &set, view);
 }
 
 Deployment::~Deployment()
 {
-	exec_free(exec);
-	view_free(view);
+	for (int i = 0; i < nproxies; i++) {
+		exec_free(proxies[i].exec);
+		peers_free(proxies[i].peers);
+		view_free(proxies[i].view);
+	}
 	ev_loop_destroy(loop);
 	for (auto &p : processes)
 		delete p.second;
@@ -181,6 +205,23 @@
 	EXPECT_EQ(0, system(("rm -rf " + folder).c_str()));
 }
 
+void Deployment::add_proxy(const char *backend)
+{
+	open_proxy(&proxies[1], "p2");
+	nproxies = 2;
+	tell();
+	EXPECT_TRUE(until([&] {
+		return peers_up(proxies[0].peers) +
+			       peers_up(proxies[1].peers) ==
+		       2;
+	}));
+	std::string id = view_owner(view, view_backend(view, backend));
+	Proxy *origin = id == "p1" ? &proxies[1] : &proxies[0];
+	owner = id == "p1" ? &proxies[0] : &proxies[1];
+	view = origin->view;
+	exec = origin->exec;
+}
+
 void Deployment::start(const char *id, const std::vector<std::string> &more)
 {
 	struct backend_info b = {};
@@ -250,7 +291,7 @@
 void Deployment::tell()
 {
 	std::vector<struct backend_info> backends;
-	struct proxy_info proxy = {};
+	struct proxy_info infos_of[2] = {};
 	struct msg_answer a = {};
 
 	version++;
@@ -258,10 +299,15 @@
 		i.second.version = version;
 		backends.push_back(i.second);
 	}
-	snprintf(proxy.id, sizeof(proxy.id), "%s", set.id);
-	snprintf(proxy.zone, sizeof(proxy.zone), "z1");
-	proxy.alive = true;
-	proxy.version = version;
+	for (int i = 0; i < nproxies; i++) {
+		struct proxy_info *p = &infos_of[i];
+
+		snprintf(p->id, sizeof(p->id), "%s", proxies[i].set.id);
+		snprintf(p->zone, sizeof(p->zone), "z1");
+		snprintf(p->addr, sizeof(p->addr), "%s", proxies[i].set.link);
+		p->alive = true;
+		p->version = version;
+	}
 	group.version = version;
 	group.starts = starts.data();
 	group.nstarts = (int64_t)starts.size();
@@ -271,10 +317,13 @@
 	a.ngroups = 1;
 	a.backends = backends.data();
 	a.nbackends = (int64_t)backends.size();
-	a.proxies = &proxy;
-	a.nproxies = 1;
-	view_take(view, &a, clk_now());
-	exec_view_changed(exec);
+	a.proxies = infos_of;
+	a.nproxies = nproxies;
+	for (int i = 0; i < nproxies; i++) {
+		view_take(proxies[i].view, &a, clk_now());
+		peers_view_changed(proxies[i].peers);
+		exec_view_changed(proxies[i].exec);
+	}
 }
 
 void Deployment::lead(const char *id, int64_t term)
@@ -311,7 +360,8 @@
 		a.changing = &changing;
 		a.nchanging = 1;
 	}
-	view_take(view, &a, clk_now() + 1);
+	for (int i = 0; i < nproxies; i++)
+		view_take(proxies[i].view, &a, clk_now() + 1);
 }
 
 void Deployment::leaving(const char *id)
--- a/t/lib_exec.h
+++ b/t/lib_exec.h
@@ -13,6 +13,7 @@
 
 extern "C" {
 #include "exec.h"
+#include "peers.h"
 #include "settings.h"
 #include "view.h"
 }
@@ -63,10 +64,17 @@
 	std::string types() const;
 };
 
+struct Proxy {
+	struct settings set = {};
+	struct view *view = NULL;
+	struct exec *exec = NULL;
+	struct peers *peers = NULL;
+};
+
 class Deployment
 {
       public:
-	explicit Deployment(const char *proxy = "p1");
+	Deployment();
 	~Deployment();
 
 	void start(const char *id, const std::vector<std::string> &more = {});
@@ -105,14 +113,22 @@
 		    int64_t flags = 0);
 	Answer *run(const struct msg_run &run);
 
+	/* Adds a second proxy with links between the two and makes the one
+	 * that does not own the server the current one. */
+	void add_proxy(const char *backend);
+
 	struct ev_loop *loop;
-	struct settings set = {};
-	struct view *view;
+	struct settings &set; /* of the first proxy */
+	struct view *view; /* of the current proxy, like exec */
 	struct exec *exec;
+	Proxy *owner; /* the other one */
 	int slots = 5; /* of servers that are started */
 
       private:
+	void open_proxy(Proxy *p, const char *id);
 	void tell();
+	Proxy proxies[2];
+	int nproxies = 1;
 	std::string folder;
 	std::map<std::string, Process *> processes;
 	std::map<std::string, int> ports;
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -424,4 +424,90 @@
 	EXPECT_EQ(RES_WAIT_EXCEEDED, queue.back()->end.res);
 }
 
+/* Guards against answers that are lost, mixed or cut on the way between two
+ * proxies. */
+TEST_F(Exec, RequestsAreForwardedToTheOwner)
+{
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	add_proxy("b1");
+	ASSERT_EQ(RES_OK, run(RUN_WRITE, "b1", "CREATE TABLE t (k int, v text)",
+			      RUN_MAJORITY)
+				  ->end.res);
+	std::vector<Answer *> all;
+	for (int i = 0; i < 50; i++)
+		all.push_back(begin(request(RUN_READ, "b1",
+					    "SELECT " + std::to_string(i),
+					    RUN_CURRENT)));
+	for (int i = 0; i < 50; i++) {
+		ASSERT_TRUE(until([&] { return all[i]->ends > 0; }));
+		ASSERT_EQ(RES_OK, all[i]->end.res) << all[i]->text;
+		EXPECT_EQ(std::to_string(i), all[i]->rows()[0]);
+	}
+	/* An answer of several chunks. */
+	Answer *a =
+		run(RUN_READ, "b1",
+		    "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1"
+		    " FROM n WHERE i < 300) SELECT hex(zeroblob(2000)) FROM n");
+	EXPECT_EQ(300u, a->rows().size());
+	/* A transaction, given up at its end and on the way. */
+	Answer *b = run(RUN_BEGIN, "b1", "BEGIN");
+	ASSERT_EQ(RES_OK, b->end.res) << b->text;
+	struct msg_run r =
+		request(RUN_TXN, "b1", "INSERT INTO t VALUES (1, 'x')");
+	r.pin = b->end.pin;
+	EXPECT_EQ(RES_OK, run(r)->end.res);
+	r = request(RUN_TXN, "b1", "COMMIT", RUN_MAJORITY);
+	r.pin = b->end.pin;
+	a = run(r);
+	EXPECT_EQ(RES_OK, a->end.res) << a->text;
+	EXPECT_EQ(2, a->end.write_position);
+	b = run(RUN_BEGIN, "b1", "BEGIN");
+	r = request(RUN_TXN, "b1", "INSERT INTO t VALUES (2, 'x')");
+	r.pin = b->end.pin;
+	EXPECT_EQ(RES_OK, run(r)->end.res);
+	exec_unpin(exec, "b1", r.pin);
+	EXPECT_EQ(RES_OK,
+		  run(RUN_WRITE, "b1", "UPDATE t SET v = 'y'", RUN_MAJORITY)
+			  ->end.res);
+	EXPECT_EQ("1", sql("b1", "SELECT count(*) FROM t"));
+	a = begin(request(RUN_READ, "b1", "SELECT 1 /* cost_us=3000000 */"));
+	until([&] { return exec_running(owner->exec) == 1; });
+	exec_cancel(exec, a->id);
+	EXPECT_TRUE(until([&] { return a->ends > 0; }));
+	EXPECT_STREQ("57014", a->end.sqlstate);
+	EXPECT_TRUE(until([&] { return !exec_running(owner->exec); }));
+}
+
+/* Guards against locks that stay behind when the origin is gone, and against
+ * requests that never end when the owner is gone. */
+TEST_F(Exec, LinkBreaksInTheMiddle)
+{
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	add_proxy("b1");
+	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	Answer *b = run(RUN_BEGIN, "b1", "BEGIN");
+	struct msg_run r = request(RUN_TXN, "b1", "INSERT INTO t VALUES (1)");
+	r.pin = b->end.pin;
+	EXPECT_EQ(RES_OK, run(r)->end.res);
+	Answer *read =
+		begin(request(RUN_READ, "b1", "SELECT 1 /* cost_us=500000 */"));
+	Answer *write = begin(request(
+		RUN_WRITE, "b1", "INSERT INTO t VALUES (2)", RUN_MAJORITY));
+	EXPECT_TRUE(until([&] { return exec_running(owner->exec) == 2; }));
+	Proxy *gone = owner;
+	peers_free(gone->peers);
+	gone->peers = NULL;
+	exec_set_peers(gone->exec, NULL);
+	EXPECT_TRUE(until([&] { return read->ends && write->ends; }));
+	EXPECT_EQ(RES_READ_FAILED, read->end.res);
+	EXPECT_EQ(RES_UNKNOWN, write->end.res);
+	/* The transaction is rolled back; the abandoned write ran. */
+	EXPECT_TRUE(until(
+		[&] { return sql("b1", "SELECT sum(k) FROM t") == "2"; }));
+	/* The other proxy has become the owner. */
+	EXPECT_EQ(RES_OK, run(RUN_READ, "b1", "SELECT 1")->end.res);
+}
+
 } // namespace
