--- a/t/demo.sh
+++ b/t/demo.sh
@@ -112,6 +112,17 @@
 	END {exit !found}'
 }
 
+# Counters over all entry instances, without those that are 0.
+counters() {
+	for e in $(echo "$entries" | tr , ' '); do
+		"$b/marjoramlatch" counters --to "$e" \
+			--password-file "$dir/operator"
+	done | awk '$1 ~ /^(reads_|writes|forwarded|dedup|refused_|retry_)/ {
+		sum[$1] += $2
+	} END {for (n in sum) if (sum[n]) printf "%-28s %d\n", n, sum[n]}' |
+		sort
+}
+
 load() {
 	name=$1
 	shift
@@ -170,6 +181,9 @@
 echo "web (catalogue browsing):"
 cat "$dir/load-web.txt"
 echo
+echo "counters over all entry instances:"
+counters
+echo
 admin status --groups
 admin log
 if [ $shop_rc -eq 0 ] && [ $web_rc -eq 0 ]; then
