filter, request: acknowledge a write only under the origin's own lease

The owner of a backend checks its lease when it releases an answer, but the answer may be long on its way to the origin proxy, which passed it on without a check. A write whose term is over is now reported as unknown, one whose lease lapsed waits for the next lease within the caller's wait.

--- a/admin_show.c
+++ b/admin_show.c
@@ -102,7 +102,7 @@
 			 clk_ms now)
 {
 	struct show_find f = {.id = b->id};
-	struct exec_hint hint = exec_hint(s->cfg->exec, b->id, now);
+	struct exec_hint hint = exec_hint_of(s->cfg->exec, b->id, now);
 	struct show_row r = {.n = 0};
 
 	exec_each_backend(s->cfg->exec, now, show_match, &f);
--- a/exec.h
+++ b/exec.h
@@ -77,7 +77,7 @@
 	clk_ms queue_ms; /* estimated wait for a slot */
 };
 
-struct exec_hint exec_hint(const struct exec *x, const char *backend,
+struct exec_hint exec_hint_of(const struct exec *x, const char *backend,
 			   clk_ms now);
 
 /* Groups whose primary looks failed from here, for the next ask. */
--- a/exec_backend.c
+++ b/exec_backend.c
@@ -377,7 +377,7 @@
 
 /* ---- what others may know ---- */
 
-struct exec_hint exec_hint(const struct exec *x, const char *backend,
+struct exec_hint exec_hint_of(const struct exec *x, const char *backend,
 			   clk_ms now)
 {
 	struct exec_hint hint = {.age_ms = -1, .healthy = true};
@@ -405,7 +405,7 @@
 			.idle = pool_idle(b->pool),
 			.running = (int64_t)sched_running(b->sched),
 			.waiting = (int64_t)sched_waiting(b->sched),
-			.hint = exec_hint(x, b->id, now),
+			.hint = exec_hint_of(x, b->id, now),
 		};
 
 		if (b->owned)
--- a/filter.c
+++ b/filter.c
@@ -1,78 +1,16 @@
-#include "filter.h"
+#include "filter_priv.h"
 
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <uthash.h>
-
-#include "admit.h"
 #include "counter.h"
-#include "exec.h"
 #include "lists.h"
 #include "quota.h"
 #include "retry.h"
 #include "rng.h"
-#include "route.h"
 #include "settings.h"
 #include "view.h"
 
-enum {
-	FLT_TICK_MS = 5, /* how often waiting requests are looked at */
-	FLT_PARK_MS = 20, /* pause before looking again for a primary */
-	FLT_STATEMENT_MS = 30000, /* bound of one statement's run time */
-	FLT_MAX_TRIED = 8
-};
-
-enum flt_phase {
-	FLT_NEW,
-	FLT_QUEUED, /* waits for a unit of the customer's limit */
-	FLT_PARKED, /* holds a unit; waits for a primary or a retry pause */
-	FLT_RUNNING, /* handed to exec */
-	FLT_ENDED /* its FLT_DONE is in the action queue */
-};
-
-struct flt_record {
-	struct admit_entry entry; /* must be first: see flt_of_entry() */
-	int64_t id;
-	struct flt_request rq;
-	enum flt_phase phase;
-	struct admit_customer *customer;
-	clk_ms submitted;
-	clk_ms unit_since; /* when the unit was taken */
-	clk_ms deadline; /* the request may wait until then */
-	clk_ms due; /* FLT_PARKED: when to look again */
-	clk_ms max_age_ms; /* 0: must be current */
-	int64_t priority;
-	int64_t weight;
-	int64_t retry_percent;
-	bool majority;
-	bool has_unit;
-	bool current; /* read on the primary under the lease */
-	bool counted; /* in the share of reads served by replicas */
-	bool on_primary; /* the attempt that runs */
-	int retries;
-	enum res last; /* why the last attempt did not run */
-	char tried[FLT_MAX_TRIED][ID_LEN];
-	int ntried;
-	UT_hash_handle hh;
-};
-
-struct flt {
-	const struct settings *set;
-	struct view *view;
-	struct quota_client *quota;
-	struct admit *admit;
-	struct rng *rng;
-	struct flt_record *records;
-	int64_t next_id;
-	struct flt_action *actions; /* ring */
-	size_t first, count, cap;
-	bool wants_quota;
-	int64_t waiting; /* records in FLT_QUEUED or FLT_PARKED */
-	clk_ms ticked;
-	struct exec_hint (*hint)(void *arg, const char *backend, clk_ms now);
-	void *hint_arg;
-};
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 struct flt *flt_new(const struct settings *set, struct view *view,
 		    struct quota_client *quota, uint64_t seed)
@@ -116,8 +54,8 @@
 	f->hint_arg = arg;
 }
 
-static struct flt_action *flt_push(struct flt *f, enum flt_action_kind kind,
-				   int64_t id)
+struct flt_action *flt_push(struct flt *f, enum flt_action_kind kind,
+			    int64_t id)
 {
 	struct flt_action *a;
 
@@ -160,10 +98,10 @@
 
 static bool flt_waits(enum flt_phase phase)
 {
-	return phase == FLT_QUEUED || phase == FLT_PARKED;
+	return phase == FLT_QUEUED || phase == FLT_PARKED || phase == FLT_HELD;
 }
 
-static void flt_enter(struct flt *f, struct flt_record *r, enum flt_phase phase)
+void flt_enter(struct flt *f, struct flt_record *r, enum flt_phase phase)
 {
 	f->waiting += flt_waits(phase) - flt_waits(r->phase);
 	r->phase = phase;
@@ -233,16 +171,22 @@
 	flt_forget(f, r);
 }
 
+/*
+ * Ends a request with a result made here. A transaction keeps its pin if the
+ * statement was not run.
+ */
 static void flt_refuse(struct flt *f, struct flt_record *r, enum res res,
 		       const char *detail, clk_ms now)
 {
-	struct msg_end end = {.res = res, .txn = 'I', .pin = r->rq.pin};
+	struct msg_end end = {.res = res, .txn = 'I'};
 	char text[256];
 	int n = snprintf(text, sizeof(text), "%s%s%s", res_text(res),
 			 detail ? ": " : "", detail ? detail : "");
 
-	if (r->rq.pin)
+	if (r->rq.pin && res_ran(res) == RES_RAN_NOT_RUN) {
+		end.pin = r->rq.pin;
 		end.txn = 'T';
+	}
 	snprintf(end.sqlstate, sizeof(end.sqlstate), "%s", res_sqlstate(res));
 	end.text = (struct blob){.data = text, .len = (size_t)n};
 	flt_done(f, r, &end, now);
@@ -296,8 +240,8 @@
 	return RES_OK;
 }
 
-static void flt_park(struct flt *f, struct flt_record *r, enum res why,
-		     clk_ms pause, clk_ms now)
+void flt_park(struct flt *f, struct flt_record *r, enum res why, clk_ms pause,
+	      clk_ms now)
 {
 	flt_enter(f, r, FLT_PARKED);
 	r->last = why;
@@ -306,172 +250,6 @@
 		r->due = r->deadline;
 }
 
-static bool flt_was_tried(const struct flt_record *r, const char *backend)
-{
-	for (int i = 0; i < r->ntried; i++)
-		if (!strcmp(r->tried[i], backend))
-			return true;
-	return false;
-}
-
-static struct exec_hint flt_hint(struct flt *f, const char *backend, clk_ms now)
-{
-	if (!f->hint)
-		return (struct exec_hint){.age_ms = -1, .healthy = true};
-	return f->hint(f->hint_arg, backend, now);
-}
-
-static int flt_candidates(struct flt *f, const struct flt_record *r,
-			  struct route_candidate *c, clk_ms now)
-{
-	const struct group_info *g = view_group(f->view, r->rq.group);
-	const struct backend_info *b;
-	size_t n;
-	int count = 0;
-
-	b = view_backends(f->view, &n);
-	for (size_t i = 0; i < n && count < ROUTE_MAX; i++) {
-		if (strcmp(b[i].group, r->rq.group))
-			continue;
-		c[count++] = (struct route_candidate){
-			.backend = &b[i],
-			.hint = flt_hint(f, b[i].id, now),
-			.primary = g && !strcmp(g->primary, b[i].id),
-			.local = !strcmp(b[i].zone, f->set->zone),
-			.tried = flt_was_tried(r, b[i].id)};
-	}
-	return count;
-}
-
-static int64_t flt_kind_flags(const struct flt_record *r)
-{
-	int64_t flags = r->rq.flags;
-
-	if (r->current && r->rq.kind == RUN_READ)
-		flags |= RUN_CURRENT;
-	if (r->majority && r->rq.kind != RUN_READ)
-		flags |= RUN_MAJORITY;
-	if (r->rq.request_id && r->rq.request_id[0] &&
-	    (r->rq.kind == RUN_WRITE || r->rq.kind == RUN_BEGIN))
-		flags |= RUN_ONCE;
-	return flags;
-}
-
-static void flt_run(struct flt *f, struct flt_record *r, const char *backend,
-		    clk_ms now)
-{
-	const struct group_info *g = view_group(f->view, r->rq.group);
-	const struct flt_request *rq = &r->rq;
-	struct flt_action *a = flt_push(f, FLT_RUN, r->id);
-	struct msg_run *run = &a->u.run;
-	const struct tok_entry *e = NULL;
-
-	if (rq->token)
-		e = tok_find(rq->token, rq->group);
-	*run = (struct msg_run){
-		.kind = rq->kind,
-		.flags = flt_kind_flags(r),
-		.priority = r->priority,
-		.weight = r->weight,
-		.term = rq->pin ? rq->pin_term : (g ? g->term : 0),
-		.need_term = e ? e->term : 0,
-		.need_position = e ? e->position : 0,
-		.max_age_ms = r->max_age_ms,
-		.wait_ms = r->deadline > now ? r->deadline - now : 0,
-		.limit_ms = FLT_STATEMENT_MS,
-		.fingerprint = rq->fingerprint,
-		.pin = rq->pin,
-		.sql = rq->sql,
-		.params = rq->params,
-		.nparams = rq->nparams,
-		.result_format = rq->result_format};
-	snprintf(run->group, sizeof(run->group), "%s", rq->group);
-	snprintf(run->backend, sizeof(run->backend), "%s", backend);
-	snprintf(run->customer, sizeof(run->customer), "%s", rq->customer);
-	if (rq->request_id)
-		snprintf(run->request_id, sizeof(run->request_id), "%s",
-			 rq->request_id);
-	flt_enter(f, r, FLT_RUNNING);
-}
-
-/* Filter "route" for what only the primary may serve. */
-static void flt_route_primary(struct flt *f, struct flt_record *r, clk_ms now)
-{
-	const struct group_info *g = view_group(f->view, r->rq.group);
-	const struct backend_info *b = NULL;
-
-	if (g && g->primary[0])
-		b = view_backend(f->view, g->primary);
-	if (!b) {
-		flt_park(f, r, RES_NO_PRIMARY, FLT_PARK_MS, now);
-		return;
-	}
-	if (!view_lease_valid(f->view, g->name, g->term, now)) {
-		flt_park(f, r, RES_NO_LEASE, FLT_PARK_MS, now);
-		return;
-	}
-	r->on_primary = true;
-	flt_run(f, r, b->id, now);
-}
-
-static struct route_need flt_need(const struct flt_record *r)
-{
-	const struct tok_entry *e = NULL;
-
-	if (r->rq.token)
-		e = tok_find(r->rq.token, r->rq.group);
-	return (struct route_need){.term = e ? e->term : 0,
-				   .position = e ? e->position : 0,
-				   .max_age_ms = r->max_age_ms};
-}
-
-/* Filter "route" for reads that a replica may serve. */
-static void flt_route_read(struct flt *f, struct flt_record *r, clk_ms now)
-{
-	struct route_candidate c[ROUTE_MAX];
-	struct route_need need = flt_need(r);
-	int n = flt_candidates(f, r, c, now);
-	int pick = route_read(c, n, &need, now, rng_unit(f->rng));
-
-	if (!r->counted && route_eligible(c, n, &need, now)) {
-		cnt_add(CNT_reads_replica_eligible, 1);
-		r->counted = true;
-	}
-	if (pick < 0) {
-		/* Every member refused; after a pause they may have caught up
-		 * or a primary may be known. */
-		r->ntried = 0;
-		flt_park(f, r, r->last ? r->last : RES_NO_REPLICA, FLT_PARK_MS,
-			 now);
-		return;
-	}
-	r->on_primary = c[pick].primary;
-	flt_run(f, r, c[pick].backend->id, now);
-}
-
-static void flt_route(struct flt *f, struct flt_record *r, clk_ms now)
-{
-	if (r->rq.pin) {
-		r->on_primary = true;
-		flt_run(f, r, r->rq.pin_backend, now);
-		return;
-	}
-	switch (r->rq.kind) {
-	case RUN_READ:
-	case RUN_DESCRIBE:
-		if (!r->current || r->rq.kind == RUN_DESCRIBE) {
-			flt_route_read(f, r, now);
-			return;
-		}
-		break;
-	case RUN_WRITE:
-	case RUN_TXN:
-	case RUN_BEGIN:
-		break;
-	}
-	flt_route_primary(f, r, now);
-}
-
 static void flt_start_admitted(struct flt *f, struct flt_record *r, clk_ms now)
 {
 	enum res res = flt_token(f, r);
@@ -569,6 +347,30 @@
 		flt_route(f, r, now);
 }
 
+/*
+ * The owner checked its lease when it released the answer. The answer may have
+ * been on its way for long, so the own lease decides whether the write is
+ * still acknowledged by the present primary.
+ */
+static void flt_acknowledge(struct flt *f, struct flt_record *r,
+			    const struct msg_end *end, clk_ms now)
+{
+	const struct group_info *g = view_group(f->view, r->rq.group);
+
+	if (view_lease_valid(f->view, r->rq.group, end->write_term, now)) {
+		flt_done(f, r, end, now);
+		return;
+	}
+	if ((g && g->term > end->write_term) || now >= r->deadline) {
+		flt_refuse(f, r, RES_UNKNOWN, "no lease for the write's term",
+			   now);
+		return;
+	}
+	r->end = *end;
+	r->end.text = (struct blob){.data = NULL, .len = 0};
+	flt_enter(f, r, FLT_HELD);
+}
+
 void flt_ended(struct flt *f, int64_t id, const char *backend,
 	       const struct msg_end *end, bool answered, clk_ms now)
 {
@@ -591,7 +393,10 @@
 		r->has_unit = true;
 		r->unit_since = r->submitted;
 	}
-	flt_done(f, r, end, now);
+	if (!end->res && end->write_term)
+		flt_acknowledge(f, r, end, now);
+	else
+		flt_done(f, r, end, now);
 }
 
 void flt_abandon(struct flt *f, int64_t id)
@@ -634,7 +439,8 @@
 {
 	if (!flt_waits(r->phase))
 		return false;
-	return now >= r->deadline || (r->phase == FLT_PARKED && now >= r->due);
+	return r->phase == FLT_HELD || now >= r->deadline ||
+	       (r->phase == FLT_PARKED && now >= r->due);
 }
 
 /* Ids of the records that are due; handling one may end another. */
@@ -665,7 +471,9 @@
 		HASH_FIND(hh, f->records, &ids[i], sizeof(ids[i]), r);
 		if (!r || !flt_is_due(r, now))
 			continue;
-		if (now >= r->deadline)
+		if (r->phase == FLT_HELD)
+			flt_acknowledge(f, r, &r->end, now);
+		else if (now >= r->deadline)
 			flt_expire(f, r, now);
 		else
 			flt_route(f, r, now);
--- a/proxy.c
+++ b/proxy.c
@@ -113,7 +113,7 @@
 {
 	const struct proxy *p = arg;
 
-	return exec_hint(p->exec, backend, now);
+	return exec_hint_of(p->exec, backend, now);
 }
 
 static uint64_t proxy_seed(const struct settings *set)
--- a/request.c
+++ b/request.c
@@ -6,6 +6,10 @@
 #include <string.h>
 #include <uthash.h>
 
+enum {
+	REQ_HOLD = 1024 /* bytes of a transaction's answer kept until its end */
+};
+
 struct req_run {
 	int64_t id;
 	int64_t run_id; /* 0 while nothing runs */
@@ -13,6 +17,8 @@
 	int64_t term; /* of the run on that backend */
 	struct req_engine *engine;
 	struct exec_sink sink;
+	enum run_kind kind;
+	struct buf held; /* answer that may only go out with its end */
 	bool answered; /* bytes went to the caller */
 	UT_hash_handle hh;
 };
@@ -42,14 +48,56 @@
 	return r;
 }
 
+/*
+ * The answer of a write acknowledges it, so it waits until the chain has seen
+ * the end and checked the lease. A commit's answer is short; longer answers in
+ * a transaction are rows, which are passed on.
+ */
+static bool req_holds(const struct req_run *r, size_t len)
+{
+	switch (r->kind) {
+	case RUN_WRITE:
+		return true;
+	case RUN_TXN:
+		return !r->answered && buf_len(&r->held) + len <= REQ_HOLD;
+	case RUN_READ:
+	case RUN_DESCRIBE:
+	case RUN_BEGIN:
+		break;
+	}
+	return false;
+}
+
+static void req_release(struct req_run *r)
+{
+	if (!buf_len(&r->held))
+		return;
+	r->answered = true;
+	r->sink.on_data(r->sink.arg, buf_data(&r->held), buf_len(&r->held));
+	buf_free(&r->held);
+}
+
 static void req_on_data(void *arg, const char *bytes, size_t len)
 {
 	struct req_run *r = arg;
 
+	if (req_holds(r, len)) {
+		buf_add(&r->held, bytes, len);
+		return;
+	}
+	req_release(r);
 	r->answered = true;
 	r->sink.on_data(r->sink.arg, bytes, len);
 }
 
+/* Forgets a request; its sink is not called again. */
+static void req_drop(struct req_engine *q, struct req_run *r)
+{
+	HASH_DEL(q->runs, r);
+	buf_free(&r->held);
+	free(r);
+}
+
 static void req_on_end(void *arg, const struct msg_end *end)
 {
 	struct req_run *r = arg;
@@ -79,6 +127,7 @@
 		return;
 	snprintf(r->backend, sizeof(r->backend), "%s", a->u.run.backend);
 	r->term = a->u.run.term;
+	buf_free(&r->held);
 	r->run_id = exec_start(q->exec, &a->u.run, &sink);
 }
 
@@ -89,11 +138,12 @@
 
 	if (!r)
 		return;
+	if (a->u.end.res == RES_OK || a->u.end.res == RES_SQL_ERROR)
+		req_release(r);
 	sink = r->sink;
 	snprintf(q->ended_backend, sizeof(q->ended_backend), "%s", r->backend);
 	q->ended_term = r->term;
-	HASH_DEL(q->runs, r);
-	free(r);
+	req_drop(q, r);
 	sink.on_end(sink.arg, &a->u.end);
 }
 
@@ -180,10 +230,8 @@
 		return;
 	ev_timer_stop(q->loop, &q->timer);
 	ev_idle_stop(q->loop, &q->later);
-	HASH_ITER (hh, q->runs, r, next) {
-		HASH_DEL(q->runs, r);
-		free(r);
-	}
+	HASH_ITER (hh, q->runs, r, next)
+		req_drop(q, r);
 	free(q);
 }
 
@@ -196,6 +244,7 @@
 		abort();
 	r->engine = q;
 	r->sink = *sink;
+	r->kind = rq->kind;
 	r->id = flt_submit(q->flt, rq, clk_now());
 	HASH_ADD(hh, q->runs, id, sizeof(r->id), r);
 	ev_idle_start(q->loop, &q->later);
@@ -229,8 +278,7 @@
 	if (r->run_id)
 		exec_abandon(q->exec, r->run_id);
 	flt_abandon(q->flt, id);
-	HASH_DEL(q->runs, r);
-	free(r);
+	req_drop(q, r);
 	ev_idle_start(q->loop, &q->later);
 }
 
