--- a/t/unit_raft.cc
+++ b/t/unit_raft.cc
@@ -31,6 +31,7 @@
 	};
 	std::vector<Node> nodes;
 	std::vector<Packet> queue;
+	std::map<std::pair<int, int>, clk_ms> cuts; /* pair, until */
 	std::map<int64_t, std::string> leaders; /* by term */
 	std::map<int64_t, uint64_t> history; /* state by index */
 	struct rng *rng;
@@ -191,6 +192,7 @@
 			struct msg m;
 
 			if (nodes[p.to].down_until > now ||
+			    cuts[{p.from, p.to}] > now ||
 			    msg_decode(&m, p.bytes.data(), p.bytes.size(),
 				       nullptr))
 				continue;
@@ -290,17 +292,23 @@
 		int n = (int)rng_below(c.rng, c.nodes.size());
 
 		c.step();
-		if (i % 20 == 0)
+		/* In quiet times, a follower that misses heartbeats has a
+		 * log that could win an election. */
+		if (i % 10 == 0 && i / 500 % 2 == 0)
 			c.propose("entry " + std::to_string(i));
 		if (rng_below(c.rng, 400) == 0)
 			c.restart(n, false);
 		if (rng_below(c.rng, 300) == 0)
 			c.compact(n);
+		if (rng_below(c.rng, 80) == 0)
+			c.cuts[{n, (int)rng_below(c.rng, c.nodes.size())}] =
+				c.now + (clk_ms)rng_below(c.rng, 2500);
 		if (c.leader() >= 0 && c.all_voters(c.leader()) &&
 		    rng_below(c.rng, 300) == 0)
 			c.restart(n, true);
 	}
 	c.loss = 0;
+	c.cuts.clear();
 	ASSERT_TRUE(c.settle(10000)) << "seed " << GetParam();
 	for (int i = 0; i < 2000 && !c.all_voters(c.leader()); i++)
 		c.step();
@@ -309,6 +317,14 @@
 	for (int i = 0; i < 2000 && !c.all_voters(c.leader()); i++)
 		c.step();
 	EXPECT_TRUE(c.all_voters(c.leader())) << "lost disk not replaced";
+	for (int i = 0; i < 50; i++) {
+		c.propose("last " + std::to_string(i));
+		c.step();
+	}
+	for (int i = 0; i < 1000; i++)
+		c.step();
+	for (auto &n : c.nodes)
+		EXPECT_EQ(c.history.rbegin()->first, n.applied) << n.id;
 	EXPECT_GT(c.history.size(), 50u);
 }
 
@@ -363,3 +379,117 @@
 	EXPECT_TRUE(c.settle(300));
 	EXPECT_NE(lead, c.leader());
 }
+
+/* One instance of three, with the test as the other two. */
+struct Single : testing::Test {
+	struct rng *rng = rng_new(1);
+	struct raft *r = nullptr;
+	clk_ms now = 10000;
+	struct msg_voted voted = {};
+
+	void SetUp() override
+	{
+		const char members[] = "c0 1\nc1 2\nc2 3\n";
+		struct raft_entry e = {1, 1, RAFT_MEMBERS, {members, 15}};
+		struct raft_config c = {"c0", 1, 500, 100, rng};
+
+		r = raft_new(&c, now);
+		raft_load_hard(r, 2, "");
+		raft_load_entry(r, &e);
+		e = {2, 2, RAFT_COMMAND, {"x", 1}};
+		raft_load_entry(r, &e);
+		raft_peer(r, "c1", 2, now);
+		raft_peer(r, "c2", 3, now);
+	}
+	void TearDown() override
+	{
+		raft_free(r);
+		rng_free(rng);
+	}
+	void take()
+	{
+		struct raft_act a;
+
+		while (raft_next(r, &a))
+			if (a.type == RAFT_ACT_SEND && a.msg.type == MSG_VOTED)
+				voted = a.msg.u.voted;
+	}
+	void receive(const char *from, const struct msg &m)
+	{
+		raft_receive(r, from, &m, now);
+		take();
+	}
+	bool asks_vote(const char *from, int64_t uuid, bool pre)
+	{
+		struct msg m = {};
+
+		voted = {};
+		m.type = MSG_VOTE;
+		m.u.vote = {raft_term(r) + 1, uuid, pre, 9, 9};
+		receive(from, m);
+		return voted.granted;
+	}
+	void beat(const char *from, int64_t uuid)
+	{
+		struct msg m = {};
+
+		m.type = MSG_APPEND;
+		m.u.append.term = raft_term(r);
+		m.u.append.uuid = uuid;
+		receive(from, m);
+	}
+	void answer(int64_t match, bool ok)
+	{
+		struct msg m = {};
+
+		m.type = MSG_APPENDED;
+		m.u.appended = {raft_term(r), 2, 1, ok, match};
+		receive("c1", m);
+	}
+	void elect()
+	{
+		struct msg m = {};
+
+		now += 1100;
+		raft_tick(r, now);
+		m.type = MSG_VOTED;
+		m.u.voted = {raft_term(r) + 1, 2, true, true};
+		receive("c1", m);
+		m.u.voted = {raft_term(r), 2, false, true};
+		receive("c1", m);
+		ASSERT_EQ(RAFT_LEADER, raft_role(r));
+	}
+};
+
+/* Guards against an election while the old leader still grants leases, also
+ * by a voter that was restarted meanwhile. */
+TEST_F(Single, RefusesVotesWhileALeaderWasHeard)
+{
+	now += 499;
+	EXPECT_FALSE(asks_vote("c1", 2, true)) << "just started";
+	EXPECT_FALSE(asks_vote("c1", 2, false));
+	EXPECT_EQ(2, raft_term(r)) << "its term may not rise either";
+	beat("c2", 3);
+	now += 499;
+	EXPECT_FALSE(asks_vote("c1", 2, true));
+	EXPECT_FALSE(asks_vote("c1", 2, false));
+	now += 1;
+	EXPECT_TRUE(asks_vote("c1", 2, true));
+	EXPECT_TRUE(asks_vote("c1", 2, false));
+	EXPECT_FALSE(asks_vote("c1", 9, false)) << "unknown uuid";
+}
+
+/* Guards against an entry of an earlier term being taken for committed, which
+ * a later leader may replace, and against leases before the leader knows all
+ * that its predecessors committed. */
+TEST_F(Single, CommitsAndActsByEntriesOfItsOwnTerm)
+{
+	elect();
+	answer(2, true);
+	EXPECT_LT(raft_commit(r), 2);
+	EXPECT_FALSE(raft_has_authority(r, now));
+	answer(3, true);
+	EXPECT_EQ(3, raft_commit(r));
+	EXPECT_TRUE(raft_has_authority(r, now + 499));
+	EXPECT_FALSE(raft_has_authority(r, now + 500));
+}
