--- a/exec.c
+++ b/exec.c
@@ -351,6 +351,8 @@
 		next = r->hh.next;
 		if (r->runner)
 			runner_view_changed(r->runner);
+		else
+			exec_local_recheck(r);
 	}
 	exec_backends_update(x);
 }
@@ -369,3 +371,8 @@
 		n += !r->ended;
 	return n;
 }
+
+size_t exec_pins(const struct exec *x)
+{
+	return HASH_COUNT(x->pins);
+}
