state, ctlcore, failover: look records up in sorted tables

Linear searches over the roster at every tick and ask would take most of a core with 560 proxies and 1,950 members. A member that stopped announcing is left by a planned change like one that is leaving. Lists above 3 MiB are refused, since they would not fit a frame to the other instances.

--- a/ctl_ask.c
+++ b/ctl_ask.c
@@ -183,6 +183,11 @@
 			       "request id and operator must not be empty");
 		return false;
 	}
+	if (m->lists.len > CTL_MAX_LISTS) {
+		applied_refuse(c, client, m->seq, RES_TOO_LARGE,
+			       res_text(RES_TOO_LARGE));
+		return false;
+	}
 	l = lst_parse(m->lists.data, m->lists.len, state_version(c->state) + 1,
 		      &e);
 	if (!l) {
--- a/ctl_priv.h
+++ b/ctl_priv.h
@@ -71,6 +71,7 @@
 	struct name *changing; /* of the last answer */
 	struct ctl_formed formed[SET_MAX_CONTROLS];
 	clk_ms form_due;
+	clk_ms roster_due;
 	size_t log_bytes; /* applied since the last snapshot */
 	enum raft_role role; /* last seen, for the log */
 };
--- a/ctl_query.c
+++ b/ctl_query.c
@@ -1,6 +1,7 @@
 #include "ctl_priv.h"
 
 #include "counter.h"
+#include "table.h"
 
 #include <inttypes.h>
 #include <stdarg.h>
@@ -65,14 +66,6 @@
 	m->ncells = r->ncells;
 }
 
-static const struct ctl_proxy *rows_heard(const struct ctl *c, const char *id)
-{
-	for (size_t i = 0; i < c->nproxies; i++)
-		if (!strcmp(c->proxies[i].id, id))
-			return &c->proxies[i];
-	return NULL;
-}
-
 /* One row for each proxy: does it use the configuration in force? */
 static int64_t rows_status(const struct ctl *c, struct rows *r, clk_ms now)
 {
@@ -87,7 +80,8 @@
 		rows_add(r, "%s", names[i]);
 	p = state_proxies(c->state, &n);
 	for (size_t i = 0; i < n; i++) {
-		const struct ctl_proxy *h = rows_heard(c, p[i].id);
+		const struct ctl_proxy *h =
+			tab_find(c->proxies, c->nproxies, sizeof(*h), p[i].id);
 		bool asked = h && h->client;
 		bool lags = !asked || (l && (h->cfg_version != l->version ||
 					     strcmp(h->cfg_digest, l->digest)));
--- a/ctl_roster.c
+++ b/ctl_roster.c
@@ -2,6 +2,7 @@
 
 #include "counter.h"
 #include "log.h"
+#include "table.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,18 +10,11 @@
 
 static struct ctl_proxy *ctl_proxy(struct ctl *c, const char *id, clk_ms now)
 {
-	struct ctl_proxy *p;
-
-	for (size_t i = 0; i < c->nproxies; i++)
-		if (!strcmp(c->proxies[i].id, id))
-			return &c->proxies[i];
-	c->proxies =
-		realloc(c->proxies, (c->nproxies + 1) * sizeof(*c->proxies));
-	if (!c->proxies)
-		abort();
-	p = &c->proxies[c->nproxies++];
-	memset(p, 0, sizeof(*p));
-	snprintf(p->id, ID_LEN, "%s", id);
+	struct ctl_proxy *p = tab_find(c->proxies, c->nproxies, sizeof(*p), id);
+
+	if (p)
+		return p;
+	p = tab_insert((void **)&c->proxies, &c->nproxies, sizeof(*p), id);
 	p->heard = now;
 	return p;
 }
@@ -28,18 +22,12 @@
 static struct ctl_backend *ctl_backend(struct ctl *c, const char *id,
 				       clk_ms now)
 {
-	struct ctl_backend *b;
+	struct ctl_backend *b =
+		tab_find(c->backends, c->nbackends, sizeof(*b), id);
 
-	for (size_t i = 0; i < c->nbackends; i++)
-		if (!strcmp(c->backends[i].id, id))
-			return &c->backends[i];
-	c->backends =
-		realloc(c->backends, (c->nbackends + 1) * sizeof(*c->backends));
-	if (!c->backends)
-		abort();
-	b = &c->backends[c->nbackends++];
-	memset(b, 0, sizeof(*b));
-	snprintf(b->id, ID_LEN, "%s", id);
+	if (b)
+		return b;
+	b = tab_insert((void **)&c->backends, &c->nbackends, sizeof(*b), id);
 	b->heard = now;
 	return b;
 }
@@ -209,6 +197,9 @@
 	const struct proxy_info *p;
 	size_t n;
 
+	if (now < c->roster_due)
+		return;
+	c->roster_due = now + CTL_ROSTER_MS;
 	p = state_proxies(c->state, &n);
 	for (size_t i = 0; i < n; i++)
 		ctl_tick_proxy(c, &p[i], now);
--- a/ctlcore.h
+++ b/ctlcore.h
@@ -18,12 +18,15 @@
 enum {
 	CTL_FORM_MS = 200, /* between questions of the first formation */
 	CTL_FORM_VALID_MS = 1000, /* an answer to one counts for this long */
+	CTL_ROSTER_MS = 100, /* between looks for silent members */
 	CTL_PROXY_SILENT_MS = 2000, /* asks missing until not alive */
 	CTL_GONE_MS = 24 * 3600 * 1000, /* silent for this long: removed */
 	CTL_LEFT_MS = 10000, /* the same for a backend that left */
 	CTL_REPROPOSE_MS = 1000, /* a proposal without effect is repeated */
 	CTL_COMPACT_ENTRIES = 2000,
-	CTL_COMPACT_BYTES = 4 << 20
+	CTL_COMPACT_BYTES = 4 << 20,
+	/* Bytes of the lists: they travel in one frame with other fields. */
+	CTL_MAX_LISTS = 3 << 20
 };
 
 enum ctl_act_type {
--- a/failover.c
+++ b/failover.c
@@ -34,6 +34,7 @@
 	free(f->groups);
 	f->groups = NULL;
 	f->ngroups = 0;
+	f->view = -1;
 	f->nacts = 0;
 	f->taken = 0;
 }
--- a/failover_group.c
+++ b/failover_group.c
@@ -1,5 +1,7 @@
 #include "failover_priv.h"
 
+#include "table.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,56 +13,42 @@
 
 struct fo_member *fo_member(struct fo_group *g, const char *id)
 {
-	for (size_t i = 0; i < g->nmembers; i++)
-		if (!strcmp(g->members[i].id, id))
-			return &g->members[i];
-	return NULL;
+	return tab_find(g->members, g->nmembers, sizeof(*g->members), id);
 }
 
 struct fo_group *fo_group(struct fo *f, const char *name)
 {
-	for (size_t i = 0; i < f->ngroups; i++)
-		if (!strcmp(f->groups[i].name, name))
-			return &f->groups[i];
-	return NULL;
+	return tab_find(f->groups, f->ngroups, sizeof(*f->groups), name);
 }
 
 static struct fo_group *fo_add_group(struct fo *f, const char *name)
 {
-	struct fo_group *g;
-
-	f->groups = realloc(f->groups, (f->ngroups + 1) * sizeof(*f->groups));
-	if (!f->groups)
-		abort();
-	g = &f->groups[f->ngroups++];
-	memset(g, 0, sizeof(*g));
-	snprintf(g->name, ID_LEN, "%s", name);
+	struct fo_group *g =
+		tab_insert((void **)&f->groups, &f->ngroups, sizeof(*g), name);
+
 	g->suspected = INT64_MIN / 2;
+	g->listed = CLK_NEVER;
 	return g;
 }
 
 static struct fo_member *fo_add_member(struct fo_group *g, const char *id)
 {
-	struct fo_member *m;
-
-	g->members =
-		realloc(g->members, (g->nmembers + 1) * sizeof(*g->members));
-	if (!g->members)
-		abort();
-	m = &g->members[g->nmembers++];
-	memset(m, 0, sizeof(*m));
-	snprintf(m->id, ID_LEN, "%s", id);
+	struct fo_member *m =
+		tab_insert((void **)&g->members, &g->nmembers, sizeof(*m), id);
+
 	m->called = INT64_MIN / 2;
 	m->seen = INT64_MIN / 2;
 	return m;
 }
 
-/* Brings groups and members in line with the roster. */
 void fo_update(struct fo *f)
 {
 	const struct backend_info *b;
 	size_t n;
 
+	if (f->view == state_view_version(f->state))
+		return;
+	f->view = state_view_version(f->state);
 	for (size_t i = 0; i < f->ngroups; i++)
 		for (size_t j = 0; j < f->groups[i].nmembers; j++)
 			f->groups[i].members[j].listed = false;
@@ -75,7 +63,7 @@
 		if (!m)
 			m = fo_add_member(g, b[i].id);
 		memcpy(m->addr, b[i].addr, ADDR_LEN);
-		m->leaving = b[i].leaving;
+		m->leaving = b[i].leaving || b[i].silent;
 		m->listed = true;
 	}
 	for (size_t i = 0; i < f->ngroups; i++) {
@@ -85,7 +73,8 @@
 			if (g->members[j].listed)
 				j++;
 			else
-				g->members[j] = g->members[--g->nmembers];
+				tab_remove(g->members, &g->nmembers,
+					   sizeof(*g->members), &g->members[j]);
 		}
 	}
 }
--- a/failover_priv.h
+++ b/failover_priv.h
@@ -54,6 +54,7 @@
 	struct fo_config cfg;
 	const struct state *state;
 	bool leading;
+	int64_t view; /* roster that groups and members reflect */
 	int64_t calls;
 	struct fo_group *groups;
 	size_t ngroups;
--- a/quota.c
+++ b/quota.c
@@ -63,7 +63,8 @@
 	clk_ms grant_ms;
 	clk_ms led;
 	int64_t lists_version;
-	uint64_t roster;
+	int64_t roster_version; /* sum of the records' versions and number */
+	uint64_t roster; /* hash of ids and zones */
 	struct customer_quota *customers;
 	struct proxy_quota *proxies;
 	size_t nproxies;
@@ -102,6 +103,7 @@
 	q->proxies = NULL;
 	q->nproxies = 0;
 	q->lists_version = -1;
+	q->roster_version = -1;
 }
 
 void quota_server_free(struct quota_server *q)
@@ -200,11 +202,17 @@
 static void quota_refresh(struct quota_server *q, const struct lists *lists,
 			  const struct proxy_info *proxies, size_t n)
 {
+	int64_t version = (int64_t)n;
 	uint64_t roster = n;
 	struct customer_quota *c;
 	int64_t *floors;
 	size_t *index;
 
+	for (size_t i = 0; i < n; i++)
+		version += proxies[i].version;
+	if (lists->version == q->lists_version && version == q->roster_version)
+		return;
+	q->roster_version = version;
 	for (size_t i = 0; i < n; i++) {
 		roster = XXH3_64bits_withSeed(proxies[i].id,
 					      strlen(proxies[i].id), roster);
--- a/state.c
+++ b/state.c
@@ -1,5 +1,7 @@
 #include "state_priv.h"
 
+#include "table.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -199,15 +201,12 @@
 
 struct group_info *state_make_group(struct state *s, const char *name)
 {
-	struct group_info *g;
+	struct group_info *g =
+		tab_find(s->groups, s->ngroups, sizeof(*g), name);
 
-	for (size_t i = 0; i < s->ngroups; i++)
-		if (!strcmp(s->groups[i].name, name))
-			return &s->groups[i];
-	s->groups = state_grow(s->groups, s->ngroups, sizeof(*s->groups));
-	g = &s->groups[s->ngroups++];
-	memset(g, 0, sizeof(*g));
-	snprintf(g->name, ID_LEN, "%s", name);
+	if (g)
+		return g;
+	g = tab_insert((void **)&s->groups, &s->ngroups, sizeof(*g), name);
 	g->starts = calloc(GROUP_TERMS, sizeof(*g->starts));
 	if (!g->starts)
 		abort();
@@ -255,24 +254,21 @@
 
 static void state_merge_backend(struct state *s, const struct backend_info *in)
 {
-	size_t i = 0;
+	struct backend_info *b =
+		tab_find(s->backends, s->nbackends, sizeof(*b), in->id);
 
-	while (i < s->nbackends && strcmp(s->backends[i].id, in->id))
-		i++;
-	if (!in->addr[0]) {
-		if (i < s->nbackends)
-			s->backends[i] = s->backends[--s->nbackends];
-		return;
-	}
-	if (i == s->nbackends) {
-		s->backends = state_grow(s->backends, s->nbackends,
-					 sizeof(*s->backends));
-		memset(&s->backends[s->nbackends++], 0, sizeof(*s->backends));
-	} else if (backend_equal(&s->backends[i], in)) {
+	if (!in->addr[0] || (b && backend_equal(b, in))) {
+		if (b && !in->addr[0]) {
+			tab_remove(s->backends, &s->nbackends, sizeof(*b), b);
+			s->view_version++;
+		}
 		return;
 	}
-	s->backends[i] = *in;
-	s->backends[i].version = ++s->view_version;
+	if (!b)
+		b = tab_insert((void **)&s->backends, &s->nbackends, sizeof(*b),
+			       in->id);
+	*b = *in;
+	b->version = ++s->view_version;
 }
 
 static bool proxy_equal(const struct proxy_info *a, const struct proxy_info *b)
@@ -283,24 +279,21 @@
 
 static void state_merge_proxy(struct state *s, const struct proxy_info *in)
 {
-	size_t i = 0;
+	struct proxy_info *p =
+		tab_find(s->proxies, s->nproxies, sizeof(*p), in->id);
 
-	while (i < s->nproxies && strcmp(s->proxies[i].id, in->id))
-		i++;
-	if (!in->addr[0]) {
-		if (i < s->nproxies)
-			s->proxies[i] = s->proxies[--s->nproxies];
+	if (!in->addr[0] || (p && proxy_equal(p, in))) {
+		if (p && !in->addr[0]) {
+			tab_remove(s->proxies, &s->nproxies, sizeof(*p), p);
+			s->view_version++;
+		}
 		return;
 	}
-	if (i == s->nproxies) {
-		s->proxies = state_grow(s->proxies, s->nproxies,
-					sizeof(*s->proxies));
-		memset(&s->proxies[s->nproxies++], 0, sizeof(*s->proxies));
-	} else if (proxy_equal(&s->proxies[i], in)) {
-		return;
-	}
-	s->proxies[i] = *in;
-	s->proxies[i].version = ++s->view_version;
+	if (!p)
+		p = tab_insert((void **)&s->proxies, &s->nproxies, sizeof(*p),
+			       in->id);
+	*p = *in;
+	p->version = ++s->view_version;
 }
 
 static void state_merge(struct state *s, const struct msg_answer *a)
@@ -373,26 +366,17 @@
 
 const struct group_info *state_group(const struct state *s, const char *name)
 {
-	for (size_t i = 0; i < s->ngroups; i++)
-		if (!strcmp(s->groups[i].name, name))
-			return &s->groups[i];
-	return NULL;
+	return tab_find(s->groups, s->ngroups, sizeof(*s->groups), name);
 }
 
 const struct backend_info *state_backend(const struct state *s, const char *id)
 {
-	for (size_t i = 0; i < s->nbackends; i++)
-		if (!strcmp(s->backends[i].id, id))
-			return &s->backends[i];
-	return NULL;
+	return tab_find(s->backends, s->nbackends, sizeof(*s->backends), id);
 }
 
 const struct proxy_info *state_proxy(const struct state *s, const char *id)
 {
-	for (size_t i = 0; i < s->nproxies; i++)
-		if (!strcmp(s->proxies[i].id, id))
-			return &s->proxies[i];
-	return NULL;
+	return tab_find(s->proxies, s->nproxies, sizeof(*s->proxies), id);
 }
 
 static void *state_scratch(void *old, size_t n, size_t size)
--- a/state_snap.c
+++ b/state_snap.c
@@ -1,5 +1,7 @@
 #include "state_priv.h"
 
+#include "table.h"
+
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -110,16 +112,15 @@
 			memcpy(starts, a->groups[i].starts,
 			       (size_t)g->nstarts * sizeof(*starts));
 	}
-	for (int64_t i = 0; i < a->nbackends; i++) {
-		s->backends = state_grow(s->backends, s->nbackends,
-					 sizeof(*s->backends));
-		s->backends[s->nbackends++] = a->backends[i];
-	}
-	for (int64_t i = 0; i < a->nproxies; i++) {
-		s->proxies = state_grow(s->proxies, s->nproxies,
-					sizeof(*s->proxies));
-		s->proxies[s->nproxies++] = a->proxies[i];
-	}
+	for (int64_t i = 0; i < a->nbackends; i++)
+		*(struct backend_info *)tab_insert(
+			(void **)&s->backends, &s->nbackends,
+			sizeof(*s->backends), a->backends[i].id) =
+			a->backends[i];
+	for (int64_t i = 0; i < a->nproxies; i++)
+		*(struct proxy_info *)tab_insert(
+			(void **)&s->proxies, &s->nproxies, sizeof(*s->proxies),
+			a->proxies[i].id) = a->proxies[i];
 }
 
 static void take_answer(struct state *s, const struct msg_applied *a)
--- /dev/null
+++ b/table.c
@@ -0,0 +1,57 @@
+#include "table.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Index of the first entry whose id is not less. */
+static size_t tab_at(const char *base, size_t n, size_t size, const char *id)
+{
+	size_t low = 0;
+
+	while (low < n) {
+		size_t mid = low + (n - low) / 2;
+
+		if (strcmp(base + mid * size, id) < 0)
+			low = mid + 1;
+		else
+			n = mid;
+	}
+	return low;
+}
+
+void *tab_find(const void *base, size_t n, size_t size, const char *id)
+{
+	size_t at = tab_at(base, n, size, id);
+	char *entry = (char *)base + at * size;
+
+	return at < n && !strcmp(entry, id) ? entry : NULL;
+}
+
+void *tab_insert(void **base, size_t *n, size_t size, const char *id)
+{
+	size_t at = tab_at(*base, *n, size, id);
+	char *entry;
+
+	/* The capacity is the next power of two. */
+	if (!(*n & (*n - 1))) {
+		*base = realloc(*base, (*n ? 2 * *n : 1) * size);
+		if (!*base)
+			abort();
+	}
+	entry = (char *)*base + at * size;
+	memmove(entry + size, entry, (*n - at) * size);
+	memset(entry, 0, size);
+	snprintf(entry, ID_LEN, "%s", id);
+	(*n)++;
+	return entry;
+}
+
+void tab_remove(void *base, size_t *n, size_t size, void *entry)
+{
+	char *end = (char *)base + *n * size;
+	char *next = (char *)entry + size;
+
+	memmove(entry, next, (size_t)(end - next));
+	(*n)--;
+}
