request, uplink: cancel requests that wait, ask at once after an apply

A cancel request had no effect until the request was handed to a backend. Lists are not pushed, so the proxy that passed an APPLY on asks for them itself.

--- a/request.c
+++ b/request.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "counter.h"
+
 struct req_run {
 	int64_t id;
 	int64_t run_id; /* 0 while nothing runs */
@@ -14,6 +16,7 @@
 	struct req_engine *engine;
 	struct exec_sink sink;
 	bool answered; /* bytes went to the caller */
+	bool canceled; /* while it waited; ends from the loop */
 	UT_hash_handle hh;
 };
 
@@ -28,6 +31,7 @@
 	void (*on_quota)(void *arg);
 	void *quota_arg;
 	bool draining;
+	bool cancels; /* some request is canceled */
 	char ended_backend[ID_LEN]; /* of the request that ends now */
 	int64_t ended_term;
 };
@@ -80,6 +84,8 @@
 	snprintf(r->backend, sizeof(r->backend), "%s", a->u.run.backend);
 	r->term = a->u.run.term;
 	r->run_id = exec_start(q->exec, &a->u.run, &sink);
+	if (r->canceled)
+		exec_cancel(q->exec, r->run_id);
 }
 
 static void req_done(struct req_engine *q, const struct flt_action *a)
@@ -140,10 +146,43 @@
 	req_arm(q);
 }
 
+/* Ends a request that was canceled before it was handed to exec. */
+static void req_end_canceled(struct req_engine *q, struct req_run *r)
+{
+	const char *text = res_text(RES_CANCELED);
+	struct msg_end end = {.res = RES_CANCELED,
+			      .txn = 'I',
+			      .text = {.data = text, .len = strlen(text)}};
+	struct exec_sink sink = r->sink;
+
+	snprintf(end.sqlstate, sizeof(end.sqlstate), "%s",
+		 res_sqlstate(RES_CANCELED));
+	flt_abandon(q->flt, r->id);
+	HASH_DEL(q->runs, r);
+	free(r);
+	cnt_refusal(RES_CANCELED);
+	sink.on_end(sink.arg, &end);
+}
+
+static void req_end_all_canceled(struct req_engine *q)
+{
+	struct req_run *r = q->runs;
+
+	while (q->cancels) {
+		while (r && (!r->canceled || r->run_id))
+			r = r->hh.next;
+		q->cancels = r != NULL;
+		if (r)
+			req_end_canceled(q, r);
+		r = q->runs;
+	}
+}
+
 static void req_later(struct ev_loop *loop, ev_idle *w, int events)
 {
 	(void)events;
 	ev_idle_stop(loop, w);
+	req_end_all_canceled(w->data);
 	req_drain(w->data);
 }
 
@@ -216,8 +255,15 @@
 {
 	struct req_run *r = req_find(q, id);
 
-	if (r && r->run_id)
+	if (!r)
+		return;
+	if (r->run_id) {
 		exec_cancel(q->exec, r->run_id);
+		return;
+	}
+	r->canceled = true;
+	q->cancels = true;
+	ev_idle_start(q->loop, &q->later);
 }
 
 void req_abandon(struct req_engine *q, int64_t id)
--- a/t/sys_caller.cc
+++ b/t/sys_caller.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <cstring>
 #include <fstream>
 #include <memory>
 #include <sys/socket.h>
@@ -25,6 +26,15 @@
 
 		spec.proxies = 2;
 		spec.controls = 1;
+		spec.lists =
+			"{\"plans\": [{\"name\": \"standard\", "
+			"\"connections\": 30, \"max_age_ms\": 5000, "
+			"\"max_wait_ms\": 5000}, {\"name\": \"one\", "
+			"\"connections\": 1, \"max_age_ms\": 5000, "
+			"\"max_wait_ms\": 5000}], \"customers\": [" +
+			customer_json("shop", "standard", "shop-password") +
+			", " + customer_json("tiny", "one", "tiny-password") +
+			"]}\n";
 		c = std::make_unique<Cluster>(spec);
 		ASSERT_TRUE(c->start());
 	}
@@ -232,6 +242,32 @@
 	EXPECT_EQ("1", a.exec("SELECT 1").value());
 }
 
+/* Guards against a cancel request that does nothing while the request waits
+ * for a unit of its customer's limit. */
+TEST_F(SysCaller, CancelEndsAWaitingRequest)
+{
+	Caller x, y;
+
+	ASSERT_TRUE(
+		x.connect(c->addr("p1"), "tiny", "tiny-password", "orders"));
+	ASSERT_TRUE(
+		y.connect(c->addr("p1"), "tiny", "tiny-password", "orders"));
+	ASSERT_TRUE(wait_until(5000, [&] { return x.exec("BEGIN").ok; }));
+	ASSERT_TRUE(PQsendQuery(y.raw(), "SELECT 1"));
+	int64_t began = now_ms();
+	usleep(50000); /* any time while it waits will do */
+	ASSERT_TRUE(y.cancel());
+	PGresult *r = PQgetResult(y.raw());
+	EXPECT_STREQ("57014", PQresultErrorField(r, PG_DIAG_SQLSTATE))
+		<< PQerrorMessage(y.raw());
+	PQclear(r);
+	while ((r = PQgetResult(y.raw())))
+		PQclear(r);
+	EXPECT_LT(now_ms() - began, 2000);
+	EXPECT_TRUE(x.exec("COMMIT").ok);
+	EXPECT_EQ("1", y.exec("SELECT 1").value());
+}
+
 /* Guards against stale reads when a session moves to another proxy. */
 TEST_F(SysCaller, SessionMovesWithItsToken)
 {
@@ -325,24 +361,34 @@
 	return std::string((char *)&len, 4) + body;
 }
 
-bool await_ready(int fd)
+/* Types of the messages up to ReadyForQuery; "" if they don't come. */
+std::string await_ready(int fd)
 {
-	static const std::string ready("Z\0\0\0\5", 5);
-	std::string in;
+	std::string in, types;
 	char buf[2048];
+	size_t at = 0;
 
-	while (in.size() < 6 || in.compare(in.size() - 6, 5, ready)) {
+	while (types.empty() || types.back() != 'Z') {
 		ssize_t n = read(fd, buf, sizeof(buf));
 
 		if (n <= 0)
-			return false;
+			return "";
 		in.append(buf, (size_t)n);
+		while (at + 5 <= in.size()) {
+			uint32_t len;
+
+			memcpy(&len, in.data() + at + 1, sizeof(len));
+			if (at + 1 + ntohl(len) > in.size())
+				break;
+			types += in[at];
+			at += 1 + ntohl(len);
+		}
 	}
-	return true;
+	return types;
 }
 
 /* A logged-in socket with a token, without the cost of libpq. */
-int login_socket(const std::string &addr)
+int login_socket(const std::string &addr, const std::string &token)
 {
 	struct sockaddr_in sa = {};
 	uint32_t version = htonl(196608);
@@ -359,16 +405,44 @@
 	struct timeval limit = {10, 0};
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
-	    write(fd, bytes.data(), bytes.size()) < 0 || !await_ready(fd))
+	    write(fd, bytes.data(), bytes.size()) < 0 ||
+	    await_ready(fd).empty())
 		return -1;
-	bytes = "Q" + framed(std::string("SET marjoramlatch.session = "
-					 "'orders/1/1'") +
+	bytes = "Q" + framed(std::string("SET marjoramlatch.session = '" +
+					 token + "'") +
 			     '\0');
-	if (write(fd, bytes.data(), bytes.size()) < 0 || !await_ready(fd))
+	if (write(fd, bytes.data(), bytes.size()) < 0 ||
+	    await_ready(fd).empty())
 		return -1;
 	return fd;
 }
 
+/* Guards against a driver's fetch size that loses rows or runs the statement
+ * again. */
+TEST_F(SysCaller, ExecuteWithARowLimit)
+{
+	table("limited");
+	ASSERT_TRUE(a.exec("INSERT INTO limited VALUES (1, 'x'), (2, 'y'), "
+			   "(3, 'z')")
+			    .ok);
+	auto m = [](char type, const std::string &body) {
+		return std::string(1, type) + framed(body);
+	};
+	const std::string zero(1, '\0'), none(2, '\0');
+	const std::string execute = m('E', zero + std::string("\0\0\0\2", 4));
+	const std::string bytes =
+		m('P',
+		  zero + "SELECT b FROM limited ORDER BY a" + zero + none) +
+		m('B', zero + zero + none + none + none) + m('D', "P" + zero) +
+		execute + execute + m('S', "");
+	int fd = login_socket(c->addr("p1"), a.parameter("marjoramlatch."
+							 "session"));
+	ASSERT_GE(fd, 0);
+	ASSERT_EQ((ssize_t)bytes.size(), write(fd, bytes.data(), bytes.size()));
+	EXPECT_EQ("12TDDsDCZ", await_ready(fd));
+	close(fd);
+}
+
 /* Guards against a growing cost of idle callers: at most 8 KB each. */
 TEST_F(SysCaller, IdleCallersAreCheap)
 {
@@ -378,7 +452,7 @@
 	int64_t before = rss_bytes(pid);
 
 	for (int i = 0; i < CALLERS; i++) {
-		fds.push_back(login_socket(c->addr("p1")));
+		fds.push_back(login_socket(c->addr("p1"), "orders/1/1"));
 		ASSERT_GE(fds.back(), 0) << i;
 	}
 	int64_t each = (rss_bytes(pid) - before) / CALLERS;
--- a/uplink.c
+++ b/uplink.c
@@ -285,6 +285,9 @@
 		uplink_wake(u);
 		return;
 	}
+	/* Newer lists are not pushed; they come with the next answer. */
+	if (m && m->type == MSG_APPLIED)
+		uplink_wake(u);
 	on_reply = r->on_reply;
 	arg = r->arg;
 	upl_forget(u, r);
