--- a/exec.h
+++ b/exec.h
@@ -78,7 +78,7 @@
 };
 
 struct exec_hint exec_hint_of(const struct exec *x, const char *backend,
-			   clk_ms now);
+			      clk_ms now);
 
 /* Groups whose primary looks failed from here, for the next ask. */
 int64_t exec_suspects(struct exec *x, struct suspect *out, int64_t max,
--- a/exec_backend.c
+++ b/exec_backend.c
@@ -378,7 +378,7 @@
 /* ---- what others may know ---- */
 
 struct exec_hint exec_hint_of(const struct exec *x, const char *backend,
-			   clk_ms now)
+			      clk_ms now)
 {
 	struct exec_hint hint = {.age_ms = -1, .healthy = true};
 	const struct exec_backend *b;
