--- a/request.c
+++ b/request.c
@@ -6,13 +6,11 @@
 #include <string.h>
 #include <uthash.h>
 
-<<<<<<< HEAD
+#include "counter.h"
+
 enum {
 	REQ_HOLD = 1024 /* bytes of a transaction's answer kept until its end */
 };
-=======
-#include "counter.h"
->>>>>>> front
 
 struct req_run {
 	int64_t id;
@@ -210,8 +208,7 @@
 	snprintf(end.sqlstate, sizeof(end.sqlstate), "%s",
 		 res_sqlstate(RES_CANCELED));
 	flt_abandon(q->flt, r->id);
-	HASH_DEL(q->runs, r);
-	free(r);
+	req_drop(q, r);
 	cnt_refusal(RES_CANCELED);
 	sink.on_end(sink.arg, &end);
 }
