--- a/t/lib_exec.cc
+++ b/t/lib_exec.cc
@@ -191,8 +191,9 @@
 Deployment::~Deployment()
 {
 	for (int i = 0; i < nproxies; i++) {
-		exec_free(proxies[i].exec);
 		peers_free(proxies[i].peers);
+		exec_set_peers(proxies[i].exec, NULL);
+		exec_free(proxies[i].exec);
 		view_free(proxies[i].view);
 	}
 	ev_loop_destroy(loop);
@@ -222,6 +223,15 @@
 	exec = origin->exec;
 }
 
+void Deployment::break_links()
+{
+	Proxy *origin = owner == proxies ? &proxies[1] : &proxies[0];
+
+	peers_free(origin->peers);
+	origin->peers = NULL;
+	exec_set_peers(exec, NULL);
+}
+
 void Deployment::start(const char *id, const std::vector<std::string> &more)
 {
 	struct backend_info b = {};
--- a/t/lib_exec.h
+++ b/t/lib_exec.h
@@ -117,6 +117,9 @@
 	 * that does not own the server the current one. */
 	void add_proxy(const char *backend);
 
+	/* Closes the links of the current proxy. */
+	void break_links();
+
 	struct ev_loop *loop;
 	struct settings &set; /* of the first proxy */
 	struct view *view; /* of the current proxy, like exec */
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -417,11 +417,15 @@
 		r.wait_ms = 50;
 		queue.push_back(begin(r));
 	}
+	EXPECT_TRUE(until([&] { return queue.back()->ends > 0; }));
+	EXPECT_EQ(RES_WAIT_EXCEEDED, queue.back()->end.res);
+	Answer *waits = begin(request(RUN_READ, "b1", "SELECT 3"));
+	EXPECT_EQ(0, runs->ends);
 	leaving("b1");
 	EXPECT_EQ(RES_LEAVING, run(RUN_READ, "b1", "SELECT 1")->end.res);
 	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
 	EXPECT_EQ(RES_OK, runs->end.res);
-	EXPECT_EQ(RES_WAIT_EXCEEDED, queue.back()->end.res);
+	EXPECT_EQ(RES_LEAVING, waits->end.res);
 }
 
 /* Guards against answers that are lost, mixed or cut on the way between two
@@ -487,6 +491,10 @@
 	lead("b1", 1);
 	add_proxy("b1");
 	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	/* Opens enough connections for what follows to start at once. */
+	for (int i = 0; i < 5; i++)
+		begin(request(RUN_READ, "b1", "SELECT 1 /* cost_us=50000 */"));
+	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
 	Answer *b = run(RUN_BEGIN, "b1", "BEGIN");
 	struct msg_run r = request(RUN_TXN, "b1", "INSERT INTO t VALUES (1)");
 	r.pin = b->end.pin;
@@ -496,17 +504,15 @@
 	Answer *write = begin(request(
 		RUN_WRITE, "b1", "INSERT INTO t VALUES (2)", RUN_MAJORITY));
 	EXPECT_TRUE(until([&] { return exec_running(owner->exec) == 2; }));
-	Proxy *gone = owner;
-	peers_free(gone->peers);
-	gone->peers = NULL;
-	exec_set_peers(gone->exec, NULL);
+	break_links();
 	EXPECT_TRUE(until([&] { return read->ends && write->ends; }));
 	EXPECT_EQ(RES_READ_FAILED, read->end.res);
 	EXPECT_EQ(RES_UNKNOWN, write->end.res);
 	/* The transaction is rolled back; the abandoned write ran. */
-	EXPECT_TRUE(until(
-		[&] { return sql("b1", "SELECT sum(k) FROM t") == "2"; }));
-	/* The other proxy has become the owner. */
+	EXPECT_TRUE(until([&] {
+		return sql("b1", "SELECT sum(k) FROM t") == "2";
+	})) << sql("b1", "SELECT group_concat(k) FROM t");
+	/* The origin has become the owner. */
 	EXPECT_EQ(RES_OK, run(RUN_READ, "b1", "SELECT 1")->end.res);
 }
 
