settings: let an instance announce another address for its links

Behind an address translation other proxies reach the link address under another name. The tests use this to put the fault-injecting relay between proxies, which was not possible before.

--- a/settings.c
+++ b/settings.c
@@ -77,6 +77,7 @@
 static const char *const set_keys[] = {"id",
 				       "zone",
 				       "link",
+				       "link_advertise",
 				       "listen",
 				       "data",
 				       "key_file",
@@ -192,6 +193,7 @@
 	if (js_id(n, "id", s->id, sizeof(s->id), e) ||
 	    js_id(n, "zone", s->zone, sizeof(s->zone), e) ||
 	    set_addr(n, "link", s->link, e) ||
+	    set_addr(n, "link_advertise", s->link_advertise, e) ||
 	    set_addr(n, "listen", s->listen, e) ||
 	    js_string(n, "data", s->data, sizeof(s->data), e) ||
 	    js_string(n, "key_file", s->key_file, sizeof(s->key_file), e) ||
@@ -337,5 +339,7 @@
 		return err_set(e, local.code, "%s", local.text);
 	r = set_take(s, d, role, e);
 	js_free(d);
+	if (!s->link_advertise[0])
+		memcpy(s->link_advertise, s->link, sizeof(s->link));
 	return r;
 }
--- a/t/lib_cluster.cc
+++ b/t/lib_cluster.cc
@@ -97,10 +97,11 @@
 std::string Cluster::settings(const std::string &name, bool proxy) const
 {
 	const Node &n = nodes_.at(name);
+	std::string link = proxy ? free_addr() : n.own;
 	std::map<std::string, std::string> keys = {
 		{"id", quote(name)},
 		{"zone", quote(n.zone)},
-		{"link", quote(proxy ? free_addr() : n.own)},
+		{"link", quote(link)},
 		{"key_file", quote(dir_.path() + "/key")},
 		{"log_level", quote("info")},
 		{"backend_password", quote(BACKEND_PASSWORD)},
@@ -111,7 +112,10 @@
 
 	if (proxy)
 		keys["listen"] = quote(n.own);
-	else
+	if (proxy && relay_)
+		keys["link_advertise"] =
+			quote(relay_->add(name + "-link", link));
+	if (!proxy)
 		keys["data"] = quote(n.data);
 	for (int i = 1; i <= spec_.controls; i++) {
 		std::string id = "c" + std::to_string(i);
--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -194,9 +194,8 @@
 
 /*
  * A deployment. Proxies are called p1.., control instances c1.., members
- * GROUP-1... These are also the names of routes and sources at the relay.
- * Links between proxies do not pass the relay, because a proxy announces the
- * address that it listens on.
+ * GROUP-1... These are also the names of routes and sources at the relay. The
+ * links that other proxies open to p1 are the route p1-link.
  */
 class Cluster
 {
