exec, runner: bound how long an executed write waits for its majority

A write whose primary was cut from its replicas, or whose owner had no lease, kept its caller waiting for the limit of a statement, 30 s. It now ends with an unknown outcome once it waited as long as its caller may, but at least 1 s.

--- a/exec_local.c
+++ b/exec_local.c
@@ -416,6 +416,8 @@
 			sched_reclassify(r->b->sched, &r->job);
 		if (runner_stalled(r->runner, r->x->set->suspect_ms))
 			runner_break(r->runner, "no status row in time");
+		else if (runner_unconfirmed(r->runner))
+			runner_expire(r->runner);
 		break;
 	default:
 		break;
--- a/runner.c
+++ b/runner.c
@@ -12,7 +12,8 @@
 
 enum {
 	RUNNER_FLUSH = 32 << 10, /* bytes of answer passed on at a time */
-	RUNNER_BACKLOG = 256 << 10 /* untaken bytes that stop reading */
+	RUNNER_BACKLOG = 256 << 10, /* untaken bytes that stop reading */
+	RUNNER_CONFIRM_MS = 1000 /* least time for the majority to confirm */
 };
 
 #define RUNNER_HOLD_S 0.005 /* between checks of the lease or backlog */
@@ -623,6 +624,17 @@
 	return clk_now_us() - r->start_us > limit * 1000;
 }
 
+bool runner_unconfirmed(const struct runner *r)
+{
+	clk_ms limit = r->run->wait_ms;
+
+	if (!r->commits || !r->executed || r->ended)
+		return false;
+	if (limit < RUNNER_CONFIRM_MS)
+		limit = RUNNER_CONFIRM_MS;
+	return clk_now_us() - r->executed_us > limit * 1000;
+}
+
 void runner_break(struct runner *r, const char *why)
 {
 	if (r->pumping) {
--- a/runner.h
+++ b/runner.h
@@ -62,6 +62,10 @@
  * no longer delivers data. */
 bool runner_stalled(const struct runner *r, clk_ms limit);
 
+/* A write has executed, but its majority or lease did not come within what its
+ * caller may wait. */
+bool runner_unconfirmed(const struct runner *r);
+
 /* The view changed: requests on a replaced primary end at once. */
 void runner_view_changed(struct runner *r);
 
