--- /dev/null
+++ b/t/unit_ctl.cc
@@ -0,0 +1,232 @@
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <string>
+
+extern "C" {
+#include "ctlcore.h"
+}
+
+/* Three instances over an in-memory network that can cut one off. */
+struct Ctl : testing::Test {
+	struct Packet {
+		clk_ms at;
+		int from, to;
+		std::string bytes;
+	};
+	struct settings set[3] = {};
+	struct ctl *c[3] = {};
+	struct rng *rng = rng_new(3);
+	std::deque<Packet> queue;
+	bool cut[3] = {};
+	clk_ms now = 1000;
+	int64_t seq = 0, calls = 0;
+
+	void SetUp() override
+	{
+		for (int i = 0; i < 3; i++) {
+			struct settings &s = set[i];
+
+			snprintf(s.id, ID_LEN, "c%d", i);
+			for (int j = 0; j < 3; j++)
+				snprintf(s.controls[j].id, ID_LEN, "c%d", j);
+			s.ncontrols = 3;
+			s.lease_ms = 1000;
+			s.grant_ms = 2000;
+			s.suspect_ms = 500;
+			s.silent_ms = 2500;
+			s.heartbeat_ms = 100;
+			s.election_min_ms = 500;
+			c[i] = ctl_new(&s, 10 + i, rng, now);
+		}
+		introduce();
+	}
+	void TearDown() override
+	{
+		for (auto *x : c)
+			ctl_free(x);
+		rng_free(rng);
+	}
+	void introduce()
+	{
+		for (int i = 0; i < 3; i++)
+			for (int j = 0; j < 3; j++)
+				ctl_peer(c[i], set[j].id, 10 + j, now);
+	}
+	void drain(int i)
+	{
+		struct ctl_act a;
+
+		while (ctl_next(c[i], &a, now)) {
+			struct buf b = BUF_INIT;
+
+			calls += a.type == CTL_CALL;
+			if (a.type != CTL_SEND)
+				continue;
+			msg_encode(&a.msg, &b);
+			queue.push_back(
+				{now + 5, i, atoi(a.to + 1),
+				 std::string(buf_data(&b), buf_len(&b))});
+			buf_free(&b);
+		}
+	}
+	void step()
+	{
+		now += 10;
+		while (!queue.empty() && queue.front().at <= now) {
+			Packet p = queue.front();
+			struct msg m;
+
+			queue.pop_front();
+			if (cut[p.from] || cut[p.to] ||
+			    msg_decode(&m, p.bytes.data(), p.bytes.size(),
+				       nullptr))
+				continue;
+			ctl_receive(c[p.to], set[p.from].id, &m, now);
+			drain(p.to);
+			msg_free(&m);
+		}
+		for (int i = 0; i < 3; i++) {
+			ctl_tick(c[i], now);
+			drain(i);
+		}
+	}
+	/* Asks an instance; returns the lease it grants. */
+	clk_ms ask(int i, bool announce = false,
+		   std::string *changing = nullptr)
+	{
+		struct backend_info b[3] = {};
+		struct msg_ask a = {};
+		struct msg answer;
+
+		for (int k = 0; k < 3; k++) {
+			snprintf(b[k].id, ID_LEN, "m%d", k);
+			strcpy(b[k].group, "orders");
+			strcpy(b[k].addr, "10.0.0.1:5");
+		}
+		a.seq = ++seq;
+		strcpy(a.addr, "10.0.0.2:1");
+		a.announces = b;
+		a.nannounces = announce ? 3 : 0;
+		ctl_ask(c[i], 1, "p1", "za", &a, now, &answer);
+		if (changing && answer.u.answer.nchanging)
+			*changing = answer.u.answer.changing[0].text;
+		clk_ms lease =
+			answer.u.answer.res ? 0 : answer.u.answer.lease_ms;
+		drain(i);
+		return lease;
+	}
+	int leader()
+	{
+		int found = -1;
+
+		for (int i = 0; i < 3; i++) {
+			if (!ask(i))
+				continue;
+			EXPECT_EQ(-1, found) << "two instances grant leases";
+			found = i;
+		}
+		return found;
+	}
+	int elect(int ms)
+	{
+		for (int i = 0; i < ms / 10 && leader() < 0; i++)
+			step();
+		return leader();
+	}
+};
+
+/* Guards against a second cluster being formed by instances that can't reach
+ * one that may hold state. */
+TEST_F(Ctl, FormsOnlyWhenAllAreReachable)
+{
+	cut[2] = true;
+	EXPECT_EQ(-1, elect(3000));
+	cut[2] = false;
+	EXPECT_GE(elect(3000), 0);
+}
+
+/* Guards against an emptied instance, even the one that forms, starting over
+ * beside the others. */
+TEST_F(Ctl, EmptiedInstanceJoinsInsteadOfForming)
+{
+	ASSERT_GE(elect(3000), 0);
+	for (int i = 0; i < 50; i++)
+		step();
+	ctl_free(c[0]);
+	c[0] = ctl_new(&set[0], 99, rng, now);
+	for (int i = 0; i < 3; i++)
+		for (int j = 0; j < 3; j++)
+			ctl_peer(c[i], set[j].id, j ? 10 + j : 99, now);
+	for (int i = 0; i < 500; i++)
+		step();
+	int at = elect(3000);
+	ASSERT_GE(at, 0);
+	const struct raft_members *m = raft_voters(ctl_raft(c[at]));
+	ASSERT_EQ(3, m->n);
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(strcmp(m->list[i].id, "c0") ||
+			    m->list[i].uuid == 99);
+	EXPECT_EQ(raft_commit(ctl_raft(c[at])), raft_commit(ctl_raft(c[0])));
+}
+
+/* Guards against a lease from a leader that was cut off, and against leases
+ * from two instances at once. */
+TEST_F(Ctl, LeaderThatIsCutOffGrantsNoLease)
+{
+	int old = elect(3000);
+
+	ASSERT_GE(old, 0);
+	for (int round = 0; round < 5; round++) {
+		clk_ms since = now;
+
+		cut[old] = true;
+		while (ask(old)) {
+			step();
+			ASSERT_LE(now - since, 500);
+		}
+		int next = elect(3000);
+		ASSERT_GE(next, 0);
+		EXPECT_NE(old, next);
+		cut[old] = false;
+		for (int i = 0; i < 100; i++) {
+			step();
+			leader();
+		}
+		old = elect(3000);
+	}
+}
+
+/* Guards against a lease for a group whose primary is being changed, and
+ * against a group that its members announced not being looked after. */
+TEST_F(Ctl, ChangingGroupIsListedAndMembersAreProbed)
+{
+	int at = elect(3000);
+	std::string changing;
+
+	ASSERT_GE(at, 0);
+	ask(at, true);
+	for (int i = 0; i < 20; i++)
+		step();
+	EXPECT_GE(calls, 3);
+	struct group_info g = {};
+	struct buf b = BUF_INIT;
+	strcpy(g.name, "orders");
+	g.changing = true;
+	g.next_term = 7;
+	state_cmd_group(&b, &g);
+	raft_propose(ctl_raft(c[at]), buf_data(&b), buf_len(&b), now);
+	buf_free(&b);
+	drain(at);
+	for (int i = 0; i < 20; i++)
+		step();
+	EXPECT_EQ(1000, ask(at, true, &changing));
+	EXPECT_EQ("orders", changing);
+	for (int i = 0; i < 600; i++)
+		step();
+	at = elect(3000);
+	size_t n;
+	EXPECT_FALSE(state_proxies(ctl_state(c[at]), &n)[0].alive)
+		<< "an entry instance that does not ask is not alive";
+	EXPECT_TRUE(state_backend(ctl_state(c[at]), "m0")->silent);
+}
--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -336,6 +336,28 @@
 	EXPECT_GE(f.primary()->st.held, f.acked);
 }
 
+/* Guards against a leaving primary that waits forever for replicas that were
+ * restarted and wait to be told whom to follow. */
+TEST(Fo, LeavingPrimaryWaitsForReplicasThatReturn)
+{
+	Failover f;
+
+	f.start();
+	std::string old = f.group()->primary;
+	for (auto &m : f.members)
+		m.up = m.id == old;
+	f.announce(f.member(old), true);
+	EXPECT_FALSE(f.until(3000, [&] { return f.settled(1); }));
+	for (auto &m : f.members)
+		if (m.id != old) {
+			m.up = true;
+			m.follows = 0;
+			m.st.incarnation++;
+		}
+	EXPECT_TRUE(f.until(5000, [&] { return f.settled(1); }));
+	EXPECT_NE(old, f.group()->primary);
+}
+
 class FoSeeds : public testing::TestWithParam<int>
 {
 };
