failover: give replicas that return time to restore the primary's majority

A restart of all replicas made the primary report no majority, and their return then ended in a change of primary, which loses writes that only the primary held.

--- a/failover.c
+++ b/failover.c
@@ -13,6 +13,8 @@
 	FO_RETRY_MS = 100, /* between calls to a member that matters now */
 	FO_SUSPECT_MS = 3000, /* a suspicion is followed up for this long */
 	FO_CATCH_UP_MS = 2000, /* planned change: wait for a replica */
+	FO_RETURN_MS = 1000, /* a member that returned may take this long */
+	FO_FOLLOW_MS = 250, /* from following to confirming writes */
 	FO_PROMOTE_TRIES = 3
 };
 
@@ -138,9 +140,14 @@
 		 g->name, (long long)g->term, g->planned);
 }
 
+static bool fo_is_primary(const struct fo_member *p)
+{
+	return p && p->known && p->status.primary;
+}
+
 static bool fo_primary_works(const struct fo *f, const struct fo_member *p)
 {
-	return p && p->known && p->status.primary &&
+	return fo_is_primary(p) &&
 	       p->status.majority_age_ms < f->cfg.no_majority_ms;
 }
 
@@ -182,6 +189,29 @@
 		fo_begin(f, g);
 }
 
+/*
+ * True if a primary without a majority may get it back from replicas that
+ * have just returned. Without this time, a restart of all replicas would end
+ * in a change of primary, which loses writes that only the primary holds.
+ */
+static bool fo_may_recover(const struct fo_group *g,
+			   const struct group_info *info,
+			   const struct fo_member *p, clk_ms now)
+{
+	if (!fo_is_primary(p))
+		return false;
+	for (size_t i = 0; i < g->nmembers; i++) {
+		const struct fo_member *m = &g->members[i];
+
+		if (m == p || !m->known || now - m->returned >= FO_RETURN_MS)
+			continue;
+		if (!fo_follows(m, info, p->addr) ||
+		    now - m->followed < FO_FOLLOW_MS)
+			return true;
+	}
+	return false;
+}
+
 static void fo_probing_known(struct fo *f, struct fo_group *g,
 			     const struct group_info *info, clk_ms now)
 {
@@ -192,7 +222,7 @@
 	if (!done)
 		return;
 	if (!fo_primary_works(f, p)) {
-		if (majority) {
+		if (majority && !fo_may_recover(g, info, p, now)) {
 			g->planned = false;
 			fo_begin(f, g);
 		}
@@ -209,9 +239,9 @@
 {
 	const struct group_info *info = fo_info(f, g);
 
-	/* A replica that is to take over from a leaving primary must follow
-	 * it first. */
-	if (info && fo_primary_works(f, fo_member(g, info->primary)))
+	/* Replicas that returned may give the primary its majority back, or
+	 * take over from it if it is leaving. */
+	if (info && fo_is_primary(fo_member(g, info->primary)))
 		fo_lead_members(f, g, info, now);
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
 	if (info && info->term > 0)
@@ -256,6 +286,7 @@
 
 	if (!g->planned || !info)
 		return true;
+	fo_lead_members(f, g, info, now);
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
 	if (now < over)
 		return false;
@@ -464,6 +495,9 @@
 static void fo_take_status(struct fo_member *m, const struct fo_answer *a,
 			   clk_ms now)
 {
+	if (a->ok &&
+	    (!m->known || m->status.incarnation != a->status.incarnation))
+		m->returned = now;
 	m->known = a->ok;
 	m->seen = now;
 	if (a->ok)
@@ -496,8 +530,10 @@
 			fo_promoted(f, g, a->start);
 		break;
 	case FO_FOLLOW:
-		if (a->ok)
+		if (a->ok) {
 			m->follows_term = m->call_term;
+			m->followed = now;
+		}
 		break;
 	case FO_COMMIT:
 		break;
--- a/failover_priv.h
+++ b/failover_priv.h
@@ -28,6 +28,8 @@
 	clk_ms called; /* when the last call was made */
 	bool known; /* the last probe or fence was answered */
 	clk_ms seen; /* when the last one ended */
+	clk_ms returned; /* answered after a failure or in a new incarnation */
+	clk_ms followed; /* when it was last told whom to follow */
 	struct fo_status status;
 	int64_t fenced; /* term of the last fence that was answered */
 	int64_t follows_term; /* what it was last told, successfully */
--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -152,7 +152,7 @@
 
 		if (!p || !p->up || !p->st.primary)
 			return;
-		p->st.held++;
+		p->st.held += now < lease_end;
 		for (auto &m : members) {
 			if (&m == p || !m.up || m.cut || p->cut ||
 			    m.st.fence_term > p->st.log_term ||
@@ -356,6 +356,8 @@
 		}
 	EXPECT_TRUE(f.until(5000, [&] { return f.settled(1); }));
 	EXPECT_NE(old, f.group()->primary);
+	EXPECT_GE(f.primary()->st.held, f.member(old).st.held)
+		<< "writes that only the primary held were left behind";
 }
 
 class FoSeeds : public testing::TestWithParam<int>
