t/lib_orders: place orders during faults and check what callers saw

Sessions place orders with request ids through changing proxies and read them back with their token while the primary is killed, frozen or partitioned.

--- a/t/lib_caller.cc
+++ b/t/lib_caller.cc
@@ -49,6 +49,7 @@
 {
 	ExecStatusType st = PQresultStatus(r);
 	const char *state = PQresultErrorField(r, PG_DIAG_SQLSTATE);
+	const char *detail = PQresultErrorField(r, PG_DIAG_MESSAGE_DETAIL);
 
 	out.ok = st == PGRES_TUPLES_OK || st == PGRES_COMMAND_OK ||
 		 st == PGRES_EMPTY_QUERY;
@@ -59,6 +60,7 @@
 		out.sqlstate = state ? state : "08006";
 		out.lost = !state;
 		out.message = PQresultErrorMessage(r);
+		out.detail = detail ? detail : "";
 	}
 	take_rows(out, r);
 }
--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -115,6 +115,7 @@
 	bool lost = false; /* the connection failed or timed out */
 	std::string sqlstate;
 	std::string message;
+	std::string detail;
 	std::string tag;
 	std::vector<std::string> names;
 	std::vector<std::vector<std::string>> rows; /* null is "" */
--- a/t/lib_history.h
+++ b/t/lib_history.h
@@ -27,9 +27,9 @@
 	UNKNOWN
 };
 
-/* What an error with this SQLSTATE tells. The codes that result.h marks as
- * MAYBE or RAN are unknown, as is a lost connection ("" or "TIMEOUT"). */
-Outcome outcome_of(const std::string &sqlstate);
+/* What the DETAIL of an error says of its request. A request that ran counts
+ * as answered; no DETAIL, as after a lost connection, tells nothing. */
+Outcome outcome_of(const std::string &detail);
 
 class History
 {
