--- a/t/lib_cluster.cc
+++ b/t/lib_cluster.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <gtest/gtest.h>
 #include <sodium.h>
 #include <stdexcept>
 #include <sys/stat.h>
@@ -74,6 +75,22 @@
 			add_member(g, i);
 }
 
+Cluster::~Cluster()
+{
+	constexpr size_t TAIL = 1500; /* bytes */
+
+	if (!::testing::Test::HasFailure())
+		return;
+	for (auto &[name, node] : nodes_) {
+		std::string text = node.process->log();
+
+		if (text.size() > TAIL)
+			text = text.substr(text.find('\n', text.size() - TAIL));
+		fprintf(stderr, "--- %s %s\n%s\n", name.c_str(),
+			node.process->unexpected_end().c_str(), text.c_str());
+	}
+}
+
 Cluster::Node &Cluster::add(const std::string &name, const std::string &zone)
 {
 	Node &n = nodes_[name];
--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -65,6 +65,9 @@
 	void thaw();
 	bool running();
 
+	/* How it ended, unless kill() or terminate() asked for that. */
+	std::string unexpected_end();
+
 	/* Exit status, 128 + signal, or -1 if it still runs after ms. */
 	int wait(int ms);
 	pid_t pid() const
@@ -88,6 +91,7 @@
 	std::string log_;
 	pid_t pid_ = -1;
 	int status_ = -1;
+	bool asked_ = true; /* to end; true before the start */
 };
 
 /* Faults on links, see t/helper/relay.c for the commands. */
@@ -204,6 +208,9 @@
       public:
 	explicit Cluster(Spec spec);
 
+	/* Prints the end of each log if the test has failed. */
+	~Cluster();
+
 	/* Starts everything, applies the lists and waits until each group
 	 * takes a write and each proxy serves a read. */
 	bool start(int ms = 20000);
--- a/t/lib_process.cc
+++ b/t/lib_process.cc
@@ -170,6 +170,9 @@
 {
 	std::string text;
 
+	text = unexpected_end();
+	if (!text.empty())
+		ADD_FAILURE() << name_ << " ended by itself: " << text;
 	kill();
 	text = log();
 	for (const char *what : {"ERROR: AddressSanitizer",
@@ -191,6 +194,7 @@
 	args.push_back(nullptr);
 	if (pipe2(gate, O_CLOEXEC))
 		throw std::runtime_error("pipe2");
+	asked_ = false;
 	pid_ = fork();
 	if (pid_ == 0) {
 		int fd =
@@ -227,6 +231,14 @@
 	return true;
 }
 
+std::string Process::unexpected_end()
+{
+	if (running() || asked_)
+		return "";
+	return status_ < 128 ? "status " + std::to_string(status_)
+			     : "signal " + std::to_string(status_ - 128);
+}
+
 bool Process::running()
 {
 	return !reap();
@@ -241,14 +253,17 @@
 {
 	if (!running())
 		return;
+	asked_ = true;
 	::kill(pid_, SIGKILL);
 	wait(STOP_MS);
 }
 
 void Process::terminate()
 {
-	if (running())
-		::kill(pid_, SIGTERM);
+	if (!running())
+		return;
+	asked_ = true;
+	::kill(pid_, SIGTERM);
 }
 
 void Process::freeze()
--- a/t/sys_orders.cc
+++ b/t/sys_orders.cc
@@ -43,6 +43,19 @@
 		});
 	}
 
+	/* The primary; a status that is asked during a change of primary may
+	 * name none. */
+	std::string primary()
+	{
+		std::string found;
+
+		wait_until(5000, [&] {
+			found = c.primary("orders");
+			return !found.empty();
+		});
+		return found;
+	}
+
 	/* Places orders, injects the fault, waits until orders are answered
 	 * again, repairs, and checks. */
 	void run(const std::function<void()> &fault,
@@ -90,7 +103,7 @@
 
 	r.run(
 		[&] {
-			victim = r.c.primary("orders");
+			victim = r.primary();
 			ASSERT_NE("", victim);
 			r.c.process(victim).kill();
 		},
@@ -104,7 +117,7 @@
 
 	r.run(
 		[&] {
-			victim = r.c.primary("orders");
+			victim = r.primary();
 			ASSERT_NE("", victim);
 			r.c.process(victim).freeze();
 		},
@@ -119,7 +132,7 @@
 
 	r.run(
 		[&] {
-			std::string victim = r.c.primary("orders");
+			std::string victim = r.primary();
 
 			ASSERT_NE("", victim);
 			rule = "orders-*>" + victim;
