--- a/exec_backend.c
+++ b/exec_backend.c
@@ -193,14 +193,21 @@
 static void exec_on_silent(void *arg)
 {
 	struct exec_backend *b = arg;
+	struct exec_req *r, *next;
 
 	if (!b->silent_since)
 		b->silent_since = clk_now();
 	cnt_add(CNT_backend_silent, 1);
 	/* What is as old as the silent connection may be forgotten as well. */
 	pool_drop_idle(b->pool, clk_now());
-	exec_failed(b);
+	health_down(&b->health, b->x->rng, clk_now());
 	exec_update_suspicion(b);
+	for (r = b->x->reqs; r; r = next) {
+		next = r->hh.next;
+		/* A second silence was on a new connection. */
+		if (r->b == b)
+			exec_local_silent(r, probe_failures(b->probe) > 1);
+	}
 }
 
 static void exec_on_refused(void *arg)
@@ -370,8 +377,8 @@
 
 /* ---- what others may know ---- */
 
-struct exec_hint exec_hint(const struct exec *x, const char *backend,
-			   clk_ms now)
+struct exec_hint exec_hint_of(const struct exec *x, const char *backend,
+			      clk_ms now)
 {
 	struct exec_hint hint = {.age_ms = -1, .healthy = true};
 	const struct exec_backend *b;
@@ -398,7 +405,7 @@
 			.idle = pool_idle(b->pool),
 			.running = (int64_t)sched_running(b->sched),
 			.waiting = (int64_t)sched_waiting(b->sched),
-			.hint = exec_hint(x, b->id, now),
+			.hint = exec_hint_of(x, b->id, now),
 		};
 
 		if (b->owned)
--- a/uplink.c
+++ b/uplink.c
@@ -160,7 +160,8 @@
 	ask->answer_seen = answer_seen;
 	ask->view_version = view_version(u->cfg.view);
 	ask->stopping = u->stopping;
-	snprintf(ask->addr, sizeof(ask->addr), "%s", u->cfg.set->link);
+	snprintf(ask->addr, sizeof(ask->addr), "%s",
+		 u->cfg.set->link_advertise);
 	if (l) {
 		ask->cfg_version = l->version;
 		snprintf(ask->cfg_digest, ID_LEN, "%s", l->digest);
@@ -285,6 +286,9 @@
 		uplink_wake(u);
 		return;
 	}
+	/* Newer lists are not pushed; they come with the next answer. */
+	if (m && m->type == MSG_APPLIED)
+		uplink_wake(u);
 	on_reply = r->on_reply;
 	arg = r->arg;
 	upl_forget(u, r);
