caller: bound the password message, find vanished callers

A caller that vanishes without closing may hold a transaction; keepalive finds it. A login before any group is known is refused as not configured yet instead of as an unknown database.

--- a/caller.c
+++ b/caller.c
@@ -8,9 +8,12 @@
 #include "request.h"
 #include "settings.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
 
@@ -224,6 +227,12 @@
 		int n = pgw_next(net_in(c->conn), c->phase == CALLER_STARTUP,
 				 &m, &e);
 
+		if (n == 0 && c->phase == CALLER_PASSWORD &&
+		    buf_len(net_in(c->conn)) > PGW_MAX_STARTUP) {
+			err_set(&e, RES_BAD_FRAME,
+				"password message is too long");
+			n = -1;
+		}
 		if (n < 0) {
 			cnt_add(CNT_bad_input, 1);
 			caller_fatal(c, e.code, e.text);
@@ -238,6 +247,25 @@
 	net_flush(c->conn);
 }
 
+/*
+ * Lets the kernel find callers that vanished without closing, as they may hold
+ * a transaction. Failure leaves the connection without that.
+ */
+static void caller_keepalive(int fd)
+{
+	const int on = 1;
+	const int idle = CALLER_KEEPALIVE_IDLE_S;
+	const int interval = CALLER_KEEPALIVE_INTERVAL_S;
+	const int probes = CALLER_KEEPALIVE_PROBES;
+	const unsigned int unread = CALLER_UNACKED_MS;
+
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unread, sizeof(unread));
+}
+
 static void caller_on_read(void *arg)
 {
 	caller_pump(arg);
@@ -319,6 +347,7 @@
 	h.arg = c;
 	c->all = all;
 	c->txn = 'I';
+	caller_keepalive(fd);
 	ses_init(&c->ses);
 	caller_enter(c, CALLER_STARTUP);
 	c->conn = net_accepted(all->cfg.loop, fd, &h);
--- a/caller_login.c
+++ b/caller_login.c
@@ -278,8 +278,11 @@
 	struct view *view = c->all->cfg.view;
 	const struct lists *lists = view_lists(view);
 	const struct customer *customer;
+	size_t groups;
 
-	if (!lists)
+	/* Without contact to control since the start, no group is known. */
+	view_groups(view, &groups);
+	if (!lists || !groups)
 		return err_set(e, RES_NO_CONFIG, "%s", res_text(RES_NO_CONFIG));
 	customer = lst_customer(lists, c->customer);
 	if (!customer || !auth_check(c->all->auth, customer, password))
--- a/caller_priv.h
+++ b/caller_priv.h
@@ -20,6 +20,11 @@
 	CALLER_OUTPUT_MAX = 64 << 20, /* untaken answer bytes of one caller */
 	CALLER_STARTUP_MS = 10000, /* to authenticate */
 	CALLER_CLOSE_MS = 5000, /* to take the last message */
+	CALLER_KEEPALIVE_IDLE_S = 30,
+	CALLER_KEEPALIVE_INTERVAL_S = 5,
+	CALLER_KEEPALIVE_PROBES = 3,
+	CALLER_UNACKED_MS = 120000, /* also bounds how long a caller may read
+				     * nothing of an answer */
 	CALLER_MAX_STATEMENTS = 1000,
 	CALLER_MAX_PORTALS = 100
 };
--- a/t/unit_caller.cc
+++ b/t/unit_caller.cc
@@ -287,10 +287,16 @@
 		send(message('p', z("secret")), 'Z');
 		EXPECT_TRUE(says("3D000") && closed) << db;
 	}
-	connect();
-	send(startup(z("user") + z("shop") + z("database") + z("orders")), 'R');
-	send(query("SELECT 1"), 'Z');
-	EXPECT_TRUE(says("08P01") && closed);
+	for (const std::string &bad :
+	     {query("SELECT 1"),
+	      "p" + be32(1 << 20) + std::string(20000, 'x')}) {
+		connect();
+		send(startup(z("user") + z("shop") + z("database") +
+			     z("orders")),
+		     'R');
+		send(bad, 'Z');
+		EXPECT_TRUE(says("08P01") && closed);
+	}
 }
 
 TEST_F(CallerBytes, RefusalsLeaveTheSessionUsable)
