--- a/t/lib_exec.cc
+++ b/t/lib_exec.cc
@@ -72,6 +72,8 @@
       process({helper("relay"), "--control", on_port(control), "--listen",
 	       "b@" + on_port(port) + "=" + on_port(target)})
 {
+	/* Returns once the relay listens. */
+	command("heal b");
 }
 
 static int connect_to(int port)
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -158,7 +158,9 @@
 	Relay relay(port("b1"));
 	reach_by("b1", relay.port);
 	lead("b1", 1);
-	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	ASSERT_EQ(RES_OK,
+		  run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY)
+			  ->end.res);
 	struct msg_run r =
 		request(RUN_WRITE, "b1",
 			"INSERT INTO t VALUES (1) /* cost_us=100000 */", ONCE);
