--- a/request.c
+++ b/request.c
@@ -268,8 +268,9 @@
 		return;
 	ev_timer_stop(q->loop, &q->timer);
 	ev_idle_stop(q->loop, &q->later);
-	HASH_ITER (hh, q->runs, r, next)
+	HASH_ITER (hh, q->runs, r, next) {
 		req_drop(q, r);
+	}
 	free(q);
 }
 
