t: add callers under load and a test of the service gap

Writers and readers move between proxies while a primary is killed, cut off, frozen or cut from its replicas, alone and together with the control leader. The history checker now also finds answers of a replaced primary.

--- a/t/lib_history.cc
+++ b/t/lib_history.cc
@@ -62,16 +62,17 @@
 {
 	std::lock_guard<std::mutex> guard(lock_);
 
-	attempts_.push_back({session, group, key, Outcome::SENT, 0});
+	attempts_.push_back({session, group, key, Outcome::SENT, 0, 0});
 	return attempts_.size() - 1;
 }
 
-void History::end(size_t attempt, Outcome outcome)
+void History::end(size_t attempt, Outcome outcome, int64_t term)
 {
 	std::lock_guard<std::mutex> guard(lock_);
 
 	attempts_[attempt].outcome = outcome;
 	attempts_[attempt].ended = now_ms();
+	attempts_[attempt].term = term;
 }
 
 size_t History::read_begin(const std::string &session, const std::string &group)
@@ -178,6 +179,34 @@
 	}
 }
 
+/* A replaced primary must not acknowledge: once an answer of a term came, none
+ * of a lower term may follow. */
+void History::check_terms(Keys &out) const
+{
+	std::map<std::string, std::pair<int64_t, std::string>> newest;
+	std::vector<const Attempt *> answered;
+
+	for (const Attempt &a : attempts_)
+		if (a.outcome == Outcome::ANSWERED && a.term)
+			answered.push_back(&a);
+	std::stable_sort(answered.begin(), answered.end(),
+			 [](const Attempt *a, const Attempt *b) {
+				 return a->ended < b->ended;
+			 });
+	for (const Attempt *a : answered) {
+		auto &n = newest[a->group];
+
+		if (a->term < n.first)
+			out.push_back("acknowledged by a replaced primary: " +
+				      a->key + " in term " +
+				      std::to_string(a->term) + " after " +
+				      n.second + " in term " +
+				      std::to_string(n.first));
+		else
+			n = {a->term, a->key};
+	}
+}
+
 Keys History::check() const
 {
 	std::lock_guard<std::mutex> guard(lock_);
@@ -195,6 +224,7 @@
 		}
 	check_reads(all, out);
 	check_members(all, out);
+	check_terms(out);
 	return out;
 }
 
@@ -207,6 +237,22 @@
 		[&](const Attempt &a) { return a.outcome == outcome; });
 }
 
+std::pair<int64_t, int64_t> History::answers_around(int64_t time) const
+{
+	std::lock_guard<std::mutex> guard(lock_);
+	std::pair<int64_t, int64_t> out = {0, 0};
+
+	for (const Attempt &a : attempts_) {
+		if (a.outcome != Outcome::ANSWERED)
+			continue;
+		if (a.ended <= time)
+			out.first = std::max(out.first, a.ended);
+		else if (!out.second || a.ended < out.second)
+			out.second = a.ended;
+	}
+	return out;
+}
+
 int64_t History::longest_gap(int64_t from, int64_t to) const
 {
 	std::lock_guard<std::mutex> guard(lock_);
--- a/t/lib_history.h
+++ b/t/lib_history.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace history
@@ -37,7 +38,8 @@
 	/* An attempt; returns its number for end(). */
 	size_t begin(const std::string &session, const std::string &group,
 		     const std::string &key);
-	void end(size_t attempt, Outcome outcome);
+	/* The term is that of the token that came with the answer. */
+	void end(size_t attempt, Outcome outcome, int64_t term = 0);
 
 	/* A read of all orders of a group by a session. The session must see
 	 * its own orders that were answered before read_begin(). */
@@ -53,6 +55,10 @@
 
 	int64_t count(Outcome outcome) const;
 
+	/* When the last attempt was answered before a time, and the first
+	 * after it; 0 if none was. */
+	std::pair<int64_t, int64_t> answers_around(int64_t time) const;
+
 	/* Longest time without an answered attempt between two times of
 	 * cluster::now_ms(). */
 	int64_t longest_gap(int64_t from, int64_t to) const;
@@ -64,6 +70,7 @@
 		std::string key;
 		Outcome outcome;
 		int64_t ended;
+		int64_t term;
 	};
 	struct Read {
 		std::string session;
@@ -79,6 +86,7 @@
 	};
 
 	std::map<std::string, Order> orders() const;
+	void check_terms(std::vector<std::string> &out) const;
 	void check_reads(const std::map<std::string, Order> &orders,
 			 std::vector<std::string> &out) const;
 	void check_members(const std::map<std::string, Order> &orders,
--- /dev/null
+++ b/t/sys_failover.cc
@@ -0,0 +1,143 @@
+#include "lib_load.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace cluster;
+using namespace load;
+
+namespace
+{
+
+constexpr int64_t GAP_MS = 7000;
+constexpr int64_t MEDIAN_MS = 3000;
+
+enum Fault { KILLED, CUT_OFF, FROZEN, CUT_FROM_REPLICAS, FAULTS };
+
+const char *const fault_names[] = {"killed", "cut off", "frozen",
+				   "cut from its replicas"};
+
+void injure(Cluster &c, const std::string &primary, Fault fault)
+{
+	switch (fault) {
+	case KILLED:
+		c.process(primary).kill();
+		break;
+	case CUT_OFF:
+		cut_off(c, primary);
+		break;
+	case FROZEN:
+		c.process(primary).freeze();
+		break;
+	case CUT_FROM_REPLICAS:
+		c.fault("cut orders-*>" + primary);
+		c.fault("cut " + primary + ">orders-*");
+		break;
+	case FAULTS:
+		break;
+	}
+}
+
+void repair(Cluster &c, const std::string &primary, Fault fault)
+{
+	c.fault("heal *");
+	if (fault == KILLED)
+		c.start(primary);
+	if (fault == FROZEN)
+		c.process(primary).thaw();
+}
+
+struct Failover : testing::Test {
+	static Spec spec()
+	{
+		Spec s;
+
+		s.relay = true;
+		return s;
+	}
+	Cluster c{spec()};
+	history::History h; /* of all runs; the table stays */
+
+	void SetUp() override
+	{
+		ASSERT_TRUE(c.start());
+		ASSERT_TRUE(create_table(c));
+	}
+
+	/* One change of primary under load; returns the service gap. */
+	int64_t run(unsigned seed, Fault fault, bool with_leader)
+	{
+		std::mt19937 rng(seed);
+		Options o;
+		std::string primary, leader;
+		int64_t before = h.count(history::Outcome::ANSWERED);
+		int64_t at;
+
+		o.seed = seed;
+		Load l(c, h, o);
+		EXPECT_TRUE(wait_until(10000, [&] {
+			return h.count(history::Outcome::ANSWERED) > before + 200;
+		}));
+		std::this_thread::sleep_for(
+			std::chrono::milliseconds(rng() % 400));
+		primary = c.primary("orders");
+		leader = control_leader(c);
+		at = now_ms();
+		injure(c, primary, fault);
+		if (with_leader)
+			c.process(leader).kill();
+		EXPECT_TRUE(wait_until(
+			20000,
+			[&] {
+				std::string now = show(c, "p1", "GROUPS",
+						       "orders", "primary");
+
+				return !now.empty() && now != primary &&
+				       h.answers_around(now_ms() - 200).second;
+			}))
+			<< "no service after " << fault_names[fault];
+		repair(c, primary, fault);
+		if (with_leader)
+			c.start(leader);
+		EXPECT_TRUE(wait_until(
+			10000,
+			[&] {
+				return c.member(primary)
+					       .exec("SELECT * FROM "
+						     "marjoramlatch_status()")
+					       .value("role") == "replica";
+			}))
+			<< primary << " did not return as a replica";
+		l.stop();
+		EXPECT_EQ("", settle(c, h));
+		EXPECT_EQ("", join(h.check()));
+		EXPECT_EQ("", join(l.complaints()));
+		int64_t gap = h.longest_gap(at - 100, now_ms());
+		printf("seed=%u fault=\"%s\" leader_killed=%d gap_ms=%lld "
+		       "answered=%lld unknown=%lld not_run=%lld\n",
+		       seed, fault_names[fault], with_leader, (long long)gap,
+		       (long long)h.count(history::Outcome::ANSWERED),
+		       (long long)h.count(history::Outcome::UNKNOWN),
+		       (long long)h.count(history::Outcome::NOT_RUN));
+		fflush(stdout);
+		EXPECT_LE(gap, GAP_MS) << "seed " << seed;
+		return gap;
+	}
+};
+
+/* Guards against a failed primary that is replaced late, and against orders
+ * lost, doubled or acknowledged by the replaced one. */
+TEST_F(Failover, ServiceGapOverSeededRuns)
+{
+	std::vector<int64_t> gaps;
+
+	for (unsigned seed = 1; seed <= 2 * FAULTS; seed++)
+		gaps.push_back(
+			run(seed, (Fault)((seed - 1) % FAULTS), seed > FAULTS));
+	std::sort(gaps.begin(), gaps.end());
+	printf("median gap_ms=%lld\n", (long long)gaps[gaps.size() / 2]);
+	EXPECT_LE(gaps[gaps.size() / 2], MEDIAN_MS);
+}
+
+} // namespace
