--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -16,6 +16,8 @@
 	struct Member {
 		std::string id;
 		bool up = true, cut = false, mute = false; /* no promotions */
+		bool frozen = false; /* calls end after their time limit */
+		bool alone = false; /* replicates with nobody */
 		fo_status st = {};
 		int64_t follows = 0;
 	};
@@ -121,7 +123,7 @@
 		Member &m = member(act.member);
 		fo_answer a = {act.group, act.member, act.call};
 
-		if (m.up && !m.cut) {
+		if (m.up && !m.cut && !m.frozen) {
 			a.ok = act.type != FO_PROMOTE;
 			if (act.type == FO_FENCE &&
 			    act.term > m.st.fence_term) {
@@ -150,11 +152,11 @@
 		Member *p = primary();
 		size_t n = 1;
 
-		if (!p || !p->up || !p->st.primary)
+		if (!p || !p->up || p->frozen || !p->st.primary)
 			return;
 		p->st.held++;
 		for (auto &m : members) {
-			if (&m == p || !m.up || m.cut || p->cut ||
+			if (&m == p || !m.up || m.cut || p->cut || p->alone ||
 			    m.st.fence_term > p->st.log_term ||
 			    m.follows != p->st.log_term ||
 			    rng_below(rng, 3) == 0)
@@ -174,8 +176,11 @@
 
 		while (fo_next(fo, &a)) {
 			if (a.type != FO_COMMIT) {
+				int delay = member(a.member).frozen ? 400 : 1;
+
 				calls.push_back(
-					{now + 1 + (clk_ms)rng_below(rng, 20),
+					{now + delay +
+						 (clk_ms)rng_below(rng, 20),
 					 a});
 				continue;
 			}
@@ -273,6 +278,23 @@
 	EXPECT_TRUE(f.until(3000, [&] { return f.member(old).follows == 2; }));
 }
 
+/* Guards against a primary that answers no call, but refuses none, being
+ * probed for ever. */
+TEST(Fo, FrozenPrimaryIsReplaced)
+{
+	Failover f;
+
+	f.start();
+	std::string old = f.group()->primary;
+	f.member(old).frozen = true;
+	fo_suspect(f.fo, "orders", f.group()->term, f.now);
+	f.drain();
+	clk_ms began = f.now;
+	ASSERT_TRUE(f.until(5000, [&] { return f.settled(1); }));
+	EXPECT_LE(f.now - began, 400 + 1100 + 200);
+	EXPECT_NE(old, f.group()->primary);
+}
+
 /* Guards against a healthy primary being replaced on a proxy's word, and
  * against a change that a minority decides. */
 TEST(Fo, NoChangeWithoutNeedOrMajority)
