failover: replace a primary without a majority by another member

Cause: the member with the longest log is promoted, and that is the primary itself if it is only cut from its replicas. It was fenced, promoted again in the next term, and reported again 500 ms later, without an end.

Change: a primary that answers but reports no majority counts like a leaving one: it is promoted only if the others may lack entries that a majority holds. A leader that takes over an unfinished change avoids the old primary too, because the reason of the change is not known any more.

Ruled out: the control leader reached all members (it fenced and promoted them), and the replicas answered.

The new unit test ended with the same primary.

--- a/failover.c
+++ b/failover.c
@@ -165,6 +165,10 @@
 	if (!fo_primary_works(f, p)) {
 		if (majority) {
 			g->planned = false;
+			/* It has the longest log, but cut from its replicas
+			 * it would fail again. */
+			if (p && p->known && p->status.primary)
+				memcpy(g->avoided, p->id, ID_LEN);
 			fo_begin(f, g);
 		}
 	} else if (p->leaving) {
@@ -333,6 +337,7 @@
 {
 	g->phase = FO_PROBING;
 	g->planned = false;
+	g->avoided[0] = '\0';
 	g->listed = CLK_NEVER;
 	g->since = now;
 }
@@ -428,6 +433,8 @@
 			continue;
 		/* This leader has never granted a lease for the group. */
 		g->listed = led;
+		/* Why the change began is not known; any other will do. */
+		memcpy(g->avoided, info->primary, ID_LEN);
 		fo_begin(f, g);
 	}
 	fo_tick(f, now);
--- a/failover_group.c
+++ b/failover_group.c
@@ -128,25 +128,31 @@
 	return false;
 }
 
-size_t fo_fenced(const struct fo_group *g, bool count_leaving)
+static bool fo_is_second_choice(const struct fo_group *g,
+				const struct fo_member *m)
+{
+	return m->leaving || !strcmp(m->id, g->avoided);
+}
+
+size_t fo_fenced(const struct fo_group *g, bool count_all)
 {
 	size_t n = 0;
 
 	for (size_t i = 0; i < g->nmembers; i++)
 		n += g->members[i].fenced == g->term &&
-		     (count_leaving || !g->members[i].leaving);
+		     (count_all || !fo_is_second_choice(g, &g->members[i]));
 	return n;
 }
 
-static const struct fo_member *fo_newest(const struct fo_group *g,
-					 bool with_leaving)
+static const struct fo_member *fo_newest(const struct fo_group *g, bool of_all)
 {
 	const struct fo_member *best = NULL;
 
 	for (size_t i = 0; i < g->nmembers; i++) {
 		const struct fo_member *m = &g->members[i];
 
-		if (m->fenced != g->term || (m->leaving && !with_leaving))
+		if (m->fenced != g->term ||
+		    (!of_all && fo_is_second_choice(g, m)))
 			continue;
 		if (!best || fo_status_newer(&m->status, &best->status) ||
 		    (!fo_status_newer(&best->status, &m->status) &&
@@ -156,18 +162,16 @@
 	return best;
 }
 
-/* The member to promote. A leaving one only if the others may lack entries
- * that a majority holds. */
 const struct fo_member *fo_choose(const struct fo_group *g)
 {
 	const struct fo_member *all = fo_newest(g, true);
-	const struct fo_member *staying = fo_newest(g, false);
+	const struct fo_member *first = fo_newest(g, false);
 
-	if (!staying)
+	if (!first)
 		return all;
 	if (fo_fenced(g, false) >= fo_majority(g) ||
-	    !fo_status_newer(&all->status, &staying->status))
-		return staying;
+	    !fo_status_newer(&all->status, &first->status))
+		return first;
 	return all;
 }
 
--- a/failover_priv.h
+++ b/failover_priv.h
@@ -43,6 +43,7 @@
 	clk_ms listed; /* no lease of the old term was granted since */
 	clk_ms since; /* start of the probing phase */
 	clk_ms suspected; /* last report */
+	char avoided[ID_LEN]; /* replaced because it reached no majority */
 	char chosen[ID_LEN];
 	int tries;
 	int64_t start;
@@ -76,10 +77,10 @@
 
 /* True if a replica that stays has the log up to a position. */
 bool fo_has_successor(const struct fo_group *g, int64_t log_term, int64_t held);
-size_t fo_fenced(const struct fo_group *g, bool count_leaving);
+size_t fo_fenced(const struct fo_group *g, bool count_all);
 
-/* The member to promote. A leaving one only if the others may lack entries
- * that a majority holds. */
+/* The member to promote. A leaving or an avoided one only if the others may
+ * lack entries that a majority holds. */
 const struct fo_member *fo_choose(const struct fo_group *g);
 
 /* True if a member knows a higher term and so would refuse ours. */
--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -295,6 +295,36 @@
 	EXPECT_NE(old, f.group()->primary);
 }
 
+/* Guards against a primary that reaches no replica being promoted again, as
+ * the one with the longest log. */
+TEST(Fo, PrimaryWithoutReplicasIsReplacedByOne)
+{
+	Failover f;
+
+	f.start();
+	std::string old = f.group()->primary;
+	f.member(old).alone = true;
+	ASSERT_TRUE(f.until(
+		1000, [&] { return f.member(old).st.majority_age_ms > 500; }));
+	fo_suspect(f.fo, "orders", 1, f.now);
+	f.drain();
+	ASSERT_TRUE(f.until(5000, [&] { return f.settled(1); }));
+	EXPECT_NE(old, f.group()->primary);
+	/* Also if the leader is lost in the middle. */
+	f.member(old).alone = false;
+	ASSERT_TRUE(f.until(3000, [&] { return f.member(old).follows == 2; }));
+	old = f.group()->primary;
+	f.member(old).alone = true;
+	ASSERT_TRUE(f.until(
+		1000, [&] { return f.member(old).st.majority_age_ms > 500; }));
+	fo_suspect(f.fo, "orders", 2, f.now);
+	f.drain();
+	ASSERT_TRUE(f.until(1000, [&] { return f.group()->changing; }));
+	f.lead();
+	ASSERT_TRUE(f.until(5000, [&] { return f.settled(2); }));
+	EXPECT_NE(old, f.group()->primary);
+}
+
 /* Guards against a healthy primary being replaced on a proxy's word, and
  * against a change that a minority decides. */
 TEST(Fo, NoChangeWithoutNeedOrMajority)
