settings, uplink: let a proxy's link be reached at another address

Links between proxies could not be led through the relay of the tests, because a proxy announced the address that it listens on. The key "advertise" (default: "link") is what it announces. Cluster leads these links through the relay as pN-link, and cut_zone() cuts a zone.

--- a/settings.c
+++ b/settings.c
@@ -77,6 +77,7 @@
 static const char *const set_keys[] = {"id",
 				       "zone",
 				       "link",
+				       "advertise",
 				       "listen",
 				       "data",
 				       "key_file",
@@ -192,6 +193,7 @@
 	if (js_id(n, "id", s->id, sizeof(s->id), e) ||
 	    js_id(n, "zone", s->zone, sizeof(s->zone), e) ||
 	    set_addr(n, "link", s->link, e) ||
+	    set_addr(n, "advertise", s->advertise, e) ||
 	    set_addr(n, "listen", s->listen, e) ||
 	    js_string(n, "data", s->data, sizeof(s->data), e) ||
 	    js_string(n, "key_file", s->key_file, sizeof(s->key_file), e) ||
@@ -199,6 +201,8 @@
 	    set_secret(n, "operator_password", s->operator_password, e) ||
 	    set_secret(n, "backend_password", s->backend_password, e))
 		return RES_BAD_LIST;
+	if (!s->advertise[0])
+		memcpy(s->advertise, s->link, ADDR_LEN);
 	if (log_parse_level(s->log_level) < 0)
 		return js_fail(n, "log_level", e,
 			       "found \"%s\", expected \"error\", \"warning\", "
--- a/settings.h
+++ b/settings.h
@@ -35,6 +35,7 @@
 	char id[ID_LEN]; /* instance id */
 	char zone[ID_LEN]; /* availability zone */
 	char link[ADDR_LEN]; /* "ip:port" for links between processes */
+	char advertise[ADDR_LEN]; /* proxy: where others reach its link */
 	char listen[ADDR_LEN]; /* proxy: "ip:port" for callers */
 	char data[SET_PATH_LEN]; /* data folder; required for control */
 	char key_file[SET_PATH_LEN];
--- a/t/lib_cluster.cc
+++ b/t/lib_cluster.cc
@@ -63,8 +63,14 @@
 	};
 	for (int i = 0; i < spec_.controls; i++)
 		add("c" + std::to_string(i + 1), zone(i));
-	for (int i = 0; i < spec_.proxies; i++)
-		add("p" + std::to_string(i + 1), zone(i));
+	for (int i = 0; i < spec_.proxies; i++) {
+		std::string id = "p" + std::to_string(i + 1);
+		Node &n = add(id, zone(i));
+
+		n.link = free_addr();
+		n.link_via =
+			relay_ ? relay_->add(id + "-link", n.link) : n.link;
+	}
 	for (int i = 0; i < spec_.controls; i++)
 		add_daemon("c" + std::to_string(i + 1), false);
 	for (int i = 0; i < spec_.proxies; i++)
@@ -100,7 +106,7 @@
 	std::map<std::string, std::string> keys = {
 		{"id", quote(name)},
 		{"zone", quote(n.zone)},
-		{"link", quote(proxy ? free_addr() : n.own)},
+		{"link", quote(proxy ? n.link : n.own)},
 		{"key_file", quote(dir_.path() + "/key")},
 		{"log_level", quote("info")},
 		{"backend_password", quote(BACKEND_PASSWORD)},
@@ -109,9 +115,10 @@
 	std::string controls;
 	std::string out;
 
-	if (proxy)
+	if (proxy) {
 		keys["listen"] = quote(n.own);
-	else
+		keys["advertise"] = quote(n.link_via);
+	} else
 		keys["data"] = quote(n.data);
 	for (int i = 1; i <= spec_.controls; i++) {
 		std::string id = "c" + std::to_string(i);
@@ -184,6 +191,17 @@
 	return nodes_.at(name).zone;
 }
 
+void Cluster::cut_zone(const std::string &zone)
+{
+	for (const auto &[a, inside] : nodes_)
+		for (const auto &[b, outside] : nodes_) {
+			if (inside.zone != zone || outside.zone == zone)
+				continue;
+			fault("cut " + a + ">" + b + "*");
+			fault("cut " + b + ">" + a + "*");
+		}
+}
+
 std::string Cluster::own_addr(const std::string &name) const
 {
 	return nodes_.at(name).own;
--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -194,9 +194,8 @@
 
 /*
  * A deployment. Proxies are called p1.., control instances c1.., members
- * GROUP-1... These are also the names of routes and sources at the relay.
- * Links between proxies do not pass the relay, because a proxy announces the
- * address that it listens on.
+ * GROUP-1... These are also the names of routes and sources at the relay. The
+ * route to a proxy's link, for the other proxies, is called p1-link.
  */
 class Cluster
 {
@@ -226,6 +225,10 @@
 	}
 	std::string zone_of(const std::string &name) const;
 
+	/* Cuts every link between the processes of a zone and the others, in
+	 * both directions; callers of the test still reach all. */
+	void cut_zone(const std::string &zone);
+
 	/* Own address, and the one to connect to (the relay's if there is
 	 * one). */
 	std::string own_addr(const std::string &name) const;
@@ -260,6 +263,8 @@
 		std::string own;
 		std::string via;
 		std::string data;
+		std::string link; /* of a proxy */
+		std::string link_via;
 		std::string group;
 		std::unique_ptr<Process> process;
 	};
--- a/uplink.c
+++ b/uplink.c
@@ -160,7 +160,7 @@
 	ask->answer_seen = answer_seen;
 	ask->view_version = view_version(u->cfg.view);
 	ask->stopping = u->stopping;
-	snprintf(ask->addr, sizeof(ask->addr), "%s", u->cfg.set->link);
+	snprintf(ask->addr, sizeof(ask->addr), "%s", u->cfg.set->advertise);
 	if (l) {
 		ask->cfg_version = l->version;
 		snprintf(ask->cfg_digest, ID_LEN, "%s", l->digest);
