--- a/t/helper/relay.c
+++ b/t/helper/relay.c
@@ -33,6 +33,9 @@
 #include <dirent.h>
 #include <ev.h>
 #include <fnmatch.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -113,30 +116,58 @@
 
 /* ---- names ---- */
 
+/*
+ * Inode of the socket with these addresses, looked up by netlink; 0 if it is
+ * not found. Reading /proc/net/tcp instead takes 40 ms when the machine has
+ * 13,000 sockets, and a cut link is tried again ten times a second.
+ */
+static unsigned long diag_inode(const struct sockaddr_in *from,
+				const struct sockaddr_in *to)
+{
+	struct {
+		struct nlmsghdr h;
+		struct inet_diag_req_v2 r;
+	} q = {
+		.h = {.nlmsg_len = sizeof(q),
+		      .nlmsg_type = SOCK_DIAG_BY_FAMILY,
+		      .nlmsg_flags = NLM_F_REQUEST},
+		.r = {.sdiag_family = AF_INET,
+		      .sdiag_protocol = IPPROTO_TCP,
+		      .idiag_states = ~0u,
+		      .id = {.idiag_sport = from->sin_port,
+			     .idiag_dport = to->sin_port,
+			     .idiag_src = {from->sin_addr.s_addr},
+			     .idiag_dst = {to->sin_addr.s_addr},
+			     .idiag_cookie = {INET_DIAG_NOCOOKIE,
+					      INET_DIAG_NOCOOKIE}}},
+	};
+	struct {
+		struct nlmsghdr h;
+		struct inet_diag_msg m;
+		char more[4096];
+	} a;
+	static int fd = -1;
+
+	if (fd < 0)
+		fd = socket(AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC,
+			    NETLINK_SOCK_DIAG);
+	if (fd < 0 || send(fd, &q, sizeof(q), 0) != sizeof(q) ||
+	    recv(fd, &a, sizeof(a), 0) < (ssize_t)(sizeof(a.h) + sizeof(a.m)) ||
+	    a.h.nlmsg_type != SOCK_DIAG_BY_FAMILY)
+		return 0;
+	return a.m.idiag_inode;
+}
+
 /* Inode of the socket at the other end of fd; 0 if it is not found. */
 static unsigned long peer_inode(int fd)
 {
 	struct sockaddr_in peer, self;
 	socklen_t len = sizeof(peer);
-	unsigned long inode = 0;
-	char want[64];
-	char line[256];
-	FILE *f;
 
 	if (getpeername(fd, (struct sockaddr *)&peer, &len) ||
 	    getsockname(fd, (struct sockaddr *)&self, &len))
 		return 0;
-	snprintf(want, sizeof(want), "%08X:%04X %08X:%04X",
-		 peer.sin_addr.s_addr, ntohs(peer.sin_port),
-		 self.sin_addr.s_addr, ntohs(self.sin_port));
-	f = fopen("/proc/net/tcp", "r");
-	while (f && !inode && fgets(line, sizeof(line), f))
-		if (strstr(line, want))
-			sscanf(line, "%*s %*s %*s %*s %*s %*s %*s %*s %*s %lu",
-			       &inode);
-	if (f)
-		fclose(f);
-	return inode;
+	return diag_inode(&peer, &self);
 }
 
 static bool owns(int pid, unsigned long inode)
