--- /dev/null
+++ b/t/sys_repair.cc
@@ -0,0 +1,291 @@
+/* Control instances that lose their disk, or a part of what is on it. */
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+#include "lib_cluster.h"
+
+using namespace cluster;
+
+namespace
+{
+
+constexpr int BOUND_MS = 7000;
+
+struct SysRepair : testing::Test {
+	std::unique_ptr<Cluster> c;
+	std::string text = default_lists();
+	int64_t version = 0;
+
+	void begin(bool group)
+	{
+		Spec s;
+
+		s.proxies = 1;
+		s.lists = text;
+		if (!group)
+			s.groups.clear();
+		c = std::make_unique<Cluster>(s);
+		ASSERT_TRUE(c->start());
+		version = 1;
+	}
+	Result apply(const std::string &id)
+	{
+		Result r = c->apply("p1", text, version, id);
+
+		if (r.ok)
+			version = r.number("version");
+		return r;
+	}
+	/* Several changes, each of which must be accepted. */
+	void change(const std::string &tag)
+	{
+		for (int i = 0; i < 5; i++) {
+			int64_t before = version;
+
+			ASSERT_TRUE(wait_until(BOUND_MS, [&] {
+				return apply(tag + std::to_string(i)).ok;
+			})) << tag;
+			ASSERT_EQ(before + 1, version);
+		}
+	}
+	std::string leader()
+	{
+		std::string id;
+
+		EXPECT_TRUE(wait_until(BOUND_MS, [&] {
+			id = c->admin("p1")
+				     .exec("SHOW VERSION")
+				     .value("leader");
+			return id != "" && c->process(id).running();
+		}));
+		return id;
+	}
+	/* Neither of these. */
+	std::string other(const std::string &a, const std::string &b = "")
+	{
+		for (auto *id : {"c1", "c2", "c3"})
+			if (id != a && id != b)
+				return id;
+		return "";
+	}
+	bool logged(const std::string &id, const std::string &what)
+	{
+		return c->process(id).log().find(what) != std::string::npos;
+	}
+	/* The leader has made this new instance a voter. */
+	void await_member(const std::string &id, const std::string &by)
+	{
+		ASSERT_TRUE(wait_until(10000, [&] {
+			return logged(by, "member_added id=" + id);
+		})) << c->process(by).log();
+	}
+	/* True if an instance makes a majority with the leader alone. */
+	void expect_counts(const std::string &id, const std::string &tag)
+	{
+		std::string lead = leader();
+
+		ASSERT_NE(id, lead);
+		std::string third = other(id, lead);
+
+		c->process(third).kill();
+		change(tag);
+		c->start(third);
+	}
+	std::string log_file(const std::string &id)
+	{
+		return c->data(id) + "/log-0000000000000001";
+	}
+	void check_log()
+	{
+		Result r;
+
+		ASSERT_TRUE(wait_until(BOUND_MS, [&] {
+			r = c->admin("p1").exec("SHOW LOG");
+			return r.ok;
+		}));
+		ASSERT_EQ((size_t)version, r.rows.size());
+		for (int64_t i = 0; i < version; i++)
+			EXPECT_EQ(std::to_string(version - i),
+				  r.rows[(size_t)i][0]);
+	}
+};
+
+/* Guards against a repair that is not one: each instance in turn loses its
+ * disk, and another is lost the moment the repair is reported. In the end no
+ * disk holds what it held at first. */
+TEST_F(SysRepair, EachDiskInTurnAndASecondLossRightAfterTheRepair)
+{
+	ASSERT_NO_FATAL_FAILURE(begin(true));
+	std::atomic<bool> stop{false};
+	std::atomic<int64_t> acked{0}, last{now_ms()}, gap{0};
+
+	ASSERT_TRUE(c->customer("p1", "orders")
+			    .exec("CREATE TABLE t (n int primary key)")
+			    .ok);
+	std::thread writer([&] {
+		Caller w = c->customer("p1", "orders");
+
+		for (int64_t n = 1; !stop;) {
+			std::string id = std::to_string(n);
+
+			if (w.exec("/* marjoramlatch.request_id=w" + id +
+				   " */ INSERT INTO t VALUES (" + id + ")")
+				    .ok) {
+				gap = std::max(gap.load(), now_ms() - last);
+				last = now_ms();
+				acked = n++;
+			} else if (!w.connected()) {
+				w = c->customer("p1", "orders");
+			}
+			usleep(5000);
+		}
+	});
+	for (int round = 0; round < 3 && !HasFatalFailure(); round++) {
+		std::string lead = leader();
+		std::string lost = "c" + std::to_string(round + 1);
+
+		if (lost == lead) {
+			/* Repair a follower: move the lead elsewhere. */
+			c->process(lost).kill();
+			wait_until(BOUND_MS,
+				   [&] { return (lead = leader()) != lost; });
+		}
+		c->wipe(lost);
+		c->start(lost);
+		await_member(lost, lead);
+		c->process(lead).kill();
+		change("round" + std::to_string(round) + "-");
+		c->start(lead);
+		leader();
+	}
+	int64_t before = acked;
+	EXPECT_TRUE(wait_until(BOUND_MS, [&] { return acked > before + 5; }));
+	stop = true;
+	writer.join();
+	printf("longest pause of writes %lld ms, %lld writes\n", (long long)gap,
+	       (long long)acked);
+	EXPECT_LE(gap, BOUND_MS);
+	check_log();
+	EXPECT_EQ(std::to_string(acked),
+		  c->customer("p1", "orders")
+			  .exec("SELECT count(*) FROM t WHERE n <= " +
+				std::to_string(acked))
+			  .value());
+}
+
+/* Guards against an empty instance that helps to a majority before it holds
+ * what the majority had accepted. */
+TEST_F(SysRepair, AnInstanceThatIsNotAdmittedNeverCounts)
+{
+	ASSERT_NO_FATAL_FAILURE(begin(false));
+	change("a");
+	std::string lead = leader();
+	std::string down = other(lead), lost = other(lead, down);
+
+	c->process(down).kill();
+	c->wipe(lost);
+	c->start(lost);
+	/* Long enough for several elections. */
+	Result r = apply("alone");
+	EXPECT_EQ("57P03", r.sqlstate) << r.message;
+	EXPECT_FALSE(logged(lost, "event=leading"));
+	EXPECT_FALSE(logged(lead, "member_added"));
+	EXPECT_FALSE(logged(lead, "members_changed"));
+	c->start(down);
+	/* Its outcome was unknown; now it is decided, once. */
+	int64_t before = version;
+	ASSERT_TRUE(wait_until(BOUND_MS, [&] { return apply("alone").ok; }));
+	EXPECT_EQ(before + 1, version);
+	change("b");
+	await_member(lost, leader());
+	ASSERT_NO_FATAL_FAILURE(expect_counts(lost, "c"));
+	check_log();
+}
+
+/* Guards against an instance that does not start again, or starts without
+ * what it had acknowledged, because it was killed while it wrote. */
+TEST_F(SysRepair, TornTailIsCutOff)
+{
+	ASSERT_NO_FATAL_FAILURE(begin(false));
+	change("a");
+	std::string torn = other(leader());
+
+	c->process(torn).kill();
+	{
+		std::ifstream in(log_file(torn), std::ios::binary);
+		std::string head(200, '\0');
+
+		/* The beginning of a record, then nothing. */
+		in.read(head.data(), (std::streamsize)head.size());
+		std::ofstream(log_file(torn), std::ios::binary | std::ios::app)
+			<< head.substr(0, 60);
+	}
+	c->start(torn);
+	EXPECT_TRUE(wait_until(
+		5000, [&] { return logged(torn, "event=torn_tail"); }));
+	change("b");
+	ASSERT_NO_FATAL_FAILURE(expect_counts(torn, "c"));
+	check_log();
+}
+
+/* Guards against acknowledged records that are cut off, because the one
+ * before them is damaged. */
+TEST_F(SysRepair, CorruptRecordInTheMiddleIsRefused)
+{
+	ASSERT_NO_FATAL_FAILURE(begin(false));
+	change("a");
+	std::string bad = other(leader());
+	std::string file = log_file(bad);
+
+	c->process(bad).kill();
+	{
+		std::fstream f(file,
+			       std::ios::binary | std::ios::in | std::ios::out);
+
+		f.seekp((std::streamoff)std::filesystem::file_size(file) / 2);
+		f.put('\x55');
+		f.put('\xaa');
+	}
+	auto size = std::filesystem::file_size(file);
+	c->start(bad);
+	EXPECT_EQ(1, c->process(bad).wait(5000));
+	EXPECT_TRUE(logged(bad, "bad record")) << c->process(bad).log();
+	EXPECT_EQ(size, std::filesystem::file_size(file));
+	change("b");
+	c->wipe(bad);
+	c->start(bad);
+	await_member(bad, leader());
+	ASSERT_NO_FATAL_FAILURE(expect_counts(bad, "c"));
+	check_log();
+}
+
+/* Guards against an instance that acknowledges what it could not sync. The
+ * log file is /dev/null, which takes writes and refuses to sync. */
+TEST_F(SysRepair, AFolderThatCannotBeSyncedEndsTheProcess)
+{
+	ASSERT_NO_FATAL_FAILURE(begin(false));
+	change("a");
+	std::string bad = other(leader());
+	std::string null = c->data(bad) + "/log-0000000000000002";
+
+	c->process(bad).kill();
+	std::filesystem::create_symlink("/dev/null", null);
+	c->start(bad);
+	change("b");
+	EXPECT_EQ(1, c->process(bad).wait(5000));
+	EXPECT_TRUE(logged(bad, "event=failed what=sync"))
+		<< c->process(bad).log();
+	std::filesystem::remove(null);
+	c->start(bad);
+	change("c");
+	ASSERT_NO_FATAL_FAILURE(expect_counts(bad, "d"));
+	check_log();
+}
+
+} // namespace
