--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -233,6 +233,10 @@
 	}
 	std::string zone_of(const std::string &name) const;
 
+	/* Cuts every link between the processes of a zone and the others, in
+	 * both directions; callers of the test still reach all. */
+	void cut_zone(const std::string &zone);
+
 	/* Own address, and the one to connect to (the relay's if there is
 	 * one). */
 	std::string own_addr(const std::string &name) const;
@@ -267,6 +271,8 @@
 		std::string own;
 		std::string via;
 		std::string data;
+		std::string link; /* of a proxy */
+		std::string link_via;
 		std::string group;
 		std::unique_ptr<Process> process;
 	};
