exec, route, filter: route by the age of replicas that others own

Cause: a proxy learned log term and position of a replica from the owner's END, but not the age of its data. Without an age a replica counts as too old, so that after its first answer a proxy chose the primary for a second. Reads that a replica turned away as behind also took a token of the retry budget, and so did those sent to a member whose failure was known, although no server did any work for them; when the budget was used up they were refused.

Change: END carries the age, also when the request was turned away. A proxy remembers since when it knows a session's token entry; a replica whose data is age_ms old holds what was known before that. What cost no server any work is retried without a token, and so is the first broken connection of a read. A proxy notes failures of members that others own.

--- a/builtin/load.c
+++ b/builtin/load.c
@@ -31,6 +31,7 @@
 	struct arg_int *long_shapes;
 	struct arg_int *short_us;
 	struct arg_int *max_age;
+	struct arg_int *lag;
 	struct arg_int *max_wait;
 	struct arg_str *report;
 	struct arg_end *end;
@@ -63,6 +64,9 @@
 			 "cost of browse and ticket (that of the server)"),
 		arg_int0(NULL, "max-age-ms", "MS",
 			 "allowed age of browse and long (2000)"),
+		arg_int0(NULL, "lag-ms", "MS",
+			 "lag of the replicas, to count the reads that they "
+			 "may serve"),
 		arg_int0(NULL, "max-wait-ms", "MS",
 			 "longest wait of a request (that of the plan)"),
 		arg_str0(NULL, "report", "text|json", "form of the report"),
@@ -184,6 +188,7 @@
 		.short_us = load_int(a->short_us, -1),
 		.long_shapes = load_int(a->long_shapes, 1),
 		.max_age_ms = load_int(a->max_age, LOAD_AGE_MS),
+		.lag_ms = load_int(a->lag, -1),
 		.max_wait_ms = load_int(a->max_wait, -1),
 	};
 	for (int i = 0; i < o->nto; i++)
--- a/builtin/load.h
+++ b/builtin/load.h
@@ -62,6 +62,7 @@
 	int64_t short_us; /* -1: what the server takes */
 	int long_shapes; /* statements that differ in fingerprint */
 	int64_t max_age_ms;
+	int64_t lag_ms; /* of the replicas; -1 is unknown */
 	int64_t max_wait_ms;
 	struct load_swing swings[LOAD_MAX_SWINGS];
 	int nswings;
@@ -147,6 +148,7 @@
 	struct ev_timer pause; /* before a retry or the next request */
 	bool busy;
 	bool reading; /* the own read of LOAD_ORDER_READ runs */
+	int64_t wrote_us; /* last acknowledged order */
 	bool was_unknown; /* an attempt of the order may have run */
 	enum load_kind kind;
 	int64_t intended_us;
@@ -183,6 +185,7 @@
 	bool stopping;
 	int64_t last_order_us;
 	int64_t longest_gap_us; /* between successful orders */
+	uint64_t eligible; /* reads that a replica with lag_ms may serve */
 	uint64_t stale_reads; /* read-your-writes violations */
 	uint64_t *ok_per_s;
 	uint64_t *orders_per_s;
--- a/builtin/load_report.c
+++ b/builtin/load_report.c
@@ -74,6 +74,8 @@
 				report_kind(l, (enum load_kind)k));
 	json_object_object_add(o, "kinds", kinds);
 	put(o, "longest_gap_us", (uint64_t)l->longest_gap_us);
+	if (l->opt.lag_ms >= 0)
+		put(o, "replica_eligible", l->eligible);
 	put(o, "stale_own_reads", l->stale_reads);
 	json_object_object_add(o, "verified",
 			       json_object_new_boolean(v->complete));
--- a/builtin/load_run.c
+++ b/builtin/load_run.c
@@ -246,9 +246,20 @@
 	c->orders[c->norders++] = ORDER_PENDING;
 }
 
+/* May a replica serve a browse read now? The session must see its own writes.
+ */
+static bool caller_eligible(const struct load_caller *c)
+{
+	const struct load_options *o = &c->load->opt;
+
+	return o->lag_ms >= 0 && o->lag_ms <= o->max_age_ms &&
+	       clk_now_us() - c->wrote_us > o->lag_ms * 1000;
+}
+
 static void caller_begin(struct load_caller *c, enum load_kind kind,
 			 int64_t intended_us)
 {
+	c->load->eligible += kind == LOAD_BROWSE && caller_eligible(c);
 	c->busy = true;
 	c->reading = false;
 	c->was_unknown = false;
@@ -315,8 +326,10 @@
 		return;
 	}
 	load_success(c->load, c->kind, c->intended_us);
-	if (is_order(c->kind))
+	if (is_order(c->kind)) {
 		c->orders[c->norders - 1] = ORDER_ACKED;
+		c->wrote_us = clk_now_us();
+	}
 	if (c->kind == LOAD_ORDER_READ)
 		caller_read_own(c);
 	else
--- a/caller_priv.h
+++ b/caller_priv.h
@@ -114,6 +114,8 @@
 	char group[ID_LEN];
 	char pin_backend[ID_LEN];
 	struct ses ses;
+	struct tok_entry seen; /* newest token entry of the group */
+	clk_ms seen_at; /* when this proxy first saw it */
 	UT_hash_handle hh; /* by pid */
 };
 
--- a/caller_run.c
+++ b/caller_run.c
@@ -216,12 +216,25 @@
 		run_pin_lost(c, run, end);
 }
 
+/* Since when this proxy knows what the statement must see. */
+static void run_note_token(struct caller *c, const struct token *token)
+{
+	const struct tok_entry *e = tok_find(token, c->group);
+
+	if (!e || (e->term == c->seen.term && e->position == c->seen.position))
+		return;
+	c->seen = *e;
+	c->seen_at = clk_now();
+}
+
 static void run_report_write(struct caller *c, const struct msg_end *end)
 {
 	if (!end->write_term)
 		return;
 	if (ses_wrote(&c->ses, c->group, end->write_term, end->write_position))
 		caller_report_session(c);
+	if (c->ses.token)
+		run_note_token(c, c->ses.token);
 }
 
 static void run_report_error(struct caller *c, const struct caller_run *run,
@@ -329,13 +342,14 @@
 	}
 }
 
-static void run_set_session(const struct caller *c,
-			    const struct caller_run *run,
+static void run_set_session(struct caller *c, const struct caller_run *run,
 			    struct flt_request *rq)
 {
 	const struct ses_statement *st = &run->st;
 
+	run_note_token(c, &st->token);
 	rq->token = &st->token;
+	rq->token_since = c->seen_at;
 	rq->session_unknown = st->session_unknown;
 	rq->max_age_ms = st->max_age_ms;
 	rq->max_wait_ms = st->max_wait_ms;
--- a/exec.c
+++ b/exec.c
@@ -145,11 +145,26 @@
 	}
 }
 
+/* What the owner knows of the backend, so that the origin routes by it; also
+ * of a request that was refused before it ran. */
+static void exec_tell_hint(const struct exec_req *r, struct msg_end *end)
+{
+	const struct exec_hint *h = r->b ? &r->b->hint : NULL;
+
+	if (!h || !h->heard)
+		return;
+	end->log_term = h->log_term;
+	end->applied = h->applied;
+	if (h->age_ms >= 0)
+		end->age_plus_1 = h->age_ms + 1;
+}
+
 static void exec_send_end(struct exec_req *r)
 {
 	struct msg m = {.type = MSG_END, .u.end = r->end};
 
 	m.u.end.run_id = r->remote_id;
+	exec_tell_hint(r, &m.u.end);
 	link_send(r->from, &m);
 	r->delivered = true;
 }
--- a/exec_local.c
+++ b/exec_local.c
@@ -160,12 +160,12 @@
 	exec_slot_free(arg);
 }
 
-static void exec_judge(struct exec_req *r, enum res res)
+void exec_judge(struct exec_backend *b, enum res res)
 {
 	if (res == RES_READ_FAILED || res == RES_UNREACHABLE)
-		exec_failed(r->b);
+		exec_failed(b);
 	else if (res == RES_OK || res == RES_SQL_ERROR || res == RES_BEHIND)
-		health_success(&r->b->health);
+		health_success(&b->health);
 }
 
 static void exec_on_end(void *arg, const struct msg_end *end)
@@ -173,7 +173,7 @@
 	struct exec_req *r = arg;
 	struct msg_end full = *end;
 
-	exec_judge(r, (enum res)end->res);
+	exec_judge(r->b, (enum res)end->res);
 	full.pin = exec_pin_update(r, end);
 	full.waited_us = r->started_us - r->arrived_us;
 	exec_take_end(r, &full);
--- a/exec_priv.h
+++ b/exec_priv.h
@@ -150,6 +150,7 @@
 void exec_tick_backend(struct exec_backend *b, clk_ms now);
 void exec_dispatch(struct exec_backend *b);
 void exec_pin_close(struct exec_pin *p);
+void exec_judge(struct exec_backend *b, enum res res);
 
 /* exec_backend.c */
 struct exec_backend *exec_backend_get(struct exec *x, const char *id);
--- a/exec_remote.c
+++ b/exec_remote.c
@@ -167,8 +167,11 @@
 	if (b && end->log_term) {
 		b->hint.log_term = end->log_term;
 		b->hint.applied = end->applied;
+		b->hint.age_ms = end->age_plus_1 - 1;
 		b->hint.heard = clk_now();
 	}
+	if (b)
+		exec_judge(b, (enum res)end->res);
 	if (b)
 		b->waited_us += (end->waited_us - b->waited_us) / 8;
 	r->to = NULL;
--- a/filter.c
+++ b/filter.c
@@ -422,6 +422,7 @@
 		e = tok_find(r->rq.token, r->rq.group);
 	return (struct route_need){.term = e ? e->term : 0,
 				   .position = e ? e->position : 0,
+				   .since = e ? r->rq.token_since : 0,
 				   .max_age_ms = r->max_age_ms};
 }
 
@@ -535,30 +536,38 @@
 	return id;
 }
 
+/* The first time that a connection breaks under a read, another member may be
+ * tried: a member that fails breaks all its reads at once, more than a budget
+ * holds. Overload does not break connections. */
+static bool flt_retry_is_free(const struct flt_record *r, enum res res)
+{
+	if (res == RES_READ_FAILED && r->rq.kind == RUN_READ && !r->retries)
+		return true;
+	return retry_is_free(res);
+}
+
 static void flt_retry(struct flt *f, struct flt_record *r, enum res res,
 		      const char *backend, clk_ms now)
 {
 	clk_ms pause = FLT_PARK_MS;
 
-	if (!retry_is_waiting(res)) {
-		if (!retry_spend(&r->customer->budget)) {
-			cnt_add(CNT_retry_denied, 1);
-			flt_refuse(f, r,
-				   res_ran(res) == RES_RAN_NOT_RUN
-					   ? RES_RETRY_BUDGET
-					   : res,
-				   res_text(res), now);
-			return;
-		}
-		pause = retry_pause(f->rng, r->retries++);
+	if (!flt_retry_is_free(r, res) && !retry_spend(&r->customer->budget)) {
+		cnt_add(CNT_retry_denied, 1);
+		flt_refuse(f, r,
+			   res_ran(res) == RES_RAN_NOT_RUN ? RES_RETRY_BUDGET
+							   : res,
+			   res_text(res), now);
+		return;
 	}
+	if (!retry_is_waiting(res))
+		pause = retry_pause(f->rng, r->retries++);
 	retry_count(res);
 	if (r->rq.kind == RUN_READ && !r->current && backend[0]) {
 		/* Another member can be tried at once. */
 		if (r->ntried == FLT_MAX_TRIED)
 			r->ntried = 0;
 		snprintf(r->tried[r->ntried++], ID_LEN, "%s", backend);
-		pause = res == RES_BEHIND || res == RES_LEAVING ? 0 : pause;
+		pause = retry_is_free(res) ? 0 : pause;
 	}
 	if (now + pause >= r->deadline) {
 		flt_refuse(f, r, res, NULL, now);
--- a/filter.h
+++ b/filter.h
@@ -32,6 +32,7 @@
 	enum run_kind kind;
 	int64_t flags; /* RUN_SIMPLE, RUN_PIN, RUN_DESCRIBED */
 	const struct token *token;
+	clk_ms token_since; /* when its entry was first seen here */
 	bool session_unknown; /* names a session but has no token */
 	clk_ms max_age_ms; /* -1: as the plan says */
 	clk_ms max_wait_ms; /* -1: as the plan says */
--- a/msg.c
+++ b/msg.c
@@ -208,7 +208,8 @@
 	I(msg_end, txn),	I(msg_end, pin),
 	I(msg_end, log_term),	I(msg_end, applied),
 	I(msg_end, write_term), I(msg_end, write_position),
-	I(msg_end, waited_us),	I(msg_end, cost_us)};
+	I(msg_end, waited_us),	I(msg_end, cost_us),
+	I(msg_end, age_plus_1)};
 
 static const struct fld cancel_fields[] = {I(msg_cancel, run_id)};
 static const struct fld unpin_fields[] = {I(msg_unpin, pin)};
--- a/msg.h
+++ b/msg.h
@@ -325,6 +325,7 @@
 	int64_t write_position;
 	int64_t waited_us;
 	int64_t cost_us;
+	int64_t age_plus_1; /* ms, of the applied data, plus 1; 0 is unknown */
 };
 
 struct msg_cancel {
--- a/retry.h
+++ b/retry.h
@@ -47,7 +47,16 @@
 bool retry_allowed(enum res res, enum run_kind kind, int64_t pin,
 		   bool repeatable);
 
-/* Waiting for a change of primary to finish is no retry against a budget. */
+/*
+ * Does a retry need no token? So it is after a result that cost no backend
+ * server any work: the request was turned away before it ran, and waits for a
+ * primary or goes to another member, with a pause. A budget would refuse reads
+ * that other members can serve.
+ */
+bool retry_is_free(enum res res);
+
+/* Only a change of primary or a leaving member can end the wait, so that a
+ * growing pause would only add to it. */
 bool retry_is_waiting(enum res res);
 
 /* Counts a retry by its reason. */
--- a/route.c
+++ b/route.c
@@ -10,13 +10,21 @@
 	return c->hint.heard && now - c->hint.heard <= ROUTE_STALE_HINT_MS;
 }
 
+/*
+ * By the last report, or because that was long enough ago: a replica whose data
+ * is age_ms old holds what was written before that. Without the second rule a
+ * report that is not renewed, since no read goes there, would keep reads away.
+ */
 static bool route_at_token(const struct route_candidate *c,
-			   const struct route_need *need)
+			   const struct route_need *need, clk_ms now)
 {
 	if (!need->term)
 		return true;
-	return c->hint.log_term >= need->term &&
-	       c->hint.applied >= need->position;
+	if (c->hint.log_term < need->term)
+		return false;
+	return c->hint.applied >= need->position ||
+	       (need->since && c->hint.age_ms >= 0 &&
+		now - need->since >= c->hint.age_ms + ROUTE_AGE_SLACK_MS);
 }
 
 static bool route_fresh(const struct route_candidate *c,
@@ -42,7 +50,7 @@
 		return cost; /* trying is the way to learn */
 	if (!c->hint.healthy || !route_fresh(c, need))
 		return -1;
-	if (route_at_token(c, need))
+	if (route_at_token(c, need, now))
 		return cost;
 	/* Its data is age_ms old, so the token is there about as much later. */
 	if (c->hint.log_term < need->term || c->hint.age_ms < 0 ||
@@ -86,7 +94,7 @@
 		    c[i].backend->silent || !route_known(&c[i], now))
 			continue;
 		if (c[i].hint.healthy && route_fresh(&c[i], need) &&
-		    route_at_token(&c[i], need))
+		    route_at_token(&c[i], need, now))
 			return true;
 	}
 	return false;
--- a/route.h
+++ b/route.h
@@ -14,6 +14,7 @@
 	ROUTE_CROSS_ZONE_MS = 2, /* round trip to another zone */
 	ROUTE_PRIMARY_MS = 50, /* what a read on the primary costs the
 				* writes; a replica may be waited for as long */
+	ROUTE_AGE_SLACK_MS = 10, /* by which a reported age may be too low */
 	ROUTE_STALE_HINT_MS = 1000 /* older hints tell nothing */
 };
 
@@ -28,6 +29,7 @@
 struct route_need {
 	int64_t term; /* token entry; 0 is none */
 	int64_t position;
+	clk_ms since; /* the token entry existed by then; 0 is unknown */
 	clk_ms max_age_ms; /* -1 is any */
 };
 
