sched, cost: bound statements of unknown cost, learn long ones at once

Cause: a fingerprint without a measured cost was taken for short, so that several long statements of new fingerprints took all slots of a member at once. A known fingerprint that became long was taken for short until the decaying mean had passed ten times the median.

Change: statements whose cost was never measured are served like short ones, but run in the half of the slots that long ones may hold. A long measurement replaces the estimate at once, also while the statement still runs, and waiting jobs take over what was learned meanwhile.

--- a/cost.c
+++ b/cost.c
@@ -162,6 +162,8 @@
 
 	if (i == COST_NONE)
 		cost_add(c, fingerprint, (double)us);
+	else if (cost_is_long(c, us) && (double)us > c->entries[i].us)
+		c->entries[i].us = (double)us;
 	else
 		c->entries[i].us +=
 			COST_DECAY * ((double)us - c->entries[i].us);
@@ -170,6 +172,21 @@
 		cost_refresh_median(c);
 }
 
+bool cost_is_known(struct cost *c, int64_t fingerprint)
+{
+	return cost_find(c, fingerprint) != COST_NONE;
+}
+
+void cost_raise(struct cost *c, int64_t fingerprint, int64_t us)
+{
+	int i = cost_find(c, fingerprint);
+
+	if (i == COST_NONE)
+		cost_add(c, fingerprint, (double)us);
+	else if ((double)us > c->entries[i].us)
+		c->entries[i].us = (double)us;
+}
+
 int64_t cost_median(const struct cost *c)
 {
 	return c->median;
--- a/cost.h
+++ b/cost.h
@@ -28,11 +28,19 @@
 void cost_free(struct cost *c);
 
 int64_t cost_estimate(struct cost *c, int64_t fingerprint);
+/* False: the estimate is the median. */
+bool cost_is_known(struct cost *c, int64_t fingerprint);
+
+/* A cost that is long counts in full at once, so that a statement that became
+ * long is not taken for a short one several times; others by decay. */
 void cost_learn(struct cost *c, int64_t fingerprint, int64_t us);
 
 int64_t cost_median(const struct cost *c);
 bool cost_is_long(const struct cost *c, int64_t us);
 
+/* A statement that still runs has taken us: its estimate is at least that. */
+void cost_raise(struct cost *c, int64_t fingerprint, int64_t us);
+
 /* A statement estimated at estimate that has run for us is to be treated as
  * long from now on. */
 bool cost_overruns(const struct cost *c, int64_t estimate, int64_t us);
--- a/exec_local.c
+++ b/exec_local.c
@@ -50,6 +50,9 @@
 	j->weight = run->weight;
 	j->cost_us = cost_estimate(cost, run->fingerprint);
 	j->is_long = run->flags & RUN_LONG || cost_is_long(cost, j->cost_us);
+	/* What describes a statement is not learned, and never long. */
+	j->unproven = !j->is_long && run->kind != RUN_DESCRIBE &&
+		      !cost_is_known(cost, run->fingerprint);
 	j->give_up = r->arrived + run->wait_ms;
 }
 
@@ -448,9 +451,37 @@
 		 "time limit reached");
 }
 
+/* A statement has run much longer than statements like it did. */
+static void exec_overrun(struct exec_req *r)
+{
+	struct exec_backend *b = r->b;
+	int64_t us = clk_now_us() - r->started_us;
+
+	if (!r->has_slot || r->job.is_long ||
+	    !cost_overruns(b->cost, r->job.cost_us, us))
+		return;
+	sched_reclassify(b->sched, &r->job, true);
+	cost_raise(b->cost, r->run.fingerprint, us);
+}
+
+/* What was learned while a job waits counts for it as well. */
+static void exec_relearn(struct exec_req *r)
+{
+	struct cost *cost = r->b->cost;
+
+	if (r->run.flags & RUN_LONG || !cost_is_known(cost, r->run.fingerprint))
+		return;
+	sched_reclassify(
+		r->b->sched, &r->job,
+		cost_is_long(cost, cost_estimate(cost, r->run.fingerprint)));
+}
+
 void exec_tick_req(struct exec_req *r, clk_ms now)
 {
 	switch (r->state) {
+	case EXEC_WAITING:
+		exec_relearn(r);
+		break;
 	case EXEC_BEHIND:
 		exec_check_fresh(r);
 		break;
@@ -461,10 +492,7 @@
 		exec_end(r, RES_WAIT_EXCEEDED, "no connection in time");
 		break;
 	case EXEC_RUNNING:
-		if (r->has_slot && !r->job.is_long &&
-		    cost_overruns(r->b->cost, r->job.cost_us,
-				  clk_now_us() - r->started_us))
-			sched_reclassify(r->b->sched, &r->job);
+		exec_overrun(r);
 		if (runner_stalled(r->runner, r->x->set->suspect_ms))
 			runner_break(r->runner, "no status row in time");
 		break;
--- a/sched.c
+++ b/sched.c
@@ -10,6 +10,7 @@
 	int64_t priority;
 	int64_t weight;
 	bool is_long;
+	bool unproven;
 	struct sched_job *head;
 	struct sched_job *tail;
 	int64_t cost_us; /* of the waiting jobs */
@@ -29,6 +30,7 @@
 	size_t waiting_short;
 	size_t running;
 	size_t running_long;
+	size_t running_unproven;
 	int64_t running_us; /* estimated cost of the running jobs */
 	clk_ms due; /* no wait ends before */
 };
@@ -84,6 +86,7 @@
 
 	for (f = s->flows; f; f = f->next)
 		if (f->priority == j->priority && f->is_long == j->is_long &&
+		    f->unproven == j->unproven &&
 		    !strcmp(f->customer, j->customer))
 			break;
 	if (!f) {
@@ -93,6 +96,7 @@
 		memcpy(f->customer, j->customer, sizeof(f->customer));
 		f->priority = j->priority;
 		f->is_long = j->is_long;
+		f->unproven = j->unproven;
 		f->next = s->flows;
 		s->flows = f;
 	}
@@ -250,6 +254,12 @@
 
 enum sched_pick { PICK_SHORT, PICK_LONG, PICK_ANY };
 
+/* Is there room for a job that is long, or may turn out so? */
+static bool sched_long_room(const struct sched *s)
+{
+	return s->running_long + s->running_unproven < sched_long_max(s);
+}
+
 static struct sched_flow *sched_best(const struct sched *s,
 				     enum sched_pick pick, clk_ms now)
 {
@@ -260,6 +270,8 @@
 			continue;
 		if (pick != PICK_ANY && f->is_long != (pick == PICK_LONG))
 			continue;
+		if (pick == PICK_SHORT && f->unproven && !sched_long_room(s))
+			continue;
 		if (!best || sched_before(s, f, best, now))
 			best = f;
 	}
@@ -276,9 +288,7 @@
 		return NULL;
 	if (!s->short_first)
 		return sched_best(s, PICK_ANY, now);
-	lng = s->running_long < sched_long_max(s)
-		      ? sched_best(s, PICK_LONG, now)
-		      : NULL;
+	lng = sched_long_room(s) ? sched_best(s, PICK_LONG, now) : NULL;
 	if (lng && (!s->waiting_short ||
 		    (!s->running_long && now - lng->head->arrived >= patience)))
 		return lng;
@@ -296,6 +306,7 @@
 	j->running = true;
 	s->running++;
 	s->running_long += j->is_long;
+	s->running_unproven += j->unproven;
 	s->running_us += j->cost_us;
 }
 
@@ -354,18 +365,29 @@
 	j->running = false;
 	s->running--;
 	s->running_long -= j->is_long;
+	s->running_unproven -= j->unproven;
 	s->running_us -= j->cost_us;
 	sched_drop_flow(s, j);
 	if (!s->waiting && !s->running)
 		sched_forget(s);
 }
 
-void sched_reclassify(struct sched *s, struct sched_job *j)
+void sched_reclassify(struct sched *s, struct sched_job *j, bool is_long)
 {
-	if (j->is_long || !j->running)
+	if (j->is_long == is_long && !j->unproven)
 		return;
-	j->is_long = true;
-	s->running_long++;
+	if (j->running) {
+		s->running_long += is_long - j->is_long;
+		s->running_unproven -= j->unproven;
+		j->is_long = is_long;
+		j->unproven = false;
+		return;
+	}
+	sched_remove(s, j);
+	j->is_long = is_long;
+	j->unproven = false;
+	sched_hold_flow(s, j);
+	sched_push(s, j);
 }
 
 clk_ms sched_wait_ms(const struct sched *s, int64_t priority)
--- a/sched.h
+++ b/sched.h
@@ -14,6 +14,9 @@
  * short jobs once it has waited SCHED_PATIENCE_MS, so that long work always
  * progresses in one slot.
  *
+ * A job whose cost was never measured is served like a short one, but counts
+ * against the same half while it runs, as it may turn out to be long.
+ *
  * A job ends its waiting by sched_take(), sched_expired() or sched_remove().
  */
 
@@ -41,6 +44,7 @@
 	int64_t weight;
 	int64_t cost_us; /* estimate */
 	bool is_long;
+	bool unproven; /* its cost was never measured */
 	clk_ms give_up; /* when its wait ends */
 
 	/* Set by the scheduler. */
@@ -75,8 +79,8 @@
 /* A running job has ended; us is its measured cost. */
 void sched_finish(struct sched *s, struct sched_job *j, int64_t us);
 
-/* A running job turned out to be long. */
-void sched_reclassify(struct sched *s, struct sched_job *j);
+/* A job turned out to be long, or a waiting one to be short. */
+void sched_reclassify(struct sched *s, struct sched_job *j, bool is_long);
 
 /* Estimated wait of a new job of a priority class. */
 clk_ms sched_wait_ms(const struct sched *s, int64_t priority);
--- a/t/unit_sched.cc
+++ b/t/unit_sched.cc
@@ -41,7 +41,8 @@
 	}
 
 	Job *add(const char *customer, int64_t us, bool is_long = false,
-		 int64_t priority = 0, int64_t weight = 1, clk_ms wait = 60000)
+		 int64_t priority = 0, int64_t weight = 1, clk_ms wait = 60000,
+		 bool unproven = false)
 	{
 		jobs.push_back(std::make_unique<Job>());
 		Job *j = jobs.back().get();
@@ -52,6 +53,7 @@
 		j->job.weight = weight;
 		j->job.cost_us = us;
 		j->job.is_long = is_long;
+		j->job.unproven = unproven;
 		j->job.give_up = now + wait;
 		j->real_us = us;
 		j->refused = sched_add(s, &j->job, now) == RES_OVERLOAD;
@@ -262,7 +264,7 @@
 	forced.weight = 1;
 	sched_force(sim.s, &forced, sim.now);
 	EXPECT_EQ(3u, sched_running(sim.s));
-	sched_reclassify(sim.s, &b->job);
+	sched_reclassify(sim.s, &b->job, true);
 	sim.add("a", 1000, true);
 	sched_finish(sim.s, &forced, 10);
 	sim.run(20);
@@ -274,6 +276,36 @@
 	EXPECT_EQ(0u, sched_waiting(sim.s));
 }
 
+/* Guards against statements of unknown cost that take all slots before it is
+ * seen that they are long, and against ones that wait on as such. */
+TEST(Sched, UnprovenJobsHoldAtMostHalfOfTheSlots)
+{
+	Sim sim(5);
+	Sim::Job *unproven[4];
+
+	for (Sim::Job *&u : unproven) {
+		u = sim.add("a", 1000, false, 0, 1, 60000, true);
+		u->real_us = 200000;
+	}
+	sim.step();
+	EXPECT_EQ(2u, sched_running(sim.s));
+	Sim::Job *known = sim.add("b", 1000);
+	sim.step();
+	EXPECT_TRUE(known->job.running);
+	sched_reclassify(sim.s, &unproven[0]->job, true);
+	sched_reclassify(sim.s, &unproven[1]->job, false);
+	sim.step();
+	/* One long and one unproven job run; the other one is a short one. */
+	EXPECT_TRUE(unproven[2]->job.running);
+	EXPECT_FALSE(unproven[3]->job.running);
+	sched_reclassify(sim.s, &unproven[3]->job, false);
+	sim.step();
+	EXPECT_TRUE(unproven[3]->job.running);
+	sim.run(500);
+	EXPECT_EQ(0u, sched_running(sim.s));
+	EXPECT_EQ(0u, sched_waiting(sim.s));
+}
+
 /* Guards against unknown statements that are kept waiting as long ones, and
  * against estimates that never change. */
 TEST(Cost, LearnsAndForgets)
@@ -294,6 +326,13 @@
 	EXPECT_TRUE(cost_overruns(c, 2000, 400000));
 	EXPECT_FALSE(cost_overruns(c, 200000, 400000));
 	EXPECT_FALSE(cost_overruns(c, 2000, 9000));
+	/* One that became long counts as long at once. */
+	cost_learn(c, 2, 600000);
+	EXPECT_TRUE(cost_is_long(c, cost_estimate(c, 2)));
+	cost_raise(c, 2, 700000);
+	EXPECT_EQ(700000, cost_estimate(c, 2));
+	EXPECT_TRUE(cost_is_known(c, 2));
+	EXPECT_FALSE(cost_is_known(c, 77));
 	/* 1 was used least recently and makes room. */
 	cost_estimate(c, 2);
 	for (int64_t f = 3; f <= 5; f++)
