--- a/builtin/load.h
+++ b/builtin/load.h
@@ -22,6 +22,8 @@
 	LOAD_MAX_REASONS = 64,
 	LOAD_REASON_LEN = 96,
 	LOAD_RUN_LEN = 32,
+	LOAD_SHAPE_BITS = 10,
+	LOAD_MAX_SHAPES = 1 << LOAD_SHAPE_BITS,
 	LOAD_SETTLE_MS = 30000 /* for unknown outcomes after the run */
 };
 
@@ -57,7 +59,10 @@
 	uint64_t seed;
 	bool json;
 	int64_t long_us;
+	int64_t short_us; /* -1: what the server takes */
+	int long_shapes; /* statements that differ in fingerprint */
 	int64_t max_age_ms;
+	int64_t lag_ms; /* of the replicas; -1 is unknown */
 	int64_t max_wait_ms;
 	struct load_swing swings[LOAD_MAX_SWINGS];
 	int nswings;
@@ -143,6 +148,7 @@
 	struct ev_timer pause; /* before a retry or the next request */
 	bool busy;
 	bool reading; /* the own read of LOAD_ORDER_READ runs */
+	int64_t wrote_us; /* last acknowledged order */
 	bool was_unknown; /* an attempt of the order may have run */
 	enum load_kind kind;
 	int64_t intended_us;
@@ -162,6 +168,7 @@
 	char run[LOAD_RUN_LEN]; /* marks the rows of this run */
 	struct ev_loop *loop;
 	struct rng *rng;
+	uint32_t nlong; /* long reads sent */
 	struct load_caller *callers;
 	struct load_caller **idle; /* stack */
 	int nidle;
@@ -178,6 +185,7 @@
 	bool stopping;
 	int64_t last_order_us;
 	int64_t longest_gap_us; /* between successful orders */
+	uint64_t eligible; /* reads that a replica with lag_ms may serve */
 	uint64_t stale_reads; /* read-your-writes violations */
 	uint64_t *ok_per_s;
 	uint64_t *orders_per_s;
--- a/builtin/load_run.c
+++ b/builtin/load_run.c
@@ -9,6 +9,7 @@
 
 enum {
 	SQL_LEN = TOK_TEXT_LEN + 512,
+	COST_LEN = 48,
 	ANSWER_EXTRA_MS = 6000, /* over the wait, until an answer is lost */
 	DEFAULT_WAIT_MS = 5000
 };
@@ -159,9 +160,33 @@
 	return (double)(ms + ANSWER_EXTRA_MS) / 1000;
 }
 
+/* A sum whose operators, unlike its constants, are part of the fingerprint. */
+static const char *load_shape(struct load *l, char *text)
+{
+	uint32_t shape = l->nlong++ % (uint32_t)l->opt.long_shapes;
+	char *at = text;
+
+	for (int bit = 0; shape >> bit; bit++)
+		at += sprintf(at, "%c0", shape >> bit & 1 ? '-' : '+');
+	*at = '\0';
+	return text;
+}
+
+/* A comment that tells the stand-in what a short read costs. */
+static const char *load_short_cost(const struct load *l, char *text)
+{
+	*text = '\0';
+	if (l->opt.short_us >= 0)
+		snprintf(text, COST_LEN, "/* cost_us=%" PRId64 " */ ",
+			 l->opt.short_us);
+	return text;
+}
+
 static void caller_sql(const struct load_caller *c, char *sql)
 {
-	const struct load *l = c->load;
+	struct load *l = c->load;
+	char shape[2 * LOAD_SHAPE_BITS + 1];
+	char cost[COST_LEN];
 	const char *t = l->opt.table;
 	int n = c->norders - 1;
 
@@ -176,23 +201,25 @@
 		break;
 	case LOAD_TICKET:
 		snprintf(sql, SQL_LEN,
-			 "/* marjoramlatch.max_age_ms=0 */ SELECT count(*) "
+			 "/* marjoramlatch.max_age_ms=0 */ %sSELECT count(*) "
 			 "FROM %s WHERE run = '%s' AND caller = %d AND n = %d",
-			 t, l->run, c->id, n);
+			 load_short_cost(l, cost), t, l->run, c->id, n);
 		break;
 	case LOAD_LONG:
 		snprintf(sql, SQL_LEN,
 			 "/* marjoramlatch.max_age_ms=%" PRId64 " */ "
-			 "/* cost_us=%" PRId64 " */ SELECT max(n) FROM %s "
+			 "/* cost_us=%" PRId64 " */ SELECT max(n%s) FROM %s "
 			 "WHERE run = '%s' AND caller = %d",
-			 l->opt.max_age_ms, l->opt.long_us, t, l->run, c->id);
+			 l->opt.max_age_ms, l->opt.long_us,
+			 load_shape(l, shape), t, l->run, c->id);
 		break;
 	default:
 		snprintf(sql, SQL_LEN,
 			 "/* marjoramlatch.max_age_ms=%" PRId64 " */ "
-			 "SELECT n FROM %s WHERE run = '%s' AND caller = %d "
+			 "%sSELECT n FROM %s WHERE run = '%s' AND caller = %d "
 			 "AND n = %d",
-			 l->opt.max_age_ms, t, l->run, c->id, n);
+			 l->opt.max_age_ms, load_short_cost(l, cost), t, l->run,
+			 c->id, n);
 	}
 }
 
@@ -219,9 +246,20 @@
 	c->orders[c->norders++] = ORDER_PENDING;
 }
 
+/* May a replica serve a browse read now? The session must see its own writes.
+ */
+static bool caller_eligible(const struct load_caller *c)
+{
+	const struct load_options *o = &c->load->opt;
+
+	return o->lag_ms >= 0 && o->lag_ms <= o->max_age_ms &&
+	       clk_now_us() - c->wrote_us > o->lag_ms * 1000;
+}
+
 static void caller_begin(struct load_caller *c, enum load_kind kind,
 			 int64_t intended_us)
 {
+	c->load->eligible += kind == LOAD_BROWSE && caller_eligible(c);
 	c->busy = true;
 	c->reading = false;
 	c->was_unknown = false;
@@ -288,8 +326,10 @@
 		return;
 	}
 	load_success(c->load, c->kind, c->intended_us);
-	if (is_order(c->kind))
+	if (is_order(c->kind)) {
 		c->orders[c->norders - 1] = ORDER_ACKED;
+		c->wrote_us = clk_now_us();
+	}
 	if (c->kind == LOAD_ORDER_READ)
 		caller_read_own(c);
 	else
--- a/exec_priv.h
+++ b/exec_priv.h
@@ -156,6 +156,7 @@
 struct exec_pin *exec_pin_find(struct exec *x, int64_t id);
 struct pool_conn *exec_pin_take_out(struct exec_pin *p);
 void exec_pin_close(struct exec_pin *p);
+void exec_judge(struct exec_backend *b, enum res res);
 void exec_pin_rest(struct exec_pin *p);
 int64_t exec_pin_update(struct exec_req *r, const struct msg_end *end);
 
--- a/filter_route.c
+++ b/filter_route.c
@@ -125,6 +125,7 @@
 		e = tok_find(r->rq.token, r->rq.group);
 	return (struct route_need){.term = e ? e->term : 0,
 				   .position = e ? e->position : 0,
+				   .since = e ? r->rq.token_since : 0,
 				   .max_age_ms = r->max_age_ms};
 }
 
