--- a/failover.c
+++ b/failover.c
@@ -216,7 +216,9 @@
 			     const struct group_info *info, clk_ms now)
 {
 	const struct fo_member *p = fo_member(g, info->primary);
-	bool done = !p || (p->seen >= g->since && !p->call);
+	/* A silent member has a call under way all the time, so the end of one
+	 * call since the start decides. */
+	bool done = !p || p->seen >= g->since;
 	bool majority = fo_answered(g, g->since) >= fo_majority(g);
 
 	if (!done)
@@ -224,6 +226,10 @@
 	if (!fo_primary_works(f, p)) {
 		if (majority && !fo_may_recover(g, info, p, now)) {
 			g->planned = false;
+			/* It has the longest log, but cut from its replicas
+			 * it would fail again. */
+			if (p && p->known && p->status.primary)
+				memcpy(g->avoided, p->id, ID_LEN);
 			fo_begin(f, g);
 		}
 	} else if (p->leaving) {
@@ -371,6 +377,7 @@
 {
 	g->phase = FO_PROBING;
 	g->planned = false;
+	g->avoided[0] = '\0';
 	g->listed = CLK_NEVER;
 	g->since = now;
 }
@@ -465,6 +472,8 @@
 			continue;
 		/* This leader has never granted a lease for the group. */
 		g->listed = led;
+		/* Why the change began is not known; any other will do. */
+		memcpy(g->avoided, info->primary, ID_LEN);
 		fo_begin(f, g);
 	}
 	fo_tick(f, now);
--- a/t/lib_cluster.cc
+++ b/t/lib_cluster.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <gtest/gtest.h>
 #include <sodium.h>
 #include <stdexcept>
 #include <sys/stat.h>
@@ -63,8 +64,14 @@
 	};
 	for (int i = 0; i < spec_.controls; i++)
 		add("c" + std::to_string(i + 1), zone(i));
-	for (int i = 0; i < spec_.proxies; i++)
-		add("p" + std::to_string(i + 1), zone(i));
+	for (int i = 0; i < spec_.proxies; i++) {
+		std::string id = "p" + std::to_string(i + 1);
+		Node &n = add(id, zone(i));
+
+		n.link = free_addr();
+		n.link_via =
+			relay_ ? relay_->add(id + "-link", n.link) : n.link;
+	}
 	for (int i = 0; i < spec_.controls; i++)
 		add_daemon("c" + std::to_string(i + 1), false);
 	for (int i = 0; i < spec_.proxies; i++)
@@ -74,6 +81,22 @@
 			add_member(g, i);
 }
 
+Cluster::~Cluster()
+{
+	constexpr size_t TAIL = 1500; /* bytes */
+
+	if (!::testing::Test::HasFailure())
+		return;
+	for (auto &[name, node] : nodes_) {
+		std::string text = node.process->log();
+
+		if (text.size() > TAIL)
+			text = text.substr(text.find('\n', text.size() - TAIL));
+		fprintf(stderr, "--- %s %s\n%s\n", name.c_str(),
+			node.process->unexpected_end().c_str(), text.c_str());
+	}
+}
+
 Cluster::Node &Cluster::add(const std::string &name, const std::string &zone)
 {
 	Node &n = nodes_[name];
@@ -101,7 +124,7 @@
 	std::map<std::string, std::string> keys = {
 		{"id", quote(name)},
 		{"zone", quote(n.zone)},
-		{"link", quote(link)},
+		{"link", quote(proxy ? n.link : n.own)},
 		{"key_file", quote(dir_.path() + "/key")},
 		{"log_level", quote("info")},
 		{"backend_password", quote(BACKEND_PASSWORD)},
@@ -110,12 +133,10 @@
 	std::string controls;
 	std::string out;
 
-	if (proxy)
+	if (proxy) {
 		keys["listen"] = quote(n.own);
-	if (proxy && relay_)
-		keys["link_advertise"] =
-			quote(relay_->add(name + "-link", link));
-	if (!proxy)
+		keys["link_advertise"] = quote(n.link_via);
+	} else
 		keys["data"] = quote(n.data);
 	for (int i = 1; i <= spec_.controls; i++) {
 		std::string id = "c" + std::to_string(i);
@@ -188,6 +209,17 @@
 	return nodes_.at(name).zone;
 }
 
+void Cluster::cut_zone(const std::string &zone)
+{
+	for (const auto &[a, inside] : nodes_)
+		for (const auto &[b, outside] : nodes_) {
+			if (inside.zone != zone || outside.zone == zone)
+				continue;
+			fault("cut " + a + ">" + b + "*");
+			fault("cut " + b + ">" + a + "*");
+		}
+}
+
 std::string Cluster::own_addr(const std::string &name) const
 {
 	return nodes_.at(name).own;
