--- a/settings.c
+++ b/settings.c
@@ -201,8 +201,6 @@
 	    set_secret(n, "operator_password", s->operator_password, e) ||
 	    set_secret(n, "backend_password", s->backend_password, e))
 		return RES_BAD_LIST;
-	if (!s->advertise[0])
-		memcpy(s->advertise, s->link, ADDR_LEN);
 	if (log_parse_level(s->log_level) < 0)
 		return js_fail(n, "log_level", e,
 			       "found \"%s\", expected \"error\", \"warning\", "
--- a/t/sys_failover.cc
+++ b/t/sys_failover.cc
@@ -77,7 +77,8 @@
 		o.seed = seed;
 		Load l(c, h, o);
 		EXPECT_TRUE(wait_until(10000, [&] {
-			return h.count(history::Outcome::ANSWERED) > before + 200;
+			return h.count(history::Outcome::ANSWERED) >
+			       before + 200;
 		}));
 		std::this_thread::sleep_for(
 			std::chrono::milliseconds(rng() % 400));
