--- a/failover.c
+++ b/failover.c
@@ -111,8 +111,6 @@
 	for (size_t i = 0; i < g->nmembers; i++) {
 		struct fo_member *m = &g->members[i];
 
-		if (kind == FO_FENCE && m->fenced >= g->term)
-			continue;
 		if (fo_may_call(m, pause, now))
 			fo_call(f, g, m, kind, g->term, now);
 	}
@@ -315,6 +313,8 @@
 		fo_begin(f, g);
 		return;
 	}
+	/* Also those that are fenced: one that is rebuilt before the promotion
+	 * must not be chosen for the log that it had. */
 	fo_call_all(f, g, FO_FENCE, FO_RETRY_MS, now);
 	if (fo_fenced(g, true) < fo_majority(g) || !fo_leases_over(f, g, now))
 		return;
--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -412,6 +412,27 @@
 		<< "writes that only the primary held were left behind";
 }
 
+/* Guards against promoting a member for the log that it reported before it
+ * was rebuilt. */
+TEST(Fo, MemberRebuiltAfterItsFenceIsNotChosen)
+{
+	Failover f;
+
+	f.start();
+	std::string old = f.group()->primary;
+	f.member(old).up = false;
+	for (auto &m : f.members)
+		m.st.held = f.member(old).st.held;
+	f.acked = f.member(old).st.held;
+	ASSERT_TRUE(f.until(3000, [&] { return f.group()->changing; }));
+	f.until(500, [] { return false; });
+	std::string first = old == "m1" ? "m2" : "m1";
+	f.member(first).st.held = f.member(first).st.log_term = 0;
+	f.member(first).st.incarnation++;
+	ASSERT_TRUE(f.until(3000, [&] { return f.settled(1); }));
+	EXPECT_NE(first, f.group()->primary);
+}
+
 class FoSeeds : public testing::TestWithParam<int>
 {
 };
