--- a/t/sys_proxy.cc
+++ b/t/sys_proxy.cc
@@ -80,6 +80,37 @@
 			       [&] { return config_version(c, "p1") == "1"; }));
 }
 
+/* Guards against the rest of a transaction that runs on its own after the
+ * proxy that held the transaction's connection failed. */
+TEST(SysProxy, TransactionEndsWithItsOwner)
+{
+	Cluster c(small(1));
+
+	ASSERT_TRUE(c.start());
+	std::string primary =
+		c.admin("p1").exec("SHOW GROUPS").value("primary");
+	std::string owner;
+	for (const auto &row : c.admin("p1").exec("SHOW BACKENDS").rows)
+		if (row[0] == primary)
+			owner = row[9];
+	ASSERT_TRUE(owner == "p1" || owner == "p2") << owner;
+	Caller a = c.customer(owner == "p1" ? "p2" : "p1", "orders");
+	ASSERT_TRUE(a.exec("CREATE TABLE t (a int)").ok);
+	ASSERT_TRUE(a.exec("BEGIN").ok);
+	ASSERT_TRUE(a.exec("INSERT INTO t VALUES (1)").ok);
+	c.process(owner).kill();
+	EXPECT_FALSE(a.exec("INSERT INTO t VALUES (2)").ok);
+	EXPECT_EQ(PQTRANS_INERROR, PQtransactionStatus(a.raw()));
+	EXPECT_EQ("25P02", a.exec("INSERT INTO t VALUES (3)").sqlstate);
+	EXPECT_EQ("ROLLBACK", a.exec("COMMIT").tag);
+	EXPECT_EQ(PQTRANS_IDLE, PQtransactionStatus(a.raw()));
+	EXPECT_TRUE(wait_until(
+		10000, [&] { return a.exec("INSERT INTO t VALUES (4)").ok; }));
+	Result r = a.exec("SELECT a FROM t");
+	ASSERT_EQ(1u, r.rows.size()) << r.message;
+	EXPECT_EQ("4", r.value());
+}
+
 /* Guards against accepted lists that one proxy learns of late or never. */
 TEST(SysProxy, NewListsAreInForceEverywhere)
 {
