--- a/failover.c
+++ b/failover.c
@@ -144,6 +144,36 @@
 	       p->status.majority_age_ms < f->cfg.no_majority_ms;
 }
 
+static bool fo_follows(const struct fo_member *m, const struct group_info *info,
+		       const char *addr)
+{
+	return m->follows_term == info->term &&
+	       m->follows_incarnation == m->status.incarnation &&
+	       !strcmp(m->follows, addr);
+}
+
+/* Tells members that may not follow the current primary to do so. */
+static void fo_lead_members(struct fo *f, struct fo_group *g,
+			    const struct group_info *info, clk_ms now)
+{
+	const struct fo_member *p = fo_member(g, info->primary);
+
+	if (!p)
+		return;
+	for (size_t i = 0; i < g->nmembers; i++) {
+		struct fo_member *m = &g->members[i];
+
+		if (m == p || !m->known || fo_follows(m, info, p->addr) ||
+		    !fo_may_call(m, FO_RETRY_MS, now))
+			continue;
+		m->follows_term = 0;
+		m->follows_incarnation = m->status.incarnation;
+		memcpy(m->follows, p->addr, ADDR_LEN);
+		memcpy(fo_call(f, g, m, FO_FOLLOW, info->term, now)->primary,
+		       p->addr, ADDR_LEN);
+	}
+}
+
 static void fo_probing_first(struct fo *f, struct fo_group *g)
 {
 	size_t n = fo_answered(g, g->since);
@@ -156,7 +186,9 @@
 			     const struct group_info *info, clk_ms now)
 {
 	const struct fo_member *p = fo_member(g, info->primary);
-	bool done = !p || (p->seen >= g->since && !p->call);
+	/* A silent member has a call under way all the time, so the end of one
+	 * call since the start decides. */
+	bool done = !p || p->seen >= g->since;
 	bool majority = fo_answered(g, g->since) >= fo_majority(g);
 
 	if (!done)
@@ -164,6 +196,10 @@
 	if (!fo_primary_works(f, p)) {
 		if (majority) {
 			g->planned = false;
+			/* It has the longest log, but cut from its replicas
+			 * it would fail again. */
+			if (p && p->known && p->status.primary)
+				memcpy(g->avoided, p->id, ID_LEN);
 			fo_begin(f, g);
 		}
 	} else if (p->leaving) {
@@ -179,6 +215,10 @@
 {
 	const struct group_info *info = fo_info(f, g);
 
+	/* A replica that is to take over from a leaving primary must follow
+	 * it first. */
+	if (info && fo_primary_works(f, fo_member(g, info->primary)))
+		fo_lead_members(f, g, info, now);
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
 	if (info && info->term > 0)
 		fo_probing_known(f, g, info, now);
@@ -302,40 +342,11 @@
 	g->suspected = INT64_MIN / 2;
 }
 
-static bool fo_follows(const struct fo_member *m, const struct group_info *info,
-		       const char *addr)
-{
-	return m->follows_term == info->term &&
-	       m->follows_incarnation == m->status.incarnation &&
-	       !strcmp(m->follows, addr);
-}
-
-/* Tells members that may not follow the current primary to do so. */
-static void fo_lead_members(struct fo *f, struct fo_group *g,
-			    const struct group_info *info, clk_ms now)
-{
-	const struct fo_member *p = fo_member(g, info->primary);
-
-	if (!p)
-		return;
-	for (size_t i = 0; i < g->nmembers; i++) {
-		struct fo_member *m = &g->members[i];
-
-		if (m == p || !m->known || fo_follows(m, info, p->addr) ||
-		    !fo_may_call(m, FO_RETRY_MS, now))
-			continue;
-		m->follows_term = 0;
-		m->follows_incarnation = m->status.incarnation;
-		memcpy(m->follows, p->addr, ADDR_LEN);
-		memcpy(fo_call(f, g, m, FO_FOLLOW, info->term, now)->primary,
-		       p->addr, ADDR_LEN);
-	}
-}
-
 static void fo_start_probing(struct fo_group *g, clk_ms now)
 {
 	g->phase = FO_PROBING;
 	g->planned = false;
+	g->avoided[0] = '\0';
 	g->listed = CLK_NEVER;
 	g->since = now;
 }
@@ -430,6 +441,8 @@
 			continue;
 		/* This leader has never granted a lease for the group. */
 		g->listed = led;
+		/* Why the change began is not known; any other will do. */
+		memcpy(g->avoided, info->primary, ID_LEN);
 		fo_begin(f, g);
 	}
 	fo_tick(f, now);
--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -65,6 +65,9 @@
 	void thaw();
 	bool running();
 
+	/* How it ended, unless kill() or terminate() asked for that. */
+	std::string unexpected_end();
+
 	/* Exit status, 128 + signal, or -1 if it still runs after ms. */
 	int wait(int ms);
 	pid_t pid() const
@@ -88,6 +91,7 @@
 	std::string log_;
 	pid_t pid_ = -1;
 	int status_ = -1;
+	bool asked_ = true; /* to end; true before the start */
 };
 
 /* Faults on links, see t/helper/relay.c for the commands. */
@@ -115,6 +119,7 @@
 	bool lost = false; /* the connection failed or timed out */
 	std::string sqlstate;
 	std::string message;
+	std::string detail;
 	std::string tag;
 	std::vector<std::string> names;
 	std::vector<std::vector<std::string>> rows; /* null is "" */
@@ -202,6 +207,9 @@
       public:
 	explicit Cluster(Spec spec);
 
+	/* Prints the end of each log if the test has failed. */
+	~Cluster();
+
 	/* Starts everything, applies the lists and waits until each group
 	 * takes a write and each proxy serves a read. */
 	bool start(int ms = 20000);
@@ -225,6 +233,10 @@
 	}
 	std::string zone_of(const std::string &name) const;
 
+	/* Cuts every link between the processes of a zone and the others, in
+	 * both directions; callers of the test still reach all. */
+	void cut_zone(const std::string &zone);
+
 	/* Own address, and the one to connect to (the relay's if there is
 	 * one). */
 	std::string own_addr(const std::string &name) const;
@@ -259,6 +271,8 @@
 		std::string own;
 		std::string via;
 		std::string data;
+		std::string link; /* of a proxy */
+		std::string link_via;
 		std::string group;
 		std::unique_ptr<Process> process;
 	};
