--- a/t/lib_exec.cc
+++ b/t/lib_exec.cc
@@ -4,108 +4,12 @@
 #include <ev.h>
 #include <gtest/gtest.h>
 #include <libpq-fe.h>
-#include <signal.h>
 #include <string.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
-#include <unistd.h>
+#include <sys/stat.h>
 
 #define GROUP "orders"
 #define PASSWORD "backend-password"
 
-std::string helper(const char *name)
-{
-	const char *build = getenv("BUILD");
-
-	return std::string(build ? build : "build/release") + "/helper/" + name;
-}
-
-int free_port()
-{
-	struct sockaddr_in a = {};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_family = AF_INET;
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
-	getsockname(fd, (struct sockaddr *)&a, &len);
-	close(fd);
-	return ntohs(a.sin_port);
-}
-
-std::string on_port(int port)
-{
-	return "127.0.0.1:" + std::to_string(port);
-}
-
-Process::Process(const std::vector<std::string> &args)
-{
-	std::vector<char *> argv;
-
-	for (const std::string &a : args)
-		argv.push_back((char *)a.c_str());
-	argv.push_back(NULL);
-	pid = fork();
-	if (pid)
-		return;
-	/* A test that is killed leaves nothing behind. */
-	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	execv(argv[0], argv.data());
-	_exit(127);
-}
-
-Process::~Process()
-{
-	kill(pid, SIGCONT);
-	kill(pid, SIGKILL);
-	waitpid(pid, NULL, 0);
-}
-
-void Process::send(int sig) const
-{
-	kill(pid, sig);
-}
-
-Relay::Relay(int target)
-    : port(free_port()), control(free_port()),
-      process({helper("relay"), "--control", on_port(control), "--listen",
-	       "b@" + on_port(port) + "=" + on_port(target)})
-{
-	/* Returns once the relay listens. */
-	command("heal b");
-}
-
-static int connect_to(int port)
-{
-	struct sockaddr_in a = {};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_family = AF_INET;
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	a.sin_port = htons((uint16_t)port);
-	if (!connect(fd, (struct sockaddr *)&a, sizeof(a)))
-		return fd;
-	close(fd);
-	return -1;
-}
-
-void Relay::command(const std::string &text)
-{
-	clk_ms end = clk_now() + 5000;
-	char reply[64] = "";
-	int fd;
-
-	/* The relay may still be starting. */
-	while ((fd = connect_to(control)) < 0 && clk_now() < end)
-		usleep(1000);
-	ASSERT_GE(fd, 0);
-	ASSERT_GT(write(fd, (text + "\n").data(), text.size() + 1), 0);
-	ASSERT_GT(read(fd, reply, sizeof(reply) - 1), 0);
-	EXPECT_EQ("ok\n", std::string(reply));
-	close(fd);
-}
-
 static uint32_t big32(const std::string &s, size_t at)
 {
 	uint32_t v;
@@ -161,7 +65,7 @@
 
 	snprintf(o.id, sizeof(o.id), "%s", id);
 	snprintf(o.zone, sizeof(o.zone), "z1");
-	snprintf(o.link, sizeof(o.link), "%s", on_port(free_port()).c_str());
+	snprintf(o.link, sizeof(o.link), "%s", cluster::free_addr().c_str());
 	snprintf(o.backend_password, sizeof(o.backend_password), PASSWORD);
 	o.admission = true;
 	o.short_first = true;
@@ -179,9 +83,6 @@
 
 Deployment::Deployment() : set(proxies[0].set)
 {
-	char path[] = "/tmp/marjoramlatch-XXXXXX";
-
-	folder = mkdtemp(path);
 	loop = ev_loop_new(EVFLAG_AUTO);
 	open_proxy(&proxies[0], "p1");
 	view = proxies[0].view;
@@ -199,13 +100,10 @@
 		view_free(proxies[i].view);
 	}
 	ev_loop_destroy(loop);
-	for (auto &p : processes)
-		delete p.second;
 	for (Answer *a : answers)
 		delete a;
 	for (std::string *s : texts)
 		delete s;
-	EXPECT_EQ(0, system(("rm -rf " + folder).c_str()));
 }
 
 void Deployment::add_proxy(const char *backend)
@@ -237,7 +135,8 @@
 void Deployment::start(const char *id, const std::vector<std::string> &more)
 {
 	struct backend_info b = {};
-	std::vector<std::string> args = {helper("backend"),
+	std::string data = dir.path() + "/" + id;
+	std::vector<std::string> args = {cluster::program("helper/backend"),
 					 "--id",
 					 id,
 					 "--group",
@@ -245,45 +144,45 @@
 					 "--password",
 					 PASSWORD,
 					 "--data",
-					 folder + "/" + id,
+					 data,
 					 "--slots",
-					 std::to_string(slots)};
+					 std::to_string(slots),
+					 "--listen"};
 
-	if (!ports[id])
-		ports[id] = free_port();
-	args.push_back("--listen");
-	args.push_back(on_port(ports[id]));
+	if (addrs[id].empty())
+		addrs[id] = cluster::free_addr();
+	args.push_back(addrs[id]);
 	args.insert(args.end(), more.begin(), more.end());
-	EXPECT_EQ(0, system(("mkdir -p " + folder + "/" + id).c_str()));
-	processes[id] = new Process(args);
+	mkdir(data.c_str(), 0700);
+	processes[id].reset(new cluster::Process(id, args, data + ".log"));
+	processes[id]->start();
 	snprintf(b.id, sizeof(b.id), "%s", id);
 	snprintf(b.group, sizeof(b.group), GROUP);
 	snprintf(b.zone, sizeof(b.zone), "z1");
-	snprintf(b.addr, sizeof(b.addr), "%s", on_port(ports[id]).c_str());
+	snprintf(b.addr, sizeof(b.addr), "%s", addrs[id].c_str());
 	b.slots = slots;
 	b.connections = 30;
 	infos[id] = b;
 	EXPECT_TRUE(until([&] { return sql(id, "SELECT 1") == "1"; })) << id;
 }
 
-void Deployment::reach_by(const char *id, int relay_port)
+void Deployment::reach_by(const char *id, const std::string &addr)
 {
-	snprintf(infos[id].addr, sizeof(infos[id].addr), "%s",
-		 on_port(relay_port).c_str());
+	snprintf(infos[id].addr, sizeof(infos[id].addr), "%s", addr.c_str());
 }
 
 void Deployment::stop(const char *id)
 {
-	delete processes[id];
 	processes.erase(id);
 }
 
 std::string Deployment::sql(const char *id, const std::string &text)
 {
+	std::string port = addrs[id].substr(addrs[id].find(':') + 1);
 	std::string conninfo =
 		"hostaddr=127.0.0.1 user=marjoramlatch password=" PASSWORD
 		" dbname=" GROUP " sslmode=disable port=" +
-		std::to_string(ports[id]);
+		port;
 	PGconn *c = PQconnectdb(conninfo.c_str());
 	PGresult *r = PQexec(c, text.c_str());
 	const char *state = PQresultErrorField(r, PG_DIAG_SQLSTATE);
@@ -348,7 +247,7 @@
 			continue;
 		EXPECT_EQ("ok", sql(p.first.c_str(),
 				    "SELECT marjoramlatch_follow(" + t + ", '" +
-					    on_port(ports[id]) + "')"));
+					    addrs[id] + "')"));
 	}
 	view_term(id, term, atoll(start.c_str()));
 }
--- a/t/lib_exec.h
+++ b/t/lib_exec.h
@@ -5,9 +5,12 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "lib_cluster.h"
+
 /* exec.h names a function like a struct, as C allows. */
 #pragma GCC diagnostic ignored "-Wshadow"
 
@@ -18,37 +21,6 @@
 #include "view.h"
 }
 
-/* Path of a helper program; BUILD names the build folder. */
-std::string helper(const char *name);
-
-int free_port();
-std::string on_port(int port);
-
-/* A process that is ended with the test. */
-class Process
-{
-      public:
-	explicit Process(const std::vector<std::string> &args);
-	~Process();
-	void send(int sig) const;
-
-      private:
-	int pid;
-};
-
-/* The fault-injecting relay with one route to a port. */
-class Relay
-{
-      public:
-	explicit Relay(int target);
-	void command(const std::string &text);
-	int port;
-
-      private:
-	int control;
-	Process process;
-};
-
 /* What a request's sink received. */
 struct Answer {
 	std::string data;
@@ -79,16 +51,16 @@
 
 	void start(const char *id, const std::vector<std::string> &more = {});
 	void stop(const char *id);
-	void signal(const char *id, int sig)
+
+	/* Lets exec reach a server by another address. */
+	void reach_by(const char *id, const std::string &addr);
+	std::string addr(const char *id)
 	{
-		processes[id]->send(sig);
+		return addrs[id];
 	}
-
-	/* Lets exec reach a server on another port. */
-	void reach_by(const char *id, int relay_port);
-	int port(const char *id)
+	cluster::Process &process(const char *id)
 	{
-		return ports[id];
+		return *processes[id];
 	}
 
 	/* Makes one server lead a term and the others follow it, and tells
@@ -120,6 +92,7 @@
 	/* Closes the links of the current proxy. */
 	void break_links();
 
+	cluster::TempDir dir;
 	struct ev_loop *loop;
 	struct settings &set; /* of the first proxy */
 	struct view *view; /* of the current proxy, like exec */
@@ -132,9 +105,8 @@
 	void tell();
 	Proxy proxies[2];
 	int nproxies = 1;
-	std::string folder;
-	std::map<std::string, Process *> processes;
-	std::map<std::string, int> ports;
+	std::map<std::string, std::unique_ptr<cluster::Process>> processes;
+	std::map<std::string, std::string> addrs;
 	std::map<std::string, struct backend_info> infos;
 	struct group_info group = {};
 	std::vector<struct term_start> starts;
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -3,7 +3,6 @@
 #include "lib_exec.h"
 
 #include <set>
-#include <signal.h>
 #include <string.h>
 
 namespace
@@ -155,8 +154,8 @@
 TEST_F(Exec, RequestIdAfterTheAnswerWasCut)
 {
 	start("b1", {"--members", "1"});
-	Relay relay(port("b1"));
-	reach_by("b1", relay.port);
+	cluster::Relay relay(dir);
+	reach_by("b1", relay.add("b", addr("b1")));
 	lead("b1", 1);
 	ASSERT_EQ(RES_OK,
 		  run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY)
@@ -357,7 +356,7 @@
 	lead("b1", 1);
 	ASSERT_EQ(RES_OK, run(RUN_READ, "b1", "SELECT 1")->end.res);
 	EXPECT_EQ(0, exec_suspects(exec, &s, 1, clk_now()));
-	signal("b1", SIGSTOP);
+	process("b1").freeze();
 	clk_ms from = clk_now();
 	Answer *a = begin(request(RUN_READ, "b1", "SELECT 1"));
 	ASSERT_TRUE(until([&] { return told > 0; }));
@@ -368,7 +367,7 @@
 	EXPECT_TRUE(until([&] { return a->ends > 0; }));
 	EXPECT_EQ(RES_READ_FAILED, a->end.res);
 	EXPECT_LT(clk_now() - from, 1500);
-	signal("b1", SIGCONT);
+	process("b1").thaw();
 	EXPECT_TRUE(
 		until([&] { return !exec_suspects(exec, &s, 1, clk_now()); }));
 	EXPECT_TRUE(until([&] {
@@ -388,8 +387,8 @@
 TEST_F(Exec, ForgottenConnectionsAreReplaced)
 {
 	start("b1", {"--members", "1"});
-	Relay relay(port("b1"));
-	reach_by("b1", relay.port);
+	cluster::Relay relay(dir);
+	reach_by("b1", relay.add("b", addr("b1")));
 	lead("b1", 1);
 	EXPECT_TRUE(until([&] {
 		return run(RUN_READ, "b1", "SELECT 1")->end.res == RES_OK;
