exec: close refused pins and refuse reads under an unknown term

A transaction that is refused because its primary was replaced kept its locks there. A replica whose term started where the view does not know yet can't be judged against a token of an earlier term.

--- a/exec_local.c
+++ b/exec_local.c
@@ -293,6 +293,16 @@
 						      : RES_UNREACHABLE;
 }
 
+/* A pin that is refused for good is closed, so that its locks go. */
+static void exec_refuse(struct exec_req *r, enum res res)
+{
+	struct exec_pin *p = exec_pin_find(r->x, r->run.pin);
+
+	if (p && !p->busy && p->from == r->from)
+		exec_pin_close(p);
+	exec_end(r, res, NULL);
+}
+
 void exec_local_start(struct exec_req *r)
 {
 	enum res res;
@@ -304,7 +314,7 @@
 	}
 	res = exec_check(r);
 	if (res)
-		exec_end(r, res, NULL);
+		exec_refuse(r, res);
 	else if (r->run.pin)
 		exec_start_pinned(r);
 	else if (r->run.kind == RUN_READ && !(r->run.flags & RUN_CURRENT))
--- a/exec_remote.c
+++ b/exec_remote.c
@@ -144,6 +144,13 @@
 		link_send(l, &m);
 }
 
+/* Nobody is left who could use the pin. */
+static void exec_refuse_pin(struct exec *x, struct link *from, int64_t pin)
+{
+	exec_send_unpin(x, link_peer_id(from), pin);
+	exec_route_remove(x, pin);
+}
+
 static void exec_got_end(struct exec *x, struct link *from,
 			 const struct msg_end *end)
 {
@@ -154,13 +161,13 @@
 	if (!r || r->state != EXEC_FORWARDED || r->to != from) {
 		cnt_add(CNT_late_answers, 1);
 		if (end->pin)
-			exec_send_unpin(x, link_peer_id(from), end->pin);
+			exec_refuse_pin(x, from, end->pin);
 		return;
 	}
 	if (r->run.pin && r->run.pin != end->pin)
 		exec_route_remove(x, r->run.pin);
 	if (end->pin && r->abandoned)
-		exec_send_unpin(x, link_peer_id(from), end->pin);
+		exec_refuse_pin(x, from, end->pin);
 	else if (end->pin)
 		exec_route_add(x, end->pin, link_peer_id(from));
 	b = exec_backend_get(x, r->run.backend);
--- a/pool.c
+++ b/pool.c
@@ -113,8 +113,7 @@
 {
 	c->state = POOL_IDLE;
 	c->since = clk_now();
-	c->on_io = NULL;
-	PQsetNoticeReceiver(c->pg, pool_notice, NULL);
+	pool_on_io(c, NULL, NULL);
 	pool_set_events(c, EV_READ);
 }
 
@@ -421,6 +420,8 @@
 {
 	c->on_io = fn;
 	c->arg = arg;
+	/* The receiver of the previous user may be gone. */
+	PQsetNoticeReceiver(c->pg, pool_notice, NULL);
 }
 
 void pool_watch(struct pool_conn *c, int events)
--- a/pool.h
+++ b/pool.h
@@ -68,7 +68,8 @@
 /* Closes idle connections opened before a time. */
 void pool_drop_idle(struct pool *p, clk_ms opened_before);
 
-/* Sets the receiver of I/O events of a connection that is handed out. */
+/* Sets the receiver of I/O events of a connection that is handed out; notices
+ * are ignored from then on, until its user sets a receiver. */
 void pool_on_io(struct pool_conn *c, void (*fn)(void *arg, int revents),
 		void *arg);
 
--- a/runner.c
+++ b/runner.c
@@ -573,8 +573,8 @@
 	ev_init(&r->timer, runner_timer);
 	r->timer.repeat = RUNNER_HOLD_S;
 	r->timer.data = r;
-	PQsetNoticeReceiver(r->pg, runner_notice, r);
 	pool_on_io(c, runner_io, r);
+	PQsetNoticeReceiver(r->pg, runner_notice, r);
 	if (!plan_start(r)) {
 		r->break_asked = "can't send";
 		runner_hold(r);
--- a/runner_guard.c
+++ b/runner_guard.c
@@ -32,6 +32,11 @@
 	if (run->need_term &&
 	    (st->log_term < run->need_term || st->applied < run->need_position))
 		return RES_BEHIND;
+	/* Where a term started that the view does not know yet is unknown, so
+	 * it can't be told whether the entry was lost in it. */
+	if (run->need_term && g && st->log_term > g->term &&
+	    st->log_term > run->need_term)
+		return RES_BEHIND;
 	if (run->need_term && g &&
 	    !tok_contained(g->starts, g->nstarts, run->need_term,
 			   run->need_position, st->log_term))
--- a/t/lib_exec.cc
+++ b/t/lib_exec.cc
@@ -147,6 +147,8 @@
 					 data,
 					 "--slots",
 					 std::to_string(slots),
+					 "--connections",
+					 std::to_string(connections),
 					 "--listen"};
 
 	if (addrs[id].empty())
@@ -161,7 +163,7 @@
 	snprintf(b.zone, sizeof(b.zone), "z1");
 	snprintf(b.addr, sizeof(b.addr), "%s", addrs[id].c_str());
 	b.slots = slots;
-	b.connections = 30;
+	b.connections = connections;
 	infos[id] = b;
 	EXPECT_TRUE(until([&] { return sql(id, "SELECT 1") == "1"; })) << id;
 }
--- a/t/lib_exec.h
+++ b/t/lib_exec.h
@@ -99,6 +99,7 @@
 	struct exec *exec;
 	Proxy *owner; /* the other one */
 	int slots = 5; /* of servers that are started */
+	int connections = 30;
 
       private:
 	void open_proxy(Proxy *p, const char *id);
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -314,6 +314,7 @@
 	r.pin = t->end.pin;
 	r.term = 1;
 	EXPECT_EQ(RES_PRIMARY_CHANGED, run(r)->end.res);
+	EXPECT_EQ(0u, exec_pins(exec));
 	r = request(RUN_READ, "b1", "SELECT 1", RUN_CURRENT);
 	EXPECT_EQ(RES_NO_PRIMARY, run(r)->end.res);
 }
@@ -484,6 +485,30 @@
 	EXPECT_TRUE(until([&] { return !exec_running(owner->exec); }));
 }
 
+/* Guards against pools that forward, or that use more than their share. */
+TEST_F(Exec, PoolsRunWithoutAnOwner)
+{
+	connections = 12;
+	start("b1", {"--members", "1"});
+	set.scheduling = SET_POOLS;
+	lead("b1", 1);
+	std::vector<Answer *> all;
+	for (int i = 0; i < 40; i++)
+		all.push_back(begin(request(RUN_READ, "b1",
+					    "SELECT 1 /* cost_us=5000 */")));
+	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
+	for (Answer *a : all)
+		EXPECT_EQ(RES_OK, a->end.res) << a->text;
+	int64_t open = 0;
+	exec_each_backend(
+		exec, clk_now(),
+		[](void *arg, const struct exec_backend_stats *s) {
+			*(int64_t *)arg = s->connections;
+		},
+		&open);
+	EXPECT_EQ(8, open);
+}
+
 /* Guards against locks that stay behind when the origin is gone, and against
  * requests that never end when the owner is gone. */
 TEST_F(Exec, LinkBreaksInTheMiddle)
