--- a/exec_backend.c
+++ b/exec_backend.c
@@ -34,8 +34,10 @@
 	if (now - probe_heard(b->probe) > limit ||
 	    probe_failures(b->probe) >= EXEC_REFUSALS)
 		return SUSPECT_UNREACHABLE;
-	/* Restarted as a replica, or not promoted: nobody leads the group. */
-	if (b->hint.heard && (!b->status.primary || b->status.log_term < term))
+	/* Restarted as a replica, or not promoted: nobody leads the group. A
+	 * status from before the view named this primary tells nothing. */
+	if (b->hint.heard > b->led_since &&
+	    (!b->status.primary || b->status.log_term < term))
 		return SUSPECT_UNREACHABLE;
 	if (b->status.majority_age_ms > limit)
 		return SUSPECT_NO_MAJORITY;
@@ -48,8 +50,12 @@
 	bool was = b->suspect;
 	int64_t term;
 
-	if (b->owned && b->probe && exec_is_primary(b, &term))
+	if (b->owned && b->probe && exec_is_primary(b, &term)) {
+		if (b->led_term != term)
+			b->led_since = clk_now();
+		b->led_term = term;
 		reason = exec_suspicion(b, term, clk_now());
+	}
 	b->suspect = reason != 0;
 	b->reason = reason;
 	if (!b->suspect || was)
@@ -388,8 +394,8 @@
 		return hint;
 	hint = b->hint;
 	hint.healthy = !b->health.aside || now >= b->health.retry_at;
-	hint.queue_ms =
-		b->owned ? sched_wait_ms(b->sched, 0) : b->waited_us / 1000;
+	hint.queue_ms = b->owned ? sched_wait_ms(b->sched, INT64_MAX)
+				 : b->waited_us / 1000;
 	return hint;
 }
 
--- a/exec_priv.h
+++ b/exec_priv.h
@@ -106,6 +106,8 @@
 	bool suspect;
 	enum suspect_reason reason;
 	clk_ms silent_since;
+	int64_t led_term; /* as the view has it */
+	clk_ms led_since; /* when the view first had it */
 	clk_ms pruned;
 	bool dispatching;
 	int64_t behind; /* requests in EXEC_BEHIND */
