runner: close connections whose settings changed in a transaction, describe with types

SET inside a transaction outlives its commit, so the next caller of that connection would have inherited it. Parameter types that a caller stated in Parse are now used when its statement is described.

--- a/runner.c
+++ b/runner.c
@@ -258,16 +258,16 @@
 	return true;
 }
 
-static void runner_changed_state(struct runner *r, const char *tag)
+/* Session state outlives a transaction, so the connection is not reused. */
+static void runner_check_state(struct runner *r)
 {
 	static const char *const tags[] = {
 		"SET",	  "RESET",	    "PREPARE",
 		"LISTEN", "DECLARE CURSOR", "DISCARD ALL"};
 
 	for (size_t i = 0; i < sizeof(tags) / sizeof(tags[0]); i++)
-		if (!strcmp(tag, tags[i]) && !(r->run->flags & RUN_PIN) &&
-		    r->run->kind != RUN_TXN && r->run->kind != RUN_BEGIN)
-			r->dirty = true;
+		if (!strcmp(r->tag, tags[i]))
+			pool_taint(r->conn);
 }
 
 static void runner_executed(struct runner *r)
@@ -307,7 +307,7 @@
 	case PGRES_EMPTY_QUERY:
 		ans_complete(&r->out, res);
 		snprintf(r->tag, sizeof(r->tag), "%s", PQcmdStatus(res));
-		runner_changed_state(r, r->tag);
+		runner_check_state(r);
 		/* Each statement of a batch has its own description. */
 		r->described = false;
 		break;
--- a/runner_plan.c
+++ b/runner_plan.c
@@ -174,10 +174,25 @@
 	return plan_status(r) && plan_await(r);
 }
 
+static bool plan_prepare(struct runner *r)
+{
+	const struct msg_run *run = r->run;
+	size_t n = (size_t)run->nparams;
+	Oid *types = calloc(n + 1, sizeof(*types));
+	int ok;
+
+	if (!types)
+		abort();
+	for (size_t i = 0; i < n; i++)
+		types[i] = (Oid)run->params[i].type;
+	ok = PQsendPrepare(r->pg, "", run->sql.data, (int)n, types);
+	free(types);
+	return ok;
+}
+
 static bool plan_describe(struct runner *r)
 {
-	return PQsendPrepare(r->pg, "", r->run->sql.data, 0, NULL) &&
-	       plan_step(r, STEP_PREPARE) &&
+	return plan_prepare(r) && plan_step(r, STEP_PREPARE) &&
 	       PQsendDescribePrepared(r->pg, "") &&
 	       plan_step(r, STEP_DESCRIBE) && plan_sync(r);
 }
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -40,6 +40,16 @@
 	EXPECT_NE("", std::string(a->end.sqlstate));
 	a = run(RUN_DESCRIBE, "b1", "SELECT k FROM t WHERE v = $1");
 	EXPECT_EQ("tT", a->types());
+	/* A setting must not reach the next caller. */
+	Answer *t = run(RUN_BEGIN, "b1", "BEGIN");
+	for (const char *text : {"SET statement_timeout = 77", "COMMIT"}) {
+		struct msg_run r = request(RUN_TXN, "b1", text);
+		r.pin = t->end.pin;
+		EXPECT_EQ(RES_OK, run(r)->end.res);
+	}
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ("0ms", run(RUN_READ, "b1", "SHOW statement_timeout")
+					 ->rows()[0]);
 	a = run(RUN_READ, "b1", "SELECT 1; SELECT 2", RUN_SIMPLE);
 	EXPECT_EQ("TDCTDC", a->types()) << a->text;
 	a = run(RUN_WRITE, "b1",
