--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -3,7 +3,6 @@
 #include "lib_exec.h"
 
 #include <set>
-#include <signal.h>
 #include <string.h>
 
 namespace
@@ -41,6 +40,16 @@
 	EXPECT_NE("", std::string(a->end.sqlstate));
 	a = run(RUN_DESCRIBE, "b1", "SELECT k FROM t WHERE v = $1");
 	EXPECT_EQ("tT", a->types());
+	/* A setting must not reach the next caller. */
+	Answer *t = run(RUN_BEGIN, "b1", "BEGIN");
+	for (const char *text : {"SET statement_timeout = 77", "COMMIT"}) {
+		struct msg_run r = request(RUN_TXN, "b1", text);
+		r.pin = t->end.pin;
+		EXPECT_EQ(RES_OK, run(r)->end.res);
+	}
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ("0ms", run(RUN_READ, "b1", "SHOW statement_timeout")
+					 ->rows()[0]);
 	a = run(RUN_READ, "b1", "SELECT 1; SELECT 2", RUN_SIMPLE);
 	EXPECT_EQ("TDCTDC", a->types()) << a->text;
 	a = run(RUN_WRITE, "b1",
@@ -155,8 +164,8 @@
 TEST_F(Exec, RequestIdAfterTheAnswerWasCut)
 {
 	start("b1", {"--members", "1"});
-	Relay relay(port("b1"));
-	reach_by("b1", relay.port);
+	cluster::Relay relay(dir);
+	reach_by("b1", relay.add("b", addr("b1")));
 	lead("b1", 1);
 	ASSERT_EQ(RES_OK,
 		  run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY)
@@ -315,6 +324,7 @@
 	r.pin = t->end.pin;
 	r.term = 1;
 	EXPECT_EQ(RES_PRIMARY_CHANGED, run(r)->end.res);
+	EXPECT_EQ(0u, exec_pins(exec));
 	r = request(RUN_READ, "b1", "SELECT 1", RUN_CURRENT);
 	EXPECT_EQ(RES_NO_PRIMARY, run(r)->end.res);
 }
@@ -357,7 +367,7 @@
 	lead("b1", 1);
 	ASSERT_EQ(RES_OK, run(RUN_READ, "b1", "SELECT 1")->end.res);
 	EXPECT_EQ(0, exec_suspects(exec, &s, 1, clk_now()));
-	signal("b1", SIGSTOP);
+	process("b1").freeze();
 	clk_ms from = clk_now();
 	Answer *a = begin(request(RUN_READ, "b1", "SELECT 1"));
 	ASSERT_TRUE(until([&] { return told > 0; }));
@@ -368,7 +378,7 @@
 	EXPECT_TRUE(until([&] { return a->ends > 0; }));
 	EXPECT_EQ(RES_READ_FAILED, a->end.res);
 	EXPECT_LT(clk_now() - from, 1500);
-	signal("b1", SIGCONT);
+	process("b1").thaw();
 	EXPECT_TRUE(
 		until([&] { return !exec_suspects(exec, &s, 1, clk_now()); }));
 	EXPECT_TRUE(until([&] {
@@ -388,8 +398,8 @@
 TEST_F(Exec, ForgottenConnectionsAreReplaced)
 {
 	start("b1", {"--members", "1"});
-	Relay relay(port("b1"));
-	reach_by("b1", relay.port);
+	cluster::Relay relay(dir);
+	reach_by("b1", relay.add("b", addr("b1")));
 	lead("b1", 1);
 	EXPECT_TRUE(until([&] {
 		return run(RUN_READ, "b1", "SELECT 1")->end.res == RES_OK;
@@ -485,6 +495,30 @@
 	EXPECT_TRUE(until([&] { return !exec_running(owner->exec); }));
 }
 
+/* Guards against pools that forward, or that use more than their share. */
+TEST_F(Exec, PoolsRunWithoutAnOwner)
+{
+	connections = 12;
+	start("b1", {"--members", "1"});
+	set.scheduling = SET_POOLS;
+	lead("b1", 1);
+	std::vector<Answer *> all;
+	for (int i = 0; i < 40; i++)
+		all.push_back(begin(request(RUN_READ, "b1",
+					    "SELECT 1 /* cost_us=5000 */")));
+	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
+	for (Answer *a : all)
+		EXPECT_EQ(RES_OK, a->end.res) << a->text;
+	int64_t open = 0;
+	exec_each_backend(
+		exec, clk_now(),
+		[](void *arg, const struct exec_backend_stats *s) {
+			*(int64_t *)arg = s->connections;
+		},
+		&open);
+	EXPECT_EQ(8, open);
+}
+
 /* Guards against locks that stay behind when the origin is gone, and against
  * requests that never end when the owner is gone. */
 TEST_F(Exec, LinkBreaksInTheMiddle)
