--- a/builtin/load_conn.c
+++ b/builtin/load_conn.c
@@ -47,6 +47,13 @@
 	return NULL;
 }
 
+/* Notices would mix with the report; failures are counted by their state. */
+static void lconn_ignore_notice(void *arg, const char *text)
+{
+	(void)arg;
+	(void)text;
+}
+
 void lconn_close(struct lconn *l)
 {
 	ev_io_stop(l->loop, &l->io);
@@ -232,6 +239,7 @@
 	l->pg = PQconnectStartParams(p.keys, p.values, 0);
 	if (!l->pg)
 		abort();
+	PQsetNoticeProcessor(l->pg, lconn_ignore_notice, NULL);
 	l->state = LCONN_CONNECTING;
 	if (PQstatus(l->pg) == CONNECTION_BAD) {
 		lconn_fail(l, LCONN_NOT_SENT);
