--- a/t/helper/relay.c
+++ b/t/helper/relay.c
@@ -40,6 +40,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum {
@@ -113,61 +114,49 @@
 static int nrules;
 static struct source sources[MAX_SOURCES];
 static int nsources;
+static int diag = -1; /* netlink socket */
 
 /* ---- names ---- */
 
-/*
- * Inode of the socket with these addresses, looked up by netlink; 0 if it is
- * not found. Reading /proc/net/tcp instead takes 40 ms when the machine has
- * 13,000 sockets, and a cut link is tried again ten times a second.
- */
-static unsigned long diag_inode(const struct sockaddr_in *from,
-				const struct sockaddr_in *to)
+/* Inode of the socket at the other end of fd; 0 if it is not found. Reading
+ * /proc/net/tcp instead costs several ms on a machine with many sockets. */
+static unsigned long peer_inode(int fd)
 {
+	struct sockaddr_in peer, self;
+	socklen_t len = sizeof(peer);
 	struct {
-		struct nlmsghdr h;
-		struct inet_diag_req_v2 r;
+		struct nlmsghdr head;
+		struct inet_diag_req_v2 req;
 	} q = {
-		.h = {.nlmsg_len = sizeof(q),
-		      .nlmsg_type = SOCK_DIAG_BY_FAMILY,
-		      .nlmsg_flags = NLM_F_REQUEST},
-		.r = {.sdiag_family = AF_INET,
-		      .sdiag_protocol = IPPROTO_TCP,
-		      .idiag_states = ~0u,
-		      .id = {.idiag_sport = from->sin_port,
-			     .idiag_dport = to->sin_port,
-			     .idiag_src = {from->sin_addr.s_addr},
-			     .idiag_dst = {to->sin_addr.s_addr},
-			     .idiag_cookie = {INET_DIAG_NOCOOKIE,
-					      INET_DIAG_NOCOOKIE}}},
+		.head = {.nlmsg_len = sizeof(q),
+			 .nlmsg_type = SOCK_DIAG_BY_FAMILY,
+			 .nlmsg_flags = NLM_F_REQUEST},
+		.req = {.sdiag_family = AF_INET,
+			.sdiag_protocol = IPPROTO_TCP,
+			.idiag_states = ~0U},
 	};
-	struct {
-		struct nlmsghdr h;
-		struct inet_diag_msg m;
-		char more[4096];
+	union {
+		struct nlmsghdr head;
+		char bytes[1024];
 	} a;
-	static int fd = -1;
-
-	if (fd < 0)
-		fd = socket(AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC,
-			    NETLINK_SOCK_DIAG);
-	if (fd < 0 || send(fd, &q, sizeof(q), 0) != sizeof(q) ||
-	    recv(fd, &a, sizeof(a), 0) < (ssize_t)(sizeof(a.h) + sizeof(a.m)) ||
-	    a.h.nlmsg_type != SOCK_DIAG_BY_FAMILY)
-		return 0;
-	return a.m.idiag_inode;
-}
+	struct inet_diag_msg *m = NLMSG_DATA(&a.head);
+	ssize_t n;
 
-/* Inode of the socket at the other end of fd; 0 if it is not found. */
-static unsigned long peer_inode(int fd)
-{
-	struct sockaddr_in peer, self;
-	socklen_t len = sizeof(peer);
-
-	if (getpeername(fd, (struct sockaddr *)&peer, &len) ||
+	if (diag < 0 || getpeername(fd, (struct sockaddr *)&peer, &len) ||
 	    getsockname(fd, (struct sockaddr *)&self, &len))
 		return 0;
-	return diag_inode(&peer, &self);
+	q.req.id.idiag_sport = peer.sin_port;
+	q.req.id.idiag_dport = self.sin_port;
+	q.req.id.idiag_src[0] = peer.sin_addr.s_addr;
+	q.req.id.idiag_dst[0] = self.sin_addr.s_addr;
+	memset(q.req.id.idiag_cookie, 0xff, sizeof(q.req.id.idiag_cookie));
+	if (send(diag, &q, sizeof(q), 0) != (ssize_t)sizeof(q))
+		return 0;
+	n = recv(diag, &a, sizeof(a), 0);
+	if (n < (ssize_t)NLMSG_LENGTH(sizeof(*m)) ||
+	    a.head.nlmsg_type != SOCK_DIAG_BY_FAMILY)
+		return 0;
+	return m->idiag_inode;
 }
 
 static bool owns(int pid, unsigned long inode)
@@ -596,6 +585,9 @@
 		arg_print_errors(stderr, end, "relay");
 		return 129;
 	}
+	diag = socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+	if (diag < 0)
+		log_warn("relay", "no socket diagnosis, sources are unknown");
 	loop = ev_default_loop(0);
 	for (int i = 0; i < listen->count && !e.code; i++)
 		add_option(listen->sval[i], &e);
