caller, settings: end transactions whose caller went silent

Cause: a caller in an open transaction whose connection silently stopped delivering (a middlebox lost its state) left no trace at the proxy. Its transaction kept the primary's writer lock for ever: all writes of the group stopped. Ruled out: TCP keepalive (the middlebox answers it) and the request deadline (no request runs between two statements).

Change: a caller that sends nothing for txn_idle_ms (5 s) while its transaction is open is rolled back and told 25P03, code TXN_IDLE.

--- a/caller.c
+++ b/caller.c
@@ -18,7 +18,7 @@
  * flood of them is closed at once. */
 #define CALLERS_OVER_MAX 1024
 
-#define CALLERS_SWEEP_S 1.0
+#define CALLERS_SWEEP_S 0.5
 
 struct buf *caller_out(struct caller *c)
 {
@@ -183,6 +183,7 @@
 	case CALLER_CLOSING:
 		return true;
 	}
+	c->since = clk_now();
 	c->extended = m->type != 'Q';
 	switch (m->type) {
 	case 'X':
@@ -248,7 +249,22 @@
 	caller_free(arg);
 }
 
-/* Closes connections that don't authenticate or don't take their end. */
+/*
+ * A caller whose connection went silent leaves no other trace. Its transaction
+ * would keep its locks for ever.
+ */
+static void caller_check_idle(struct caller *c, clk_ms now)
+{
+	if (c->txn == 'I' || caller_busy(c) ||
+	    now - c->since < c->all->cfg.set->txn_idle_ms)
+		return;
+	caller_drop_pin(c);
+	caller_fatal(c, RES_TXN_IDLE, res_text(RES_TXN_IDLE));
+	net_flush(c->conn);
+}
+
+/* Closes connections that don't authenticate or don't take their end, and
+ * those that hold a transaction open and send nothing. */
 static void callers_sweep(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct callers *all = w->data;
@@ -262,8 +278,10 @@
 		clk_ms age = now - c->since;
 
 		next = c->next;
-		if (c->phase == CALLER_READY)
+		if (c->phase == CALLER_READY) {
+			caller_check_idle(c, now);
 			continue;
+		}
 		if (age > (c->phase == CALLER_CLOSING ? CALLER_CLOSE_MS
 						      : CALLER_STARTUP_MS))
 			caller_free(c);
--- a/caller_priv.h
+++ b/caller_priv.h
@@ -99,7 +99,7 @@
 	int64_t admin; /* of the admin database, 0 is none */
 	int64_t pin;
 	int64_t pin_term;
-	clk_ms since; /* phase began */
+	clk_ms since; /* phase began; while ready: last message or answer */
 	int32_t pid;
 	int32_t secret;
 	enum caller_phase phase : 8;
--- a/caller_run.c
+++ b/caller_run.c
@@ -251,6 +251,7 @@
 
 	c->run = NULL;
 	c->request = 0;
+	c->since = c->phase == CALLER_READY ? clk_now() : c->since;
 	if (c->phase == CALLER_CLOSING) {
 		run_settle(c, run, end);
 		caller_run_free(run);
--- a/result.h
+++ b/result.h
@@ -44,6 +44,7 @@
 	X(NOT_OWNER, 40, "57P03", NOT_RUN, "instance can't run on that backend server") \
 	X(LEAVING, 41, "57P03", NOT_RUN, "backend server is leaving") \
 	X(PRIMARY_CHANGED, 42, "57P03", NOT_RUN, "transaction's primary was replaced") \
+	X(TXN_IDLE, 43, "25P03", NOT_RUN, "transaction was idle for too long") \
 	X(UNKNOWN, 50, "08007", MAYBE, "outcome unknown") \
 	X(NOT_DURABLE, 51, "08007", MAYBE, "majority did not confirm in time") \
 	X(CANCELED, 52, "57014", MAYBE, "canceled") \
--- a/settings.c
+++ b/settings.c
@@ -71,6 +71,7 @@
 		.heartbeat_ms = 100,
 		.election_min_ms = 500,
 		.stop_ms = 5000,
+		.txn_idle_ms = 5000,
 	};
 }
 
@@ -98,6 +99,7 @@
 				       "heartbeat_ms",
 				       "election_min_ms",
 				       "stop_ms",
+				       "txn_idle_ms",
 				       "seed",
 				       NULL};
 
@@ -228,6 +230,7 @@
 		{"heartbeat_ms", &s->heartbeat_ms, 5},
 		{"election_min_ms", &s->election_min_ms, 20},
 		{"stop_ms", &s->stop_ms, 0},
+		{"txn_idle_ms", &s->txn_idle_ms, 100},
 	};
 
 	for (size_t i = 0; i < sizeof(times) / sizeof(times[0]); i++)
--- a/settings.h
+++ b/settings.h
@@ -59,6 +59,7 @@
 	clk_ms heartbeat_ms; /* control to control */
 	clk_ms election_min_ms; /* election timeout, randomised up to twice */
 	clk_ms stop_ms; /* graceful stop bound */
+	clk_ms txn_idle_ms; /* pause of a caller in a transaction */
 	int64_t seed; /* 0 takes a random one */
 };
 
--- a/t/sys_conn.cc
+++ b/t/sys_conn.cc
@@ -275,4 +275,17 @@
 	}
 }
 
+/* Guards against a caller whose connection went silent and whose transaction
+ * then keeps its lock. */
+TEST_F(SysConn, SilentCallerInATransactionFreesItsLock)
+{
+	until_ok("p1", "CREATE TABLE IF NOT EXISTS work (n int)");
+	Caller caller = c->customer("p1", "orders");
+
+	ASSERT_TRUE(caller.exec("BEGIN").ok);
+	ASSERT_TRUE(caller.exec("INSERT INTO work VALUES (-2)").ok);
+	c->fault("forget test>p1");
+	serves("silent caller in a transaction");
+}
+
 } // namespace
