peers: try proxies of the own zone that count as gone

Cause: proxies opened links only to peers that are alive in the view. A proxy that was down for over 2 s counts as gone; if its zone was then cut off, nobody could list it again, it knew no peer itself, and it had no lists for as long as the partition lasted. Ruled out: the relay (the neighbour never tried) and FETCH itself (it works with a quick restart).

Change: once a second, each proxy tries one proxy of its zone that counts as gone.

Before: sys_config RestartInACutZoneTakesListsFromAPeer, p4 had no lists after 7005 ms. After: lists after 94 ms.

--- a/peers.c
+++ b/peers.c
@@ -36,6 +36,7 @@
 	struct peer **list; /* sorted by id */
 	size_t n;
 	size_t next_fetch;
+	size_t next_dead;
 	ev_timer fetch;
 };
 
@@ -203,6 +204,7 @@
 }
 
 static void peers_drop_stale(struct peers *p);
+static void peers_try_dead(struct peers *p);
 
 /* A proxy that was never reached from here can't own a backend. */
 static void peers_mark_unreached(struct peers *p)
@@ -233,6 +235,7 @@
 	(void)events;
 	peers_drop_stale(p);
 	peers_mark_unreached(p);
+	peers_try_dead(p);
 	for (size_t i = 0; i < p->n; i++) {
 		struct peer *peer = p->list[p->next_fetch++ % p->n];
 
@@ -392,6 +395,34 @@
 	qsort(p->list, p->n, sizeof(*p->list), peers_compare);
 }
 
+/*
+ * Tries one proxy of the own zone that control counts as gone. If the zone is
+ * cut off, a proxy that restarts there knows no peer and control can't list
+ * it again, so this link is its only way to the lists. One attempt at a time
+ * keeps the cost independent of how many are gone; it is dropped by the next
+ * fetch unless it is up.
+ */
+static void peers_try_dead(struct peers *p)
+{
+	size_t n;
+	const struct proxy_info *infos = view_proxies(p->view, &n);
+
+	for (size_t i = 0; i < n; i++) {
+		const struct proxy_info *info = &infos[p->next_dead++ % n];
+
+		if (info->alive || !info->addr[0] ||
+		    strcmp(info->zone, p->set->zone) != 0 ||
+		    !strcmp(info->id, p->set->id) || peers_get(p, info->id))
+			continue;
+		p->list = realloc(p->list, (p->n + 1) * sizeof(*p->list));
+		if (!p->list)
+			abort();
+		p->list[p->n++] = peers_open(p, info);
+		qsort(p->list, p->n, sizeof(*p->list), peers_compare);
+		return;
+	}
+}
+
 struct link *peers_find(struct peers *p, const char *proxy_id)
 {
 	struct peer *peer = peers_get(p, proxy_id);
