--- a/t/sys_config.cc
+++ b/t/sys_config.cc
@@ -331,6 +331,12 @@
 		return false;
 	}));
 	c.cut_zone("za");
+	/* Nor does the control instance in its zone lead any more. */
+	ASSERT_TRUE(wait_until(10000, [&] {
+		return c.admin("p1")
+			       .exec("SHOW VERSION")
+			       .number("leader_age_ms") > 1500;
+	}));
 	c.start("p4");
 	printf("lists from a peer after %lld ms\n",
 	       (long long)spread({"p4"}, v + 1));
