--- a/t/helper/backend/store.c
+++ b/t/helper/backend/store.c
@@ -76,6 +76,15 @@
 		die("writing", path);
 }
 
+/* Microseconds of the clock that all processes of a machine share, so that a
+ * test can tell which statements ran at the same time. */
+static void clock_timestamp(sqlite3_context *ctx, int n, sqlite3_value **args)
+{
+	(void)n;
+	(void)args;
+	sqlite3_result_int64(ctx, clk_now_us());
+}
+
 sqlite3 *store_handle(void)
 {
 	char path[300];
@@ -85,6 +94,8 @@
 	if (sqlite3_open(path, &db))
 		die("opening", path);
 	sqlite3_busy_timeout(db, 2000);
+	sqlite3_create_function(db, "clock_timestamp", 0, SQLITE_UTF8, NULL,
+				clock_timestamp, NULL, NULL);
 	if (!store_exec(db, "PRAGMA journal_mode=WAL;"
 			    "PRAGMA synchronous=NORMAL"))
 		die("opening", sqlite3_errmsg(db));
