--- /dev/null
+++ b/t/sys_zone.cc
@@ -0,0 +1,350 @@
+/* A zone that is cut off, and customers' limits while proxies come and go. */
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <unistd.h>
+
+#include "lib_cluster.h"
+
+extern "C" {
+#include "clock.h"
+}
+
+using namespace cluster;
+
+namespace
+{
+
+constexpr int BOUND_MS = 7000;
+constexpr int GRANT_MS = 2000;
+constexpr int COST_MS = 100;
+constexpr int LIMIT = 6;
+
+std::string lists(int connections)
+{
+	static const std::string customers =
+		customer_json("shop", "standard", "shop-password");
+
+	return "{\"plans\": [{\"name\": \"standard\", \"connections\": " +
+	       std::to_string(connections) +
+	       ", \"max_age_ms\": 5000, \"max_wait_ms\": 1500}], "
+	       "\"customers\": [" +
+	       customers + "]}";
+}
+
+/* Callers of one proxy that keep more statements waiting than the plan lets
+ * run. Each answer tells when its statement ran at the member, so that what
+ * ran at the same time can be counted exactly. */
+class Load
+{
+      public:
+	Load(Cluster &c, const std::string &proxy)
+	{
+		for (int i = 0; i < LIMIT; i++)
+			threads_.emplace_back([this, &c, proxy, i] {
+				run(c, proxy, times_[i]);
+			});
+	}
+	~Load()
+	{
+		stop();
+	}
+	void stop()
+	{
+		stop_ = true;
+		for (auto &t : threads_)
+			t.join();
+		threads_.clear();
+	}
+	int64_t last_ms() const
+	{
+		return last_;
+	}
+	/* Microseconds at which statements ended. */
+	void add(std::vector<int64_t> &out) const
+	{
+		for (auto &t : times_)
+			out.insert(out.end(), t.begin(), t.end());
+	}
+
+      private:
+	void run(Cluster &c, const std::string &proxy,
+		 std::vector<int64_t> &times)
+	{
+		Caller caller;
+
+		while (!stop_) {
+			if (!caller.connected())
+				caller = c.customer(
+					proxy, "orders",
+					"-c marjoramlatch.max_age_ms=60000");
+			Result r = caller.exec(
+				"SELECT clock_timestamp() /* cost_us=" +
+				std::to_string(COST_MS * 1000) + " */");
+			if (r.ok) {
+				times.push_back(std::stoll(r.value()));
+				last_ = now_ms();
+			} else {
+				usleep(20000);
+			}
+		}
+	}
+	std::atomic<bool> stop_{false};
+	std::atomic<int64_t> last_{0};
+	std::vector<int64_t> times_[LIMIT];
+	std::vector<std::thread> threads_;
+};
+
+/* Most statements that ran at the same time from a time on. */
+int most(std::vector<int64_t> ends, int64_t from_ms)
+{
+	int64_t cost = COST_MS * 1000;
+	int best = 0;
+	size_t first = 0;
+
+	std::sort(ends.begin(), ends.end());
+	for (size_t i = 0; i < ends.size(); i++) {
+		if (ends[i] - cost < from_ms * 1000) {
+			first = i + 1;
+			continue;
+		}
+		while (ends[first] <= ends[i] - cost)
+			first++;
+		best = std::max(best, (int)(i - first + 1));
+	}
+	return best;
+}
+
+struct SysZone : testing::Test {
+	static Spec spec()
+	{
+		Spec s;
+
+		s.relay = true;
+		s.lists = lists(LIMIT);
+		s.groups[0].slots = 20;
+		s.groups[0].connections = 60;
+		return s;
+	}
+	Cluster c{spec()};
+	std::vector<std::unique_ptr<Load>> load;
+
+	void SetUp() override
+	{
+		ASSERT_TRUE(c.start());
+		ASSERT_TRUE(c.customer("p1", "orders")
+				    .exec("CREATE TABLE t (n int)")
+				    .ok);
+	}
+	void start_load()
+	{
+		for (auto *p : {"p1", "p2", "p3"})
+			load.push_back(std::make_unique<Load>(c, p));
+		await_load(0);
+		await_load(1);
+		await_load(2);
+	}
+	/* An answer after now. */
+	void await_load(int proxy)
+	{
+		int64_t since = now_ms();
+
+		ASSERT_TRUE(wait_until(
+			BOUND_MS,
+			[&] { return load[(size_t)proxy]->last_ms() > since; }))
+			<< "p" << proxy + 1 << " serves nothing";
+	}
+	std::vector<int64_t> stop_load()
+	{
+		std::vector<int64_t> ends;
+
+		for (auto &l : load) {
+			l->stop();
+			l->add(ends);
+		}
+		return ends;
+	}
+	/* Number of the zone, from 0, where the primary is or is not. */
+	int zone(bool with_primary)
+	{
+		std::string p = c.primary("orders");
+		int n = p.empty() ? 0 : p.back() - '1';
+
+		return with_primary ? n : (n + 1) % 3;
+	}
+	int64_t version(const std::string &proxy)
+	{
+		return c.admin(proxy)
+			.exec("SHOW CONFIG", 2000)
+			.number("version");
+	}
+};
+
+/* Guards against a zone that stops serving, acknowledges what it can't keep,
+ * uses more than its share, or brings back old state. */
+TEST_F(SysZone, CutOffWithAReplica)
+{
+	int z = zone(false);
+	std::string cut = "p" + std::to_string(z + 1);
+	std::string other = "p" + std::to_string((z + 1) % 3 + 1);
+
+	ASSERT_NO_FATAL_FAILURE(start_load());
+	c.cut_zone(c.zone_of(cut));
+	int64_t began = now_ms();
+
+	/* Grants run out, then the floor is used. */
+	ASSERT_TRUE(wait_until(BOUND_MS, [&] {
+		return c.admin(cut)
+			       .exec("SHOW VERSION")
+			       .number("leader_age_ms") > 2 * GRANT_MS;
+	}));
+	ASSERT_NO_FATAL_FAILURE(await_load(z));
+	printf("floor in use %lld ms after the cut\n",
+	       (long long)(now_ms() - began));
+	EXPECT_LT(now_ms() - began, BOUND_MS);
+	Result r = c.customer(cut, "orders")
+			   .exec("/* marjoramlatch.max_age_ms=60000 */ "
+				 "SELECT count(*) FROM t");
+	EXPECT_TRUE(r.ok) << r.message;
+	for (auto *sql : {"INSERT INTO t VALUES (-1)",
+			  "/* marjoramlatch.max_age_ms=0 */ SELECT 1",
+			  "/* marjoramlatch.max_age_ms=1000 */ SELECT 1"}) {
+		r = c.customer(cut, "orders").exec(sql);
+		EXPECT_FALSE(r.ok) << sql;
+		EXPECT_TRUE(r.sqlstate == "57P03" || r.sqlstate == "53000" ||
+			    r.sqlstate == "53400")
+			<< sql << ": " << r.sqlstate << " " << r.message;
+	}
+	/* The others go on, and change the lists meanwhile. */
+	ASSERT_TRUE(c.customer(other, "orders")
+			    .exec("INSERT INTO t VALUES (1)")
+			    .ok);
+	ASSERT_TRUE(c.apply(other, lists(LIMIT + 1), 1).ok);
+	ASSERT_TRUE(c.apply(other, lists(LIMIT), 2).ok);
+	EXPECT_EQ(1, version(cut));
+	c.fault("heal *");
+	began = now_ms();
+	EXPECT_TRUE(wait_until(BOUND_MS, [&] { return version(cut) == 3; }));
+	EXPECT_TRUE(wait_until(BOUND_MS, [&] {
+		return c.customer(cut, "orders")
+			.exec("INSERT INTO t VALUES (2)")
+			.ok;
+	}));
+	printf("rejoined after %lld ms\n", (long long)(now_ms() - began));
+	EXPECT_EQ(3, version(other));
+	for (int i = 0; i < 3; i++)
+		ASSERT_NO_FATAL_FAILURE(await_load(i));
+	auto ends = stop_load();
+	printf("most at once %d of %zu\n", most(ends, 0), ends.size());
+	EXPECT_LE(most(ends, 0), LIMIT);
+	EXPECT_GE(most(ends, 0), LIMIT - 1) << "no load";
+	EXPECT_EQ("0", c.customer(other, "orders")
+			       .exec("/* marjoramlatch.max_age_ms=0 */ SELECT "
+				     "count(*) FROM t WHERE n = -1")
+			       .value());
+}
+
+/* Guards against writes that the cut zone's primary acknowledges although it
+ * is being replaced. */
+TEST_F(SysZone, CutOffWithThePrimary)
+{
+	int z = zone(true);
+	std::string cut = "p" + std::to_string(z + 1);
+	std::string other = "p" + std::to_string((z + 1) % 3 + 1);
+	std::atomic<bool> stop{false};
+	std::vector<int> acked[2];
+	std::vector<std::thread> writers;
+
+	for (int i = 0; i < 2; i++)
+		writers.emplace_back([&, i] {
+			Caller w;
+
+			for (int n = i; !stop; n += 2) {
+				if (!w.connected())
+					w = c.customer(i ? cut : other,
+						       "orders");
+				if (w.exec("INSERT INTO t VALUES (" +
+					   std::to_string(n) + ")")
+					    .ok)
+					acked[i].push_back(n);
+				usleep(5000);
+			}
+		});
+	EXPECT_TRUE(wait_until(BOUND_MS, [&] {
+		return acked[0].size() > 10 && acked[1].size() > 10;
+	}));
+	c.cut_zone(c.zone_of(cut));
+	int64_t began = now_ms();
+	EXPECT_TRUE(wait_until(BOUND_MS, [&] {
+		Caller w = c.customer(other, "orders");
+		return w.exec("INSERT INTO t VALUES (-2)", 1000).ok &&
+		       now_ms() - began > 1000;
+	}));
+	printf("writes elsewhere %lld ms after the cut\n",
+	       (long long)(now_ms() - began));
+	size_t had = acked[1].size();
+	EXPECT_FALSE(
+		c.customer(cut, "orders").exec("INSERT INTO t VALUES (-1)").ok);
+	/* What the old primary holds is not current any more. */
+	EXPECT_FALSE(c.customer(cut, "orders")
+			     .exec("/* marjoramlatch.max_age_ms=0 */ SELECT "
+				   "count(*) FROM t")
+			     .ok);
+	EXPECT_EQ(had, acked[1].size()) << "acknowledged in the cut zone";
+	c.fault("heal *");
+	EXPECT_TRUE(
+		wait_until(BOUND_MS, [&] { return acked[1].size() > had; }));
+	stop = true;
+	for (auto &w : writers)
+		w.join();
+	Result r;
+	EXPECT_TRUE(wait_until(BOUND_MS, [&] {
+		r = c.customer(other, "orders")
+			    .exec("/* marjoramlatch.max_age_ms=0 */ SELECT n "
+				  "FROM t");
+		return r.ok;
+	}));
+	std::vector<int> held;
+	for (auto &row : r.rows)
+		held.push_back(std::stoi(row[0]));
+	for (auto &list : acked)
+		for (int n : list)
+			EXPECT_EQ(1, std::count(held.begin(), held.end(), n))
+				<< n;
+}
+
+/* Guards against units that are used twice when proxies restart, and against
+ * a lowered limit that is not in force after the grants have run out. */
+TEST_F(SysZone, LimitsHoldOverRestartsAndListChanges)
+{
+	ASSERT_NO_FATAL_FAILURE(start_load());
+	for (auto *p : {"p2", "p3", "p2"}) {
+		c.process(p).kill();
+		ASSERT_NO_FATAL_FAILURE(await_load(0));
+		c.start(p);
+		ASSERT_NO_FATAL_FAILURE(await_load(p[1] - '1'));
+	}
+	c.process(c.admin("p1").exec("SHOW VERSION").value("leader")).kill();
+	for (int i = 0; i < 3; i++)
+		ASSERT_NO_FATAL_FAILURE(await_load(i));
+	Result r;
+	ASSERT_TRUE(wait_until(BOUND_MS, [&] {
+		r = c.apply("p1", lists(LIMIT / 2), 1, "lower");
+		return r.ok;
+	})) << r.message;
+	int64_t lowered = now_ms(), from = clk_now() + GRANT_MS;
+	ASSERT_TRUE(wait_until(2 * BOUND_MS, [&] {
+		return load[0]->last_ms() > lowered + 2 * GRANT_MS;
+	}));
+	auto ends = stop_load();
+	printf("most at once %d, after lowering %d, of %zu\n", most(ends, 0),
+	       most(ends, from), ends.size());
+	EXPECT_LE(most(ends, 0), LIMIT);
+	EXPECT_GE(most(ends, 0), LIMIT - 1) << "no load";
+	EXPECT_LE(most(ends, from), LIMIT / 2);
+}
+
+} // namespace
