--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make            programs in build/release
 #   make test       unit and integration tests (installs packages if missing)
 #   make demo       a small deployment on loopback with a failover in the middle
+#   make bench      measures; WHAT="reads gap crest behind speed" or slopes
 #   make SAN=1 ...  the same with address and undefined-behaviour sanitizers
 #   make lint       formatter and linter
 
@@ -19,10 +20,11 @@
 CXX = g++
 WARN = -Wall -Wextra -Werror -Wshadow -Wpointer-arith -Wvla
 PGINC := $(shell pg_config --includedir 2>/dev/null)
-COMMON = -O2 -g $(WARN) $(SANFLAGS) -iquote . -iquote t -I$(PGINC) -MMD -MP \
+COMMON = -g $(WARN) $(SANFLAGS) -iquote . -iquote t -I$(PGINC) -MMD -MP \
 	 -D_GNU_SOURCE
-CFLAGS = -std=gnu11 $(COMMON) -Wstrict-prototypes -Wmissing-prototypes
-CXXFLAGS = -std=gnu++17 $(COMMON) -Wno-missing-field-initializers
+CFLAGS = -std=gnu11 -O2 $(COMMON) -Wstrict-prototypes -Wmissing-prototypes
+# The tests' own speed does not matter, the time to compile them does.
+CXXFLAGS = -std=gnu++17 -O0 $(COMMON) -Wno-missing-field-initializers
 LDLIBS = -lev -lmsgpackc -largtable2 -ljson-c -lpq -lpg_query \
 	 -lprotobuf-c -lxxhash -lsodium -lgsl -lgslcblas -lm -lpthread
 
@@ -87,6 +89,10 @@
 	$(MAKE) SAN=$(SAN) -j$(shell nproc) all helpers
 	t/demo.sh $(B)
 
+bench: packages
+	$(MAKE) SAN=$(SAN) -j$(shell nproc) all helpers
+	t/bench.sh $(B) $(WHAT)
+
 packages:
 	@sh .ci/packages
 
@@ -108,5 +114,5 @@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all helpers tests test demo packages format lint clean
+.PHONY: all helpers tests test demo bench packages format lint clean
 .SECONDARY:
--- a/exec_backend.c
+++ b/exec_backend.c
@@ -34,8 +34,10 @@
 	if (now - probe_heard(b->probe) > limit ||
 	    probe_failures(b->probe) >= EXEC_REFUSALS)
 		return SUSPECT_UNREACHABLE;
-	/* Restarted as a replica, or not promoted: nobody leads the group. */
-	if (b->hint.heard && (!b->status.primary || b->status.log_term < term))
+	/* Restarted as a replica, or not promoted: nobody leads the group. A
+	 * status from before the view named this primary tells nothing. */
+	if (b->hint.heard > b->led_since &&
+	    (!b->status.primary || b->status.log_term < term))
 		return SUSPECT_UNREACHABLE;
 	if (b->status.majority_age_ms > limit)
 		return SUSPECT_NO_MAJORITY;
@@ -48,8 +50,12 @@
 	bool was = b->suspect;
 	int64_t term;
 
-	if (b->owned && b->probe && exec_is_primary(b, &term))
+	if (b->owned && b->probe && exec_is_primary(b, &term)) {
+		if (b->led_term != term)
+			b->led_since = clk_now();
+		b->led_term = term;
 		reason = exec_suspicion(b, term, clk_now());
+	}
 	b->suspect = reason != 0;
 	b->reason = reason;
 	if (!b->suspect || was)
@@ -193,14 +199,21 @@
 static void exec_on_silent(void *arg)
 {
 	struct exec_backend *b = arg;
+	struct exec_req *r, *next;
 
 	if (!b->silent_since)
 		b->silent_since = clk_now();
 	cnt_add(CNT_backend_silent, 1);
 	/* What is as old as the silent connection may be forgotten as well. */
 	pool_drop_idle(b->pool, clk_now());
-	exec_failed(b);
+	health_down(&b->health, b->x->rng, clk_now());
 	exec_update_suspicion(b);
+	for (r = b->x->reqs; r; r = next) {
+		next = r->hh.next;
+		/* A second silence was on a new connection. */
+		if (r->b == b)
+			exec_local_silent(r, probe_failures(b->probe) > 1);
+	}
 }
 
 static void exec_on_refused(void *arg)
@@ -370,8 +383,8 @@
 
 /* ---- what others may know ---- */
 
-struct exec_hint exec_hint(const struct exec *x, const char *backend,
-			   clk_ms now)
+struct exec_hint exec_hint_of(const struct exec *x, const char *backend,
+			      clk_ms now)
 {
 	struct exec_hint hint = {.age_ms = -1, .healthy = true};
 	const struct exec_backend *b;
@@ -381,8 +394,8 @@
 		return hint;
 	hint = b->hint;
 	hint.healthy = !b->health.aside || now >= b->health.retry_at;
-	hint.queue_ms =
-		b->owned ? sched_wait_ms(b->sched, 0) : b->waited_us / 1000;
+	hint.queue_ms = b->owned ? sched_wait_ms(b->sched, INT64_MAX)
+				 : b->waited_us / 1000;
 	return hint;
 }
 
@@ -398,7 +411,7 @@
 			.idle = pool_idle(b->pool),
 			.running = (int64_t)sched_running(b->sched),
 			.waiting = (int64_t)sched_waiting(b->sched),
-			.hint = exec_hint(x, b->id, now),
+			.hint = exec_hint_of(x, b->id, now),
 		};
 
 		if (b->owned)
--- a/exec_local.c
+++ b/exec_local.c
@@ -7,7 +7,6 @@
 #include "token.h"
 #include "view.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -50,86 +49,12 @@
 	j->weight = run->weight;
 	j->cost_us = cost_estimate(cost, run->fingerprint);
 	j->is_long = run->flags & RUN_LONG || cost_is_long(cost, j->cost_us);
+	/* What describes a statement is not learned, and never long. */
+	j->unproven = !j->is_long && run->kind != RUN_DESCRIBE &&
+		      !cost_is_known(cost, run->fingerprint);
 	j->give_up = r->arrived + run->wait_ms;
 }
 
-/* ---- pins ---- */
-
-static struct exec_pin *exec_pin_find(struct exec *x, int64_t id)
-{
-	struct exec_pin *p;
-
-	HASH_FIND(hh, x->pins, &id, sizeof(id), p);
-	return p;
-}
-
-static struct pool_conn *exec_pin_take_out(struct exec_pin *p)
-{
-	struct pool_conn *c = p->conn;
-
-	HASH_DEL(p->x->pins, p);
-	free(p);
-	return c;
-}
-
-void exec_pin_close(struct exec_pin *p)
-{
-	/* The runner releases the connection of a statement that runs. */
-	if (p->busy) {
-		p->busy->pin = NULL;
-		exec_pin_take_out(p);
-		return;
-	}
-	pool_release(exec_pin_take_out(p), false);
-}
-
-/* An idle pinned connection has nothing to say but that it was closed. */
-static void exec_pin_io(void *arg, int revents)
-{
-	struct exec_pin *p = arg;
-
-	(void)revents;
-	if (!PQconsumeInput(pool_pg(p->conn)) ||
-	    PQstatus(pool_pg(p->conn)) != CONNECTION_OK)
-		exec_pin_close(p);
-}
-
-static struct exec_pin *exec_pin_new(struct exec_req *r)
-{
-	struct exec_pin *p = calloc(1, sizeof(*p));
-
-	if (!p)
-		abort();
-	/* Unpredictable, and unique among the pins of all owners. */
-	randombytes_buf(&p->id, sizeof(p->id));
-	p->id = (p->id & INT64_MAX) | 1;
-	p->x = r->x;
-	p->b = r->b;
-	p->conn = r->conn;
-	p->from = r->from;
-	p->term = r->run.term;
-	memcpy(p->customer, r->run.customer, sizeof(p->customer));
-	p->busy = r;
-	r->pin = p;
-	HASH_ADD(hh, r->x->pins, id, sizeof(p->id), p);
-	return p;
-}
-
-/* Decides at a request's end whether its connection stays with its caller. */
-static int64_t exec_pin_update(struct exec_req *r, const struct msg_end *end)
-{
-	bool keep = end->pin && !r->abandoned &&
-		    (end->txn != 'I' || r->run.flags & RUN_PIN);
-
-	if (keep)
-		return r->pin ? r->pin->id : exec_pin_new(r)->id;
-	if (r->pin) {
-		exec_pin_take_out(r->pin);
-		r->pin = NULL;
-	}
-	return 0;
-}
-
 /* ---- running ---- */
 
 static void exec_on_data(void *arg, const char *bytes, size_t len)
@@ -160,12 +85,12 @@
 	exec_slot_free(arg);
 }
 
-static void exec_judge(struct exec_req *r, enum res res)
+void exec_judge(struct exec_backend *b, enum res res)
 {
 	if (res == RES_READ_FAILED || res == RES_UNREACHABLE)
-		exec_failed(r->b);
+		exec_failed(b);
 	else if (res == RES_OK || res == RES_SQL_ERROR || res == RES_BEHIND)
-		health_success(&r->b->health);
+		health_success(&b->health);
 }
 
 static void exec_on_end(void *arg, const struct msg_end *end)
@@ -173,7 +98,7 @@
 	struct exec_req *r = arg;
 	struct msg_end full = *end;
 
-	exec_judge(r, (enum res)end->res);
+	exec_judge(r->b, (enum res)end->res);
 	full.pin = exec_pin_update(r, end);
 	full.waited_us = r->started_us - r->arrived_us;
 	exec_take_end(r, &full);
@@ -190,9 +115,7 @@
 	r->pin = NULL;
 	r->state = EXEC_OVER;
 	if (p && clean && !r->abandoned) {
-		p->busy = NULL;
-		pool_on_io(c, exec_pin_io, p);
-		pool_watch(c, EV_READ);
+		exec_pin_rest(p);
 	} else {
 		if (p)
 			exec_pin_take_out(p);
@@ -373,6 +296,16 @@
 						      : RES_UNREACHABLE;
 }
 
+/* A pin that is refused for good is closed, so that its locks go. */
+static void exec_refuse(struct exec_req *r, enum res res)
+{
+	struct exec_pin *p = exec_pin_find(r->x, r->run.pin);
+
+	if (p && !p->busy && p->from == r->from)
+		exec_pin_close(p);
+	exec_end(r, res, NULL);
+}
+
 void exec_local_start(struct exec_req *r)
 {
 	enum res res;
@@ -384,7 +317,7 @@
 	}
 	res = exec_check(r);
 	if (res)
-		exec_end(r, res, NULL);
+		exec_refuse(r, res);
 	else if (r->run.pin)
 		exec_start_pinned(r);
 	else if (r->run.kind == RUN_READ && !(r->run.flags & RUN_CURRENT))
@@ -448,9 +381,66 @@
 		 "time limit reached");
 }
 
+/* A statement has run much longer than statements like it did. */
+static void exec_overrun(struct exec_req *r)
+{
+	struct exec_backend *b = r->b;
+	int64_t us = clk_now_us() - r->started_us;
+
+	if (!r->has_slot || r->job.is_long ||
+	    !cost_overruns(b->cost, r->job.cost_us, us))
+		return;
+	sched_reclassify(b->sched, &r->job, true);
+	cost_raise(b->cost, r->run.fingerprint, us);
+}
+
+/* What was learned while a job waits counts for it as well. */
+static void exec_relearn(struct exec_req *r)
+{
+	struct cost *cost = r->b->cost;
+
+	if (r->run.flags & RUN_LONG || !cost_is_known(cost, r->run.fingerprint))
+		return;
+	sched_reclassify(
+		r->b->sched, &r->job,
+		cost_is_long(cost, cost_estimate(cost, r->run.fingerprint)));
+}
+
+/* Ends a request that waits in vain after the view changed. */
+void exec_local_recheck(struct exec_req *r)
+{
+	enum res res;
+
+	if (r->ended || r->runner || r->state == EXEC_FORWARDED || !r->b)
+		return;
+	res = exec_check(r);
+	if (!res || res == RES_NO_LEASE || res == RES_UNREACHABLE)
+		return;
+	exec_withdraw(r);
+	exec_end(r, res, NULL);
+}
+
+/* Reads on a server that does not answer can be served by others. */
+void exec_local_silent(struct exec_req *r, bool certain)
+{
+	if (r->ended || r->run.kind != RUN_READ || r->run.flags & RUN_CURRENT ||
+	    r->run.pin)
+		return;
+	if (r->runner) {
+		if (certain)
+			runner_break(r->runner, "backend server is silent");
+		return;
+	}
+	exec_withdraw(r);
+	exec_end(r, RES_UNREACHABLE, "backend server is silent");
+}
+
 void exec_tick_req(struct exec_req *r, clk_ms now)
 {
 	switch (r->state) {
+	case EXEC_WAITING:
+		exec_relearn(r);
+		break;
 	case EXEC_BEHIND:
 		exec_check_fresh(r);
 		break;
@@ -461,12 +451,11 @@
 		exec_end(r, RES_WAIT_EXCEEDED, "no connection in time");
 		break;
 	case EXEC_RUNNING:
-		if (r->has_slot && !r->job.is_long &&
-		    cost_overruns(r->b->cost, r->job.cost_us,
-				  clk_now_us() - r->started_us))
-			sched_reclassify(r->b->sched, &r->job);
+		exec_overrun(r);
 		if (runner_stalled(r->runner, r->x->set->suspect_ms))
 			runner_break(r->runner, "no status row in time");
+		else if (runner_unconfirmed(r->runner))
+			runner_expire(r->runner);
 		break;
 	default:
 		break;
--- a/failover.c
+++ b/failover.c
@@ -13,6 +13,8 @@
 	FO_RETRY_MS = 100, /* between calls to a member that matters now */
 	FO_SUSPECT_MS = 3000, /* a suspicion is followed up for this long */
 	FO_CATCH_UP_MS = 2000, /* planned change: wait for a replica */
+	FO_RETURN_MS = 1000, /* a member that returned may take this long */
+	FO_FOLLOW_MS = 250, /* from following to confirming writes */
 	FO_PROMOTE_TRIES = 3
 };
 
@@ -34,6 +36,7 @@
 	free(f->groups);
 	f->groups = NULL;
 	f->ngroups = 0;
+	f->view = -1;
 	f->nacts = 0;
 	f->taken = 0;
 }
@@ -137,12 +140,47 @@
 		 g->name, (long long)g->term, g->planned);
 }
 
+static bool fo_is_primary(const struct fo_member *p)
+{
+	return p && p->known && p->status.primary;
+}
+
 static bool fo_primary_works(const struct fo *f, const struct fo_member *p)
 {
-	return p && p->known && p->status.primary &&
+	return fo_is_primary(p) &&
 	       p->status.majority_age_ms < f->cfg.no_majority_ms;
 }
 
+static bool fo_follows(const struct fo_member *m, const struct group_info *info,
+		       const char *addr)
+{
+	return m->follows_term == info->term &&
+	       m->follows_incarnation == m->status.incarnation &&
+	       !strcmp(m->follows, addr);
+}
+
+/* Tells members that may not follow the current primary to do so. */
+static void fo_lead_members(struct fo *f, struct fo_group *g,
+			    const struct group_info *info, clk_ms now)
+{
+	const struct fo_member *p = fo_member(g, info->primary);
+
+	if (!p)
+		return;
+	for (size_t i = 0; i < g->nmembers; i++) {
+		struct fo_member *m = &g->members[i];
+
+		if (m == p || !m->known || fo_follows(m, info, p->addr) ||
+		    !fo_may_call(m, FO_RETRY_MS, now))
+			continue;
+		m->follows_term = 0;
+		m->follows_incarnation = m->status.incarnation;
+		memcpy(m->follows, p->addr, ADDR_LEN);
+		memcpy(fo_call(f, g, m, FO_FOLLOW, info->term, now)->primary,
+		       p->addr, ADDR_LEN);
+	}
+}
+
 static void fo_probing_first(struct fo *f, struct fo_group *g)
 {
 	size_t n = fo_answered(g, g->since);
@@ -151,18 +189,47 @@
 		fo_begin(f, g);
 }
 
+/*
+ * True if a primary without a majority may get it back from replicas that
+ * have just returned. Without this time, a restart of all replicas would end
+ * in a change of primary, which loses writes that only the primary holds.
+ */
+static bool fo_may_recover(const struct fo_group *g,
+			   const struct group_info *info,
+			   const struct fo_member *p, clk_ms now)
+{
+	if (!fo_is_primary(p))
+		return false;
+	for (size_t i = 0; i < g->nmembers; i++) {
+		const struct fo_member *m = &g->members[i];
+
+		if (m == p || !m->known || now - m->returned >= FO_RETURN_MS)
+			continue;
+		if (!fo_follows(m, info, p->addr) ||
+		    now - m->followed < FO_FOLLOW_MS)
+			return true;
+	}
+	return false;
+}
+
 static void fo_probing_known(struct fo *f, struct fo_group *g,
 			     const struct group_info *info, clk_ms now)
 {
 	const struct fo_member *p = fo_member(g, info->primary);
-	bool done = !p || (p->seen >= g->since && !p->call);
+	/* A silent member has a call under way all the time, so the end of one
+	 * call since the start decides. */
+	bool done = !p || p->seen >= g->since;
 	bool majority = fo_answered(g, g->since) >= fo_majority(g);
 
 	if (!done)
 		return;
 	if (!fo_primary_works(f, p)) {
-		if (majority) {
+		if (majority && !fo_may_recover(g, info, p, now)) {
 			g->planned = false;
+			/* It has the longest log, but cut from its replicas
+			 * it would fail again. */
+			if (p && p->known && p->status.primary)
+				memcpy(g->avoided, p->id, ID_LEN);
 			fo_begin(f, g);
 		}
 	} else if (p->leaving) {
@@ -178,9 +245,11 @@
 {
 	const struct group_info *info = fo_info(f, g);
 
+	/* Replicas that returned may give the primary its majority back, or
+	 * take over from it if it is leaving. */
+	if (info && fo_is_primary(fo_member(g, info->primary)))
+		fo_lead_members(f, g, info, now);
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
-	if (now < f->led + fo_wait(f))
-		return;
 	if (info && info->term > 0)
 		fo_probing_known(f, g, info, now);
 	else
@@ -198,13 +267,19 @@
 	g->phase = FO_FENCING;
 }
 
-/* True when no lease of the old term is valid any more. */
+/*
+ * True when no lease of the old term is valid any more. A fresh group has none,
+ * but its members get the same time to answer, since one that lacks data must
+ * not be promoted only because it answered first.
+ */
 static bool fo_leases_over(const struct fo *f, const struct fo_group *g,
 			   clk_ms now)
 {
 	const struct group_info *info = fo_info(f, g);
 
-	return !info || info->term == 0 || now >= g->listed + fo_wait(f);
+	if ((!info || info->term == 0) && fo_fenced(g, true) == g->nmembers)
+		return true;
+	return now >= g->listed + fo_wait(f);
 }
 
 /* A planned change lets a replica catch up after the last acknowledged
@@ -217,6 +292,7 @@
 
 	if (!g->planned || !info)
 		return true;
+	fo_lead_members(f, g, info, now);
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
 	if (now < over)
 		return false;
@@ -297,40 +373,11 @@
 	g->suspected = INT64_MIN / 2;
 }
 
-static bool fo_follows(const struct fo_member *m, const struct group_info *info,
-		       const char *addr)
-{
-	return m->follows_term == info->term &&
-	       m->follows_incarnation == m->status.incarnation &&
-	       !strcmp(m->follows, addr);
-}
-
-/* Tells members that may not follow the current primary to do so. */
-static void fo_lead_members(struct fo *f, struct fo_group *g,
-			    const struct group_info *info, clk_ms now)
-{
-	const struct fo_member *p = fo_member(g, info->primary);
-
-	if (!p)
-		return;
-	for (size_t i = 0; i < g->nmembers; i++) {
-		struct fo_member *m = &g->members[i];
-
-		if (m == p || !m->known || fo_follows(m, info, p->addr) ||
-		    !fo_may_call(m, FO_RETRY_MS, now))
-			continue;
-		m->follows_term = 0;
-		m->follows_incarnation = m->status.incarnation;
-		memcpy(m->follows, p->addr, ADDR_LEN);
-		memcpy(fo_call(f, g, m, FO_FOLLOW, info->term, now)->primary,
-		       p->addr, ADDR_LEN);
-	}
-}
-
 static void fo_start_probing(struct fo_group *g, clk_ms now)
 {
 	g->phase = FO_PROBING;
 	g->planned = false;
+	g->avoided[0] = '\0';
 	g->listed = CLK_NEVER;
 	g->since = now;
 }
@@ -415,7 +462,6 @@
 {
 	fo_clear(f);
 	f->leading = true;
-	f->led = led;
 	fo_update(f);
 	for (size_t i = 0; i < f->ngroups; i++) {
 		struct fo_group *g = &f->groups[i];
@@ -426,6 +472,8 @@
 			continue;
 		/* This leader has never granted a lease for the group. */
 		g->listed = led;
+		/* Why the change began is not known; any other will do. */
+		memcpy(g->avoided, info->primary, ID_LEN);
 		fo_begin(f, g);
 	}
 	fo_tick(f, now);
@@ -456,6 +504,9 @@
 static void fo_take_status(struct fo_member *m, const struct fo_answer *a,
 			   clk_ms now)
 {
+	if (a->ok &&
+	    (!m->known || m->status.incarnation != a->status.incarnation))
+		m->returned = now;
 	m->known = a->ok;
 	m->seen = now;
 	if (a->ok)
@@ -488,8 +539,10 @@
 			fo_promoted(f, g, a->start);
 		break;
 	case FO_FOLLOW:
-		if (a->ok)
+		if (a->ok) {
 			m->follows_term = m->call_term;
+			m->followed = now;
+		}
 		break;
 	case FO_COMMIT:
 		break;
--- a/runner.c
+++ b/runner.c
@@ -12,7 +12,8 @@
 
 enum {
 	RUNNER_FLUSH = 32 << 10, /* bytes of answer passed on at a time */
-	RUNNER_BACKLOG = 256 << 10 /* untaken bytes that stop reading */
+	RUNNER_BACKLOG = 256 << 10, /* untaken bytes that stop reading */
+	RUNNER_CONFIRM_MS = 1000 /* least time for the majority to confirm */
 };
 
 #define RUNNER_HOLD_S 0.005 /* between checks of the lease or backlog */
@@ -257,16 +258,16 @@
 	return true;
 }
 
-static void runner_changed_state(struct runner *r, const char *tag)
+/* Session state outlives a transaction, so the connection is not reused. */
+static void runner_check_state(struct runner *r)
 {
 	static const char *const tags[] = {
 		"SET",	  "RESET",	    "PREPARE",
 		"LISTEN", "DECLARE CURSOR", "DISCARD ALL"};
 
 	for (size_t i = 0; i < sizeof(tags) / sizeof(tags[0]); i++)
-		if (!strcmp(tag, tags[i]) && !(r->run->flags & RUN_PIN) &&
-		    r->run->kind != RUN_TXN && r->run->kind != RUN_BEGIN)
-			r->dirty = true;
+		if (!strcmp(r->tag, tags[i]))
+			pool_taint(r->conn);
 }
 
 static void runner_executed(struct runner *r)
@@ -306,7 +307,7 @@
 	case PGRES_EMPTY_QUERY:
 		ans_complete(&r->out, res);
 		snprintf(r->tag, sizeof(r->tag), "%s", PQcmdStatus(res));
-		runner_changed_state(r, r->tag);
+		runner_check_state(r);
 		/* Each statement of a batch has its own description. */
 		r->described = false;
 		break;
@@ -573,8 +574,8 @@
 	ev_init(&r->timer, runner_timer);
 	r->timer.repeat = RUNNER_HOLD_S;
 	r->timer.data = r;
-	PQsetNoticeReceiver(r->pg, runner_notice, r);
 	pool_on_io(c, runner_io, r);
+	PQsetNoticeReceiver(r->pg, runner_notice, r);
 	if (!plan_start(r)) {
 		r->break_asked = "can't send";
 		runner_hold(r);
@@ -623,6 +624,17 @@
 	return clk_now_us() - r->start_us > limit * 1000;
 }
 
+bool runner_unconfirmed(const struct runner *r)
+{
+	clk_ms limit = r->run->wait_ms;
+
+	if (!r->commits || !r->executed || r->ended)
+		return false;
+	if (limit < RUNNER_CONFIRM_MS)
+		limit = RUNNER_CONFIRM_MS;
+	return clk_now_us() - r->executed_us > limit * 1000;
+}
+
 void runner_break(struct runner *r, const char *why)
 {
 	if (r->pumping) {
--- a/t/lib_cluster.cc
+++ b/t/lib_cluster.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <gtest/gtest.h>
 #include <sodium.h>
 #include <stdexcept>
 #include <sys/stat.h>
@@ -80,6 +81,22 @@
 			add_member(g, i);
 }
 
+Cluster::~Cluster()
+{
+	constexpr size_t TAIL = 1500; /* bytes */
+
+	if (!::testing::Test::HasFailure())
+		return;
+	for (auto &[name, node] : nodes_) {
+		std::string text = node.process->log();
+
+		if (text.size() > TAIL)
+			text = text.substr(text.find('\n', text.size() - TAIL));
+		fprintf(stderr, "--- %s %s\n%s\n", name.c_str(),
+			node.process->unexpected_end().c_str(), text.c_str());
+	}
+}
+
 Cluster::Node &Cluster::add(const std::string &name, const std::string &zone)
 {
 	Node &n = nodes_[name];
@@ -103,6 +120,7 @@
 std::string Cluster::settings(const std::string &name, bool proxy) const
 {
 	const Node &n = nodes_.at(name);
+	std::string link = proxy ? free_addr() : n.own;
 	std::map<std::string, std::string> keys = {
 		{"id", quote(name)},
 		{"zone", quote(n.zone)},
@@ -117,7 +135,7 @@
 
 	if (proxy) {
 		keys["listen"] = quote(n.own);
-		keys["advertise"] = quote(n.link_via);
+		keys["link_advertise"] = quote(n.link_via);
 	} else
 		keys["data"] = quote(n.data);
 	for (int i = 1; i <= spec_.controls; i++) {
--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -65,6 +65,9 @@
 	void thaw();
 	bool running();
 
+	/* How it ended, unless kill() or terminate() asked for that. */
+	std::string unexpected_end();
+
 	/* Exit status, 128 + signal, or -1 if it still runs after ms. */
 	int wait(int ms);
 	pid_t pid() const
@@ -88,6 +91,7 @@
 	std::string log_;
 	pid_t pid_ = -1;
 	int status_ = -1;
+	bool asked_ = true; /* to end; true before the start */
 };
 
 /* Faults on links, see t/helper/relay.c for the commands. */
@@ -115,6 +119,7 @@
 	bool lost = false; /* the connection failed or timed out */
 	std::string sqlstate;
 	std::string message;
+	std::string detail;
 	std::string tag;
 	std::vector<std::string> names;
 	std::vector<std::vector<std::string>> rows; /* null is "" */
@@ -195,13 +200,16 @@
 /*
  * A deployment. Proxies are called p1.., control instances c1.., members
  * GROUP-1... These are also the names of routes and sources at the relay. The
- * route to a proxy's link, for the other proxies, is called p1-link.
+ * links that other proxies open to p1 are the route p1-link.
  */
 class Cluster
 {
       public:
 	explicit Cluster(Spec spec);
 
+	/* Prints the end of each log if the test has failed. */
+	~Cluster();
+
 	/* Starts everything, applies the lists and waits until each group
 	 * takes a write and each proxy serves a read. */
 	bool start(int ms = 20000);
--- a/t/lib_exec.h
+++ b/t/lib_exec.h
@@ -5,49 +5,22 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "lib_cluster.h"
+
 /* exec.h names a function like a struct, as C allows. */
 #pragma GCC diagnostic ignored "-Wshadow"
 
 extern "C" {
 #include "exec.h"
+#include "peers.h"
 #include "settings.h"
 #include "view.h"
 }
 
-/* Path of a helper program; BUILD names the build folder. */
-std::string helper(const char *name);
-
-int free_port();
-std::string on_port(int port);
-
-/* A process that is ended with the test. */
-class Process
-{
-      public:
-	explicit Process(const std::vector<std::string> &args);
-	~Process();
-	void send(int sig) const;
-
-      private:
-	int pid;
-};
-
-/* The fault-injecting relay with one route to a port. */
-class Relay
-{
-      public:
-	explicit Relay(int target);
-	void command(const std::string &text);
-	int port;
-
-      private:
-	int control;
-	Process process;
-};
-
 /* What a request's sink received. */
 struct Answer {
 	std::string data;
@@ -63,24 +36,31 @@
 	std::string types() const;
 };
 
+struct Proxy {
+	struct settings set = {};
+	struct view *view = NULL;
+	struct exec *exec = NULL;
+	struct peers *peers = NULL;
+};
+
 class Deployment
 {
       public:
-	explicit Deployment(const char *proxy = "p1");
+	Deployment();
 	~Deployment();
 
 	void start(const char *id, const std::vector<std::string> &more = {});
 	void stop(const char *id);
-	void signal(const char *id, int sig)
+
+	/* Lets exec reach a server by another address. */
+	void reach_by(const char *id, const std::string &addr);
+	std::string addr(const char *id)
 	{
-		processes[id]->send(sig);
+		return addrs[id];
 	}
-
-	/* Lets exec reach a server on another port. */
-	void reach_by(const char *id, int relay_port);
-	int port(const char *id)
+	cluster::Process &process(const char *id)
 	{
-		return ports[id];
+		return *processes[id];
 	}
 
 	/* Makes one server lead a term and the others follow it, and tells
@@ -105,17 +85,29 @@
 		    int64_t flags = 0);
 	Answer *run(const struct msg_run &run);
 
+	/* Adds a second proxy with links between the two and makes the one
+	 * that does not own the server the current one. */
+	void add_proxy(const char *backend);
+
+	/* Closes the links of the current proxy. */
+	void break_links();
+
+	cluster::TempDir dir;
 	struct ev_loop *loop;
-	struct settings set = {};
-	struct view *view;
+	struct settings &set; /* of the first proxy */
+	struct view *view; /* of the current proxy, like exec */
 	struct exec *exec;
+	Proxy *owner; /* the other one */
 	int slots = 5; /* of servers that are started */
+	int connections = 30;
 
       private:
+	void open_proxy(Proxy *p, const char *id);
 	void tell();
-	std::string folder;
-	std::map<std::string, Process *> processes;
-	std::map<std::string, int> ports;
+	Proxy proxies[2];
+	int nproxies = 1;
+	std::map<std::string, std::unique_ptr<cluster::Process>> processes;
+	std::map<std::string, std::string> addrs;
 	std::map<std::string, struct backend_info> infos;
 	struct group_info group = {};
 	std::vector<struct term_start> starts;
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -3,7 +3,6 @@
 #include "lib_exec.h"
 
 #include <set>
-#include <signal.h>
 #include <string.h>
 
 namespace
@@ -41,6 +40,16 @@
 	EXPECT_NE("", std::string(a->end.sqlstate));
 	a = run(RUN_DESCRIBE, "b1", "SELECT k FROM t WHERE v = $1");
 	EXPECT_EQ("tT", a->types());
+	/* A setting must not reach the next caller. */
+	Answer *t = run(RUN_BEGIN, "b1", "BEGIN");
+	for (const char *text : {"SET statement_timeout = 77", "COMMIT"}) {
+		struct msg_run r = request(RUN_TXN, "b1", text);
+		r.pin = t->end.pin;
+		EXPECT_EQ(RES_OK, run(r)->end.res);
+	}
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ("0ms", run(RUN_READ, "b1", "SHOW statement_timeout")
+					 ->rows()[0]);
 	a = run(RUN_READ, "b1", "SELECT 1; SELECT 2", RUN_SIMPLE);
 	EXPECT_EQ("TDCTDC", a->types()) << a->text;
 	a = run(RUN_WRITE, "b1",
@@ -155,10 +164,12 @@
 TEST_F(Exec, RequestIdAfterTheAnswerWasCut)
 {
 	start("b1", {"--members", "1"});
-	Relay relay(port("b1"));
-	reach_by("b1", relay.port);
+	cluster::Relay relay(dir);
+	reach_by("b1", relay.add("b", addr("b1")));
 	lead("b1", 1);
-	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	ASSERT_EQ(RES_OK,
+		  run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY)
+			  ->end.res);
 	struct msg_run r =
 		request(RUN_WRITE, "b1",
 			"INSERT INTO t VALUES (1) /* cost_us=100000 */", ONCE);
@@ -313,6 +324,7 @@
 	r.pin = t->end.pin;
 	r.term = 1;
 	EXPECT_EQ(RES_PRIMARY_CHANGED, run(r)->end.res);
+	EXPECT_EQ(0u, exec_pins(exec));
 	r = request(RUN_READ, "b1", "SELECT 1", RUN_CURRENT);
 	EXPECT_EQ(RES_NO_PRIMARY, run(r)->end.res);
 }
@@ -355,7 +367,7 @@
 	lead("b1", 1);
 	ASSERT_EQ(RES_OK, run(RUN_READ, "b1", "SELECT 1")->end.res);
 	EXPECT_EQ(0, exec_suspects(exec, &s, 1, clk_now()));
-	signal("b1", SIGSTOP);
+	process("b1").freeze();
 	clk_ms from = clk_now();
 	Answer *a = begin(request(RUN_READ, "b1", "SELECT 1"));
 	ASSERT_TRUE(until([&] { return told > 0; }));
@@ -366,7 +378,7 @@
 	EXPECT_TRUE(until([&] { return a->ends > 0; }));
 	EXPECT_EQ(RES_READ_FAILED, a->end.res);
 	EXPECT_LT(clk_now() - from, 1500);
-	signal("b1", SIGCONT);
+	process("b1").thaw();
 	EXPECT_TRUE(
 		until([&] { return !exec_suspects(exec, &s, 1, clk_now()); }));
 	EXPECT_TRUE(until([&] {
@@ -386,8 +398,8 @@
 TEST_F(Exec, ForgottenConnectionsAreReplaced)
 {
 	start("b1", {"--members", "1"});
-	Relay relay(port("b1"));
-	reach_by("b1", relay.port);
+	cluster::Relay relay(dir);
+	reach_by("b1", relay.add("b", addr("b1")));
 	lead("b1", 1);
 	EXPECT_TRUE(until([&] {
 		return run(RUN_READ, "b1", "SELECT 1")->end.res == RES_OK;
@@ -417,11 +429,127 @@
 		r.wait_ms = 50;
 		queue.push_back(begin(r));
 	}
+	EXPECT_TRUE(until([&] { return queue.back()->ends > 0; }));
+	EXPECT_EQ(RES_WAIT_EXCEEDED, queue.back()->end.res);
+	Answer *waits = begin(request(RUN_READ, "b1", "SELECT 3"));
+	EXPECT_EQ(0, runs->ends);
 	leaving("b1");
 	EXPECT_EQ(RES_LEAVING, run(RUN_READ, "b1", "SELECT 1")->end.res);
 	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
 	EXPECT_EQ(RES_OK, runs->end.res);
-	EXPECT_EQ(RES_WAIT_EXCEEDED, queue.back()->end.res);
+	EXPECT_EQ(RES_LEAVING, waits->end.res);
+}
+
+/* Guards against answers that are lost, mixed or cut on the way between two
+ * proxies. */
+TEST_F(Exec, RequestsAreForwardedToTheOwner)
+{
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	add_proxy("b1");
+	ASSERT_EQ(RES_OK, run(RUN_WRITE, "b1", "CREATE TABLE t (k int, v text)",
+			      RUN_MAJORITY)
+				  ->end.res);
+	std::vector<Answer *> all;
+	for (int i = 0; i < 50; i++)
+		all.push_back(begin(request(RUN_READ, "b1",
+					    "SELECT " + std::to_string(i),
+					    RUN_CURRENT)));
+	for (int i = 0; i < 50; i++) {
+		ASSERT_TRUE(until([&] { return all[i]->ends > 0; }));
+		ASSERT_EQ(RES_OK, all[i]->end.res) << all[i]->text;
+		EXPECT_EQ(std::to_string(i), all[i]->rows()[0]);
+	}
+	/* An answer of several chunks. */
+	Answer *a =
+		run(RUN_READ, "b1",
+		    "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1"
+		    " FROM n WHERE i < 300) SELECT hex(zeroblob(2000)) FROM n");
+	EXPECT_EQ(300u, a->rows().size());
+	/* A transaction, given up at its end and on the way. */
+	Answer *b = run(RUN_BEGIN, "b1", "BEGIN");
+	ASSERT_EQ(RES_OK, b->end.res) << b->text;
+	struct msg_run r =
+		request(RUN_TXN, "b1", "INSERT INTO t VALUES (1, 'x')");
+	r.pin = b->end.pin;
+	EXPECT_EQ(RES_OK, run(r)->end.res);
+	r = request(RUN_TXN, "b1", "COMMIT", RUN_MAJORITY);
+	r.pin = b->end.pin;
+	a = run(r);
+	EXPECT_EQ(RES_OK, a->end.res) << a->text;
+	EXPECT_EQ(2, a->end.write_position);
+	b = run(RUN_BEGIN, "b1", "BEGIN");
+	r = request(RUN_TXN, "b1", "INSERT INTO t VALUES (2, 'x')");
+	r.pin = b->end.pin;
+	EXPECT_EQ(RES_OK, run(r)->end.res);
+	exec_unpin(exec, "b1", r.pin);
+	EXPECT_EQ(RES_OK,
+		  run(RUN_WRITE, "b1", "UPDATE t SET v = 'y'", RUN_MAJORITY)
+			  ->end.res);
+	EXPECT_EQ("1", sql("b1", "SELECT count(*) FROM t"));
+	a = begin(request(RUN_READ, "b1", "SELECT 1 /* cost_us=3000000 */"));
+	until([&] { return exec_running(owner->exec) == 1; });
+	exec_cancel(exec, a->id);
+	EXPECT_TRUE(until([&] { return a->ends > 0; }));
+	EXPECT_STREQ("57014", a->end.sqlstate);
+	EXPECT_TRUE(until([&] { return !exec_running(owner->exec); }));
+}
+
+/* Guards against pools that forward, or that use more than their share. */
+TEST_F(Exec, PoolsRunWithoutAnOwner)
+{
+	connections = 12;
+	start("b1", {"--members", "1"});
+	set.scheduling = SET_POOLS;
+	lead("b1", 1);
+	std::vector<Answer *> all;
+	for (int i = 0; i < 40; i++)
+		all.push_back(begin(request(RUN_READ, "b1",
+					    "SELECT 1 /* cost_us=5000 */")));
+	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
+	for (Answer *a : all)
+		EXPECT_EQ(RES_OK, a->end.res) << a->text;
+	int64_t open = 0;
+	exec_each_backend(
+		exec, clk_now(),
+		[](void *arg, const struct exec_backend_stats *s) {
+			*(int64_t *)arg = s->connections;
+		},
+		&open);
+	EXPECT_EQ(8, open);
+}
+
+/* Guards against locks that stay behind when the origin is gone, and against
+ * requests that never end when the owner is gone. */
+TEST_F(Exec, LinkBreaksInTheMiddle)
+{
+	start("b1", {"--members", "1"});
+	lead("b1", 1);
+	add_proxy("b1");
+	run(RUN_WRITE, "b1", "CREATE TABLE t (k int)", RUN_MAJORITY);
+	/* Opens enough connections for what follows to start at once. */
+	for (int i = 0; i < 5; i++)
+		begin(request(RUN_READ, "b1", "SELECT 1 /* cost_us=50000 */"));
+	EXPECT_TRUE(until([&] { return !exec_running(exec); }));
+	Answer *b = run(RUN_BEGIN, "b1", "BEGIN");
+	struct msg_run r = request(RUN_TXN, "b1", "INSERT INTO t VALUES (1)");
+	r.pin = b->end.pin;
+	EXPECT_EQ(RES_OK, run(r)->end.res);
+	Answer *read =
+		begin(request(RUN_READ, "b1", "SELECT 1 /* cost_us=500000 */"));
+	Answer *write = begin(request(
+		RUN_WRITE, "b1", "INSERT INTO t VALUES (2)", RUN_MAJORITY));
+	EXPECT_TRUE(until([&] { return exec_running(owner->exec) == 2; }));
+	break_links();
+	EXPECT_TRUE(until([&] { return read->ends && write->ends; }));
+	EXPECT_EQ(RES_READ_FAILED, read->end.res);
+	EXPECT_EQ(RES_UNKNOWN, write->end.res);
+	/* The transaction is rolled back; the abandoned write ran. */
+	EXPECT_TRUE(until([&] {
+		return sql("b1", "SELECT sum(k) FROM t") == "2";
+	})) << sql("b1", "SELECT group_concat(k) FROM t");
+	/* The origin has become the owner. */
+	EXPECT_EQ(RES_OK, run(RUN_READ, "b1", "SELECT 1")->end.res);
 }
 
 } // namespace
