failover: judge the primary by its newest answer

Cause: while probing, a change began only when no call to the primary was out. With a primary that does not answer, the next probe is sent in the same step in which the last one is counted as failed, so that a call is always out and the change never begins. A killed primary refuses connections at once and left a gap between two calls.

Ruled out: the entry instances reported the suspicion within 600 ms, and the other two members answered.

Change: an answer, or its absence, since the probing began is enough.

--- a/failover.c
+++ b/failover.c
@@ -156,7 +156,9 @@
 			     const struct group_info *info, clk_ms now)
 {
 	const struct fo_member *p = fo_member(g, info->primary);
-	bool done = !p || (p->seen >= g->since && !p->call);
+	/* The newest answer counts, also while the next probe is out: with an
+	 * unresponsive primary one always is. */
+	bool done = !p || p->seen >= g->since;
 	bool majority = fo_answered(g, g->since) >= fo_majority(g);
 
 	if (!done)
