--- a/t/bench.sh
+++ b/t/bench.sh
@@ -14,13 +14,13 @@
 deployments=${DEPLOYMENTS:-threlfall barfani}
 what=${*:-reads gap crest behind speed}
 top=$(mktemp -d /tmp/marjoramlatch-bench.XXXXXX)
-rc=0
 
 . t/bench/cluster.sh
 . t/bench/parts.sh
 [ -f t/bench/slopes.sh ] && . t/bench/slopes.sh
 
 finish() {
+	rc=$?
 	stop_cluster
 	if [ -z "${KEEP:-}" ] && [ $rc -eq 0 ]; then
 		rm -rf "$top"
@@ -30,7 +30,7 @@
 	exit $rc
 }
 trap finish EXIT
-trap 'rc=1; exit 1' INT TERM
+trap 'exit 1' INT TERM
 
 command -v jq >/dev/null || fail "needs jq"
 head -c 32 /dev/urandom >"$top/key"
--- a/t/bench/cluster.sh
+++ b/t/bench/cluster.sh
@@ -78,6 +78,11 @@
 	echo "${zones[$((($1 - 1) % ${#zones[@]}))]}"
 }
 
+# Links between proxies run through a relay as well.
+advertise_link() {
+	$relayed && echo "\"link_advertise\": \"$ip:$((8500 + $1))\", "
+}
+
 write_settings() {
 	local i controls="" common
 
@@ -97,7 +102,7 @@
 	to=() admin_to=() announce=""
 	for ((i = 1; i <= nentries; i++)); do
 		echo "{\"id\": \"entry$i\", \"zone\": \"$(zone_of $i)\",
-\"link\": \"$ip:$((7500 + i))\", \"listen\": \"$ip:$((5400 + i))\", $common}" \
+\"link\": \"$ip:$((7500 + i))\", $(advertise_link $i)\"listen\": \"$ip:$((5400 + i))\", $common}" \
 			>"$dir/entry$i.json"
 		admin_to+=(--to "$ip:$((5400 + i))")
 		announce+="${announce:+,}$ip:$((5400 + i))"
@@ -129,19 +134,23 @@
 	fi
 }
 
-# Sends a command to the relay in front of the members.
 relay_members() {
+	relay_say 6301 "$1"
+}
+
+# Sends a command to the relay with this control port.
+relay_say() {
 	local answer
 
-	exec 3<>"/dev/tcp/$ip/6301" || fail "the relay does not answer"
-	echo "$1" >&3
+	exec 3<>"/dev/tcp/$ip/$1" || fail "the relay does not answer"
+	echo "$2" >&3
 	read -r answer <&3
 	exec 3>&-
-	[ "$answer" = ok ] || fail "relay: $1: $answer"
+	[ "$answer" = ok ] || fail "relay: $2: $answer"
 }
 
-# 3 ms one way to callers; 1 ms one way between a member and what connects to
-# it from another zone.
+# 3 ms one way to callers; 1 ms one way between a member, or the link of a
+# proxy, and what connects to it from another zone. Control's links have none.
 start_relays() {
 	local i j g routes=()
 
@@ -157,7 +166,13 @@
 		done
 	done
 	start relay_members "$b/helper/relay" --control "$ip:6301" "${routes[@]}"
+	routes=()
+	for ((i = 1; i <= nentries; i++)); do
+		routes+=(--listen "link$i@$ip:$((8500 + i))=$ip:$((7500 + i))")
+	done
+	start relay_links "$b/helper/relay" --control "$ip:6302" "${routes[@]}"
 	wait_for "relay" eval "exec 3<>/dev/tcp/$ip/6300"
+	wait_for "relay" eval "exec 3<>/dev/tcp/$ip/6302"
 	wait_for "relay" eval "exec 3<>/dev/tcp/$ip/6301"
 	exec 3<>"/dev/tcp/$ip/6300"
 	echo "delay * 3" >&3
@@ -169,6 +184,13 @@
 	local i j m
 
 	relay_up=yes
+	for ((i = 1; i <= nentries; i++)); do
+		relay_say 6302 "source entry$i $(pid_of entry$i)"
+		for ((j = 1; j <= nentries; j++)); do
+			[ "$(zone_of $i)" = "$(zone_of $j)" ] && continue
+			relay_say 6302 "delay entry$i>link$j 1"
+		done
+	done
 	for ((i = 1; i <= nentries; i++)); do
 		relay_members "source entry$i $(pid_of entry$i)"
 		for ((j = 1; j <= members; j++)); do
@@ -248,9 +270,22 @@
 	admin apply --operator bench "$dir/plans.json" "$dir/customers.json" \
 		>"$dir/apply.log" || fail "lists refused, see $dir/apply.log"
 	wait_for "lists in force" in_force
+	settle
+}
+
+# Waits until every group has had the same primary for a second.
+settle() {
+	local g was now="" until=$((SECONDS + ready_s))
+
 	for g in "${groups[@]}"; do
 		wait_for "primary of $g" primary "$g"
 	done
+	until [ -n "$now" ] && [ "$was" = "$now" ]; do
+		[ $SECONDS -ge $until ] && fail "$deployment: primaries change"
+		was=$now
+		sleep 1
+		now=$(admin status --groups | awk '{print $1, $2, $3, $4}')
+	done
 }
 
 stop_cluster() {
--- a/t/bench/parts.sh
+++ b/t/bench/parts.sh
@@ -93,9 +93,11 @@
 		load "gap-$1-$i" "$order_user" "${groups[i]}" --seconds 9 \
 			--callers 6 --mix order:1 &
 		loads="$loads $!"
-		victims[i]=$(primary "${groups[i]}") || fail "no primary"
 	done
 	sleep 1.2
+	for i in 0 1 2; do
+		victims[i]=$(primary "${groups[i]}") || fail "no primary"
+	done
 	if [ "$1" != "$kind" ]; then
 		lead=$(control_leader)
 		kill -9 "$(pid_of "$lead")"
@@ -117,9 +119,7 @@
 		start "$lead" "$b/marjoramlatch-control" --settings \
 			"$dir/$lead.json"
 	fi
-	for i in 0 1 2; do
-		wait_for "primary of ${groups[i]}" primary "${groups[i]}"
-	done
+	settle
 }
 
 bench_gap() {
