--- a/request.c
+++ b/request.c
@@ -261,7 +261,7 @@
 
 void req_free(struct req_engine *q)
 {
-	struct req_run *r;
+	struct req_run *r = NULL;
 	struct req_run *next;
 
 	if (!q)
