--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -421,8 +421,10 @@
 	f.start();
 	std::string old = f.group()->primary;
 	f.member(old).up = false;
-	for (auto &m : f.members)
+	for (auto &m : f.members) {
 		m.st.held = f.member(old).st.held;
+		m.st.log_term = 1;
+	}
 	f.acked = f.member(old).st.held;
 	ASSERT_TRUE(f.until(3000, [&] { return f.group()->changing; }));
 	f.until(500, [] { return false; });
