quota, ctlcore: bound the work that a large roster causes

Floors were computed anew for each proxy that joined, the changing groups collected and the whole view compared for each ask, and the view pushed for each committed group.

--- a/ctl_ask.c
+++ b/ctl_ask.c
@@ -26,8 +26,7 @@
 			   now);
 }
 
-/* Lists the groups that the lease does not cover. */
-static void ask_fill_changing(struct ctl *c, struct msg_answer *a)
+static void ask_find_changing(struct ctl *c)
 {
 	size_t n;
 	const struct group_info *g = state_groups(c->state, &n);
@@ -35,11 +34,21 @@
 	c->changing = realloc(c->changing, (n + 1) * sizeof(*c->changing));
 	if (!c->changing)
 		abort();
-	a->changing = c->changing;
+	c->nchanging = 0;
 	for (size_t i = 0; i < n; i++)
 		if (g[i].changing)
-			memcpy(a->changing[a->nchanging++].text, g[i].name,
+			memcpy(c->changing[c->nchanging++].text, g[i].name,
 			       ID_LEN);
+	c->changing_view = state_view_version(c->state);
+}
+
+/* Lists the groups that the lease does not cover. */
+static void ask_fill_changing(struct ctl *c, struct msg_answer *a)
+{
+	if (!c->changing || c->changing_view != state_view_version(c->state))
+		ask_find_changing(c);
+	a->changing = c->changing;
+	a->nchanging = c->nchanging;
 }
 
 static void ask_fill_lists(const struct ctl *c, const struct msg_ask *ask,
--- a/ctl_priv.h
+++ b/ctl_priv.h
@@ -68,10 +68,13 @@
 	struct ctl_out *outs;
 	size_t nouts;
 	size_t taken;
-	struct name *changing; /* of the last answer */
+	struct name *changing; /* groups, as of changing_view */
+	int64_t nchanging;
+	int64_t changing_view;
 	struct ctl_formed formed[SET_MAX_CONTROLS];
 	clk_ms form_due;
 	clk_ms roster_due;
+	bool push; /* groups changed since the last tick */
 	size_t log_bytes; /* applied since the last snapshot */
 	enum raft_role role; /* last seen, for the log */
 };
--- a/ctlcore.c
+++ b/ctlcore.c
@@ -200,7 +200,7 @@
 	else if (c->leading)
 		fo_tick(c->fo, now);
 	if (c->leading && ctl_groups_changed(c, view))
-		ctl_push(c);
+		c->push = true;
 }
 
 static void ctl_restore(struct ctl *c, const struct blob *data)
@@ -328,6 +328,9 @@
 	ctl_compact(c);
 	ctl_form_tick(c, now);
 	raft_tick(c->raft, now);
+	if (c->push && c->leading)
+		ctl_push(c);
+	c->push = false;
 	if (ctl_may_act(c, now)) {
 		ctl_roster_tick(c, now);
 		fo_tick(c->fo, now);
--- a/quota.c
+++ b/quota.c
@@ -8,6 +8,7 @@
 
 enum {
 	QUOTA_PARTS = 16, /* answers remembered until one is acknowledged */
+	QUOTA_ROSTER_MS = 2000, /* between changes of floors by the roster */
 	QUOTA_PEAK_MS = 2000 /* demand counts at its peak for this long */
 };
 
@@ -65,6 +66,7 @@
 	int64_t lists_version;
 	int64_t roster_version; /* sum of the records' versions and number */
 	uint64_t roster; /* hash of ids and zones */
+	clk_ms roster_due; /* when a changed roster is looked at next */
 	struct customer_quota *customers;
 	struct proxy_quota *proxies;
 	size_t nproxies;
@@ -180,13 +182,13 @@
 }
 
 static void quota_set_floors(struct quota_server *q, struct customer_quota *c,
-			     const struct proxy_info *proxies, size_t n,
-			     const size_t *index, int64_t *floors)
+			     const struct floor_map *m, const size_t *index,
+			     int64_t *floors)
 {
-	quota_floors(c->name, c->limit, proxies, n, floors);
+	quota_floors(m, c->name, c->limit, floors);
 	for (size_t i = 0; i < c->nholders; i++)
 		c->holders[i].floor = 0;
-	for (size_t i = 0; i < n; i++) {
+	for (size_t i = 0; i < m->n; i++) {
 		struct holder *h;
 
 		if (!floors[i])
@@ -198,46 +200,71 @@
 	}
 }
 
-/* Takes over new lists or a changed roster. */
+static void quota_set_all_floors(struct quota_server *q,
+				 const struct proxy_info *proxies, size_t n)
+{
+	int64_t *floors = calloc(n + 1, sizeof(*floors));
+	size_t *index = calloc(n + 1, sizeof(*index));
+	struct floor_map m;
+
+	if (!floors || !index)
+		abort();
+	floor_map_init(&m, proxies, n);
+	for (size_t i = 0; i < n; i++)
+		index[i] = quota_proxy(q, proxies[i].id);
+	for (struct customer_quota *c = q->customers; c; c = c->hh.next)
+		quota_set_floors(q, c, &m, index, floors);
+	floor_map_free(&m);
+	free(floors);
+	free(index);
+}
+
+static void quota_take_limits(struct quota_server *q, const struct lists *l)
+{
+	for (struct customer_quota *c = q->customers; c; c = c->hh.next)
+		c->limit = 0;
+	for (int64_t i = 0; i < l->ncustomers; i++)
+		quota_customer(q, l->customers[i].name, true)->limit =
+			lst_plan_of(l, &l->customers[i])->connections;
+}
+
+static uint64_t roster_hash(const struct proxy_info *p, size_t n)
+{
+	uint64_t hash = n;
+
+	for (size_t i = 0; i < n; i++) {
+		hash = XXH3_64bits_withSeed(p[i].id, strlen(p[i].id), hash);
+		hash = XXH3_64bits_withSeed(p[i].zone, strlen(p[i].zone), hash);
+	}
+	return hash;
+}
+
+/*
+ * Takes over new lists or a changed roster. A changed roster alone waits for
+ * QUOTA_ROSTER_MS, since all proxies of a zone may start at the same time.
+ */
 static void quota_refresh(struct quota_server *q, const struct lists *lists,
-			  const struct proxy_info *proxies, size_t n)
+			  const struct proxy_info *proxies, size_t n,
+			  clk_ms now)
 {
 	int64_t version = (int64_t)n;
-	uint64_t roster = n;
-	struct customer_quota *c;
-	int64_t *floors;
-	size_t *index;
+	uint64_t roster;
 
 	for (size_t i = 0; i < n; i++)
 		version += proxies[i].version;
-	if (lists->version == q->lists_version && version == q->roster_version)
+	if (lists->version == q->lists_version &&
+	    (version == q->roster_version || now < q->roster_due))
 		return;
+	roster = roster_hash(proxies, n);
 	q->roster_version = version;
-	for (size_t i = 0; i < n; i++) {
-		roster = XXH3_64bits_withSeed(proxies[i].id,
-					      strlen(proxies[i].id), roster);
-		roster = XXH3_64bits_withSeed(proxies[i].zone,
-					      strlen(proxies[i].zone), roster);
-	}
 	if (lists->version == q->lists_version && roster == q->roster)
 		return;
+	if (lists->version != q->lists_version)
+		quota_take_limits(q, lists);
 	q->lists_version = lists->version;
 	q->roster = roster;
-	for (c = q->customers; c; c = c->hh.next)
-		c->limit = 0;
-	for (int64_t i = 0; i < lists->ncustomers; i++)
-		quota_customer(q, lists->customers[i].name, true)->limit =
-			lst_plan_of(lists, &lists->customers[i])->connections;
-	floors = calloc(n + 1, sizeof(*floors));
-	index = calloc(n + 1, sizeof(*index));
-	if (!floors || !index)
-		abort();
-	for (size_t i = 0; i < n; i++)
-		index[i] = quota_proxy(q, proxies[i].id);
-	for (c = q->customers; c; c = c->hh.next)
-		quota_set_floors(q, c, proxies, n, index, floors);
-	free(floors);
-	free(index);
+	q->roster_due = now + QUOTA_ROSTER_MS;
+	quota_set_all_floors(q, proxies, n);
 }
 
 static void holder_acknowledge(struct holder *h, int64_t seq)
@@ -528,7 +555,7 @@
 	struct sent s = {.seq = answer->answer_seq, .at = now};
 	size_t p;
 
-	quota_refresh(q, lists, proxies, nproxies);
+	quota_refresh(q, lists, proxies, nproxies, now);
 	p = quota_proxy(q, proxy);
 	s.base = quota_hear(q, p, ask, now);
 	quota_take_demands(q, p, ask, now);
--- a/quota_floor.c
+++ b/quota_floor.c
@@ -4,20 +4,48 @@
 #include <string.h>
 #include <xxhash.h>
 
-static uint64_t floor_hash(const char *customer, int64_t unit, const char *name)
+static uint64_t floor_hash(uint64_t seed, int64_t unit, const char *name)
 {
-	XXH64_hash_t seed = XXH3_64bits(customer, strlen(customer));
-
 	return XXH3_64bits_withSeed(name, strlen(name),
 				    seed + (uint64_t)unit *
 						    0x9e3779b97f4a7c15u);
 }
 
-/* Zones in the order of their hash for the customer. */
-struct floor_zone {
-	const char *name;
-	uint64_t hash;
-};
+static int floor_order(const void *a, const void *b)
+{
+	const struct proxy_info *x = *(const struct proxy_info *const *)a;
+	const struct proxy_info *y = *(const struct proxy_info *const *)b;
+	int zones = strcmp(x->zone, y->zone);
+
+	return zones ? zones : strcmp(x->id, y->id);
+}
+
+void floor_map_init(struct floor_map *m, const struct proxy_info *proxies,
+		    size_t n)
+{
+	m->base = proxies;
+	m->n = n;
+	m->proxies = calloc(n + 1, sizeof(*m->proxies));
+	m->zones = calloc(n + 1, sizeof(*m->zones));
+	m->nzones = 0;
+	if (!m->proxies || !m->zones)
+		abort();
+	for (size_t i = 0; i < n; i++)
+		m->proxies[i] = &proxies[i];
+	if (n)
+		qsort(m->proxies, n, sizeof(*m->proxies), floor_order);
+	for (size_t i = 0; i < n; i++) {
+		if (!i || strcmp(m->proxies[i]->zone, m->proxies[i - 1]->zone))
+			m->zones[m->nzones++].first = i;
+		m->zones[m->nzones - 1].n++;
+	}
+}
+
+void floor_map_free(struct floor_map *m)
+{
+	free(m->proxies);
+	free(m->zones);
+}
 
 static int floor_zone_order(const void *a, const void *b)
 {
@@ -26,45 +54,23 @@
 
 	if (x->hash != y->hash)
 		return x->hash > y->hash ? -1 : 1;
-	return strcmp(x->name, y->name);
+	return x->first < y->first ? -1 : 1;
 }
 
-static size_t floor_zones(const char *customer, const struct proxy_info *p,
-			  size_t n, struct floor_zone *out)
-{
-	size_t nz = 0;
-
-	for (size_t i = 0; i < n; i++) {
-		size_t z = 0;
-
-		while (z < nz && strcmp(out[z].name, p[i].zone))
-			z++;
-		if (z < nz)
-			continue;
-		out[nz].name = p[i].zone;
-		out[nz++].hash = floor_hash(customer, -1, p[i].zone);
-	}
-	qsort(out, nz, sizeof(*out), floor_zone_order);
-	return nz;
-}
-
-static size_t floor_owner(const char *customer, int64_t unit, const char *zone,
-			  const struct proxy_info *p, size_t n)
+static const struct proxy_info *floor_owner(const struct floor_map *m,
+					    const struct floor_zone *z,
+					    uint64_t seed, int64_t unit)
 {
+	const struct proxy_info *best = NULL;
 	uint64_t best_hash = 0;
-	size_t best = n;
 
-	for (size_t i = 0; i < n; i++) {
-		uint64_t hash;
+	for (size_t i = z->first; i < z->first + z->n; i++) {
+		uint64_t hash = floor_hash(seed, unit, m->proxies[i]->id);
 
-		if (strcmp(p[i].zone, zone) != 0)
+		if (best && hash <= best_hash)
 			continue;
-		hash = floor_hash(customer, unit, p[i].id);
-		if (best == n || hash > best_hash ||
-		    (hash == best_hash && strcmp(p[i].id, p[best].id) < 0)) {
-			best = i;
-			best_hash = hash;
-		}
+		best = m->proxies[i];
+		best_hash = hash;
 	}
 	return best;
 }
@@ -74,38 +80,38 @@
 	return (limit + 1) / 2;
 }
 
-void quota_floors(const char *customer, int64_t limit,
-		  const struct proxy_info *proxies, size_t nproxies,
-		  int64_t *out)
+void quota_floors(const struct floor_map *m, const char *customer,
+		  int64_t limit, int64_t *out)
 {
-	struct floor_zone *zones;
-	size_t nz;
+	uint64_t seed = XXH3_64bits(customer, strlen(customer));
+	struct floor_zone *z = m->zones;
 
-	memset(out, 0, nproxies * sizeof(*out));
-	if (!nproxies)
+	memset(out, 0, m->n * sizeof(*out));
+	if (!m->n)
 		return;
-	zones = calloc(nproxies, sizeof(*zones));
-	if (!zones)
-		abort();
-	nz = floor_zones(customer, proxies, nproxies, zones);
+	for (size_t i = 0; i < m->nzones; i++)
+		z[i].hash = floor_hash(seed, -1, m->proxies[z[i].first]->zone);
+	qsort(z, m->nzones, sizeof(*z), floor_zone_order);
 	for (int64_t u = 0; u < quota_half(limit); u++)
-		out[floor_owner(customer, u, zones[(size_t)u % nz].name,
-				proxies, nproxies)]++;
-	free(zones);
+		out[floor_owner(m, &z[(size_t)u % m->nzones], seed, u) -
+		    m->base]++;
 }
 
 int64_t quota_floor(const char *customer, int64_t limit, const char *proxy,
 		    const struct proxy_info *proxies, size_t nproxies)
 {
 	int64_t *floors = calloc(nproxies + 1, sizeof(*floors));
+	struct floor_map m;
 	int64_t result = 0;
 
 	if (!floors)
 		abort();
-	quota_floors(customer, limit, proxies, nproxies, floors);
+	floor_map_init(&m, proxies, nproxies);
+	quota_floors(&m, customer, limit, floors);
 	for (size_t i = 0; i < nproxies; i++)
 		if (!strcmp(proxies[i].id, proxy))
 			result = floors[i];
+	floor_map_free(&m);
 	free(floors);
 	return result;
 }
--- a/state.c
+++ b/state.c
@@ -391,6 +391,8 @@
 void state_delta(struct state *s, int64_t since, struct msg_answer *a)
 {
 	a->view_version = s->view_version;
+	if (since >= s->view_version)
+		return;
 	s->delta_groups =
 		state_scratch(s->delta_groups, s->ngroups, sizeof(*s->groups));
 	s->delta_backends = state_scratch(s->delta_backends, s->nbackends,
