pqwatch: don't start a watcher on a socket that libpq has closed

A run of sys_exec aborted in libev. libpq closes its socket itself when it finds the connection broken, also inside a send, and ev_io_start() asserts on the missing descriptor.

--- a/builtin/load_conn.c
+++ b/builtin/load_conn.c
@@ -1,5 +1,7 @@
 #include "load.h"
 
+#include "pqwatch.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -84,9 +86,7 @@
 
 static void lconn_watch(struct lconn *l, int events)
 {
-	ev_io_stop(l->loop, &l->io);
-	ev_io_set(&l->io, PQsocket(l->pg), events);
-	ev_io_start(l->loop, &l->io);
+	pqw_watch(l->loop, &l->io, l->pg, events);
 }
 
 static void lconn_timeout(struct lconn *l, double s)
--- a/member.c
+++ b/member.c
@@ -3,6 +3,7 @@
 #include "counter.h"
 #include "log.h"
 #include "pool.h"
+#include "pqwatch.h"
 #include "status.h"
 
 #include <ev.h>
@@ -86,9 +87,7 @@
 
 static void member_watch(struct member *m, int events)
 {
-	ev_io_stop(m->set->loop, &m->io);
-	ev_io_set(&m->io, PQsocket(m->pg), events);
-	ev_io_start(m->set->loop, &m->io);
+	pqw_watch(m->set->loop, &m->io, m->pg, events);
 }
 
 static void member_sql(const struct fo_act *call, char *sql, size_t len)
--- a/probe.c
+++ b/probe.c
@@ -1,6 +1,7 @@
 #include "probe.h"
 
 #include "pool.h"
+#include "pqwatch.h"
 #include "settings.h"
 
 #include <ev.h>
@@ -37,11 +38,7 @@
 
 static void probe_watch(struct probe *p, int events)
 {
-	ev_io_stop(p->loop, &p->io);
-	if (!events)
-		return;
-	ev_io_set(&p->io, PQsocket(p->pg), events);
-	ev_io_start(p->loop, &p->io);
+	pqw_watch(p->loop, &p->io, p->pg, events);
 }
 
 static void probe_enter(struct probe *p, enum probe_state state)
--- a/t/helper/backend/client.c
+++ b/t/helper/backend/client.c
@@ -1,5 +1,7 @@
 #include "backend.h"
 
+#include "pqwatch.h"
+
 #include <libpq-fe.h>
 #include <stdlib.h>
 #include <string.h>
@@ -40,9 +42,7 @@
 
 static void watch(struct client *c, int events)
 {
-	ev_io_stop(be.loop, &c->io);
-	ev_io_set(&c->io, PQsocket(c->pg), events);
-	ev_io_start(be.loop, &c->io);
+	pqw_watch(be.loop, &c->io, c->pg, events);
 }
 
 static void arm(struct client *c, clk_ms ms)
