--- a/request.c
+++ b/request.c
@@ -261,16 +261,12 @@
 
 void req_free(struct req_engine *q)
 {
-	struct req_run *r;
-	struct req_run *next;
-
 	if (!q)
 		return;
 	ev_timer_stop(q->loop, &q->timer);
 	ev_idle_stop(q->loop, &q->later);
-	HASH_ITER (hh, q->runs, r, next) {
-		req_drop(q, r);
-	}
+	while (q->runs)
+		req_drop(q, q->runs);
 	free(q);
 }
 
