t: add a soak of random faults and tests of request ids under failure

make soak SEEDS=200 runs random kills, freezes, cuts, forgotten connections, dropped directions and delays per seed, with the history checker at the end. An ordinary test run takes four fixed seeds.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 #
 #   make            programs in build/release
 #   make test       unit and integration tests (installs packages if missing)
+#   make soak SEEDS=200  random faults under load, a seed at a time
 #   make demo       a small deployment on loopback with a failover in the middle
 #   make SAN=1 ...  the same with address and undefined-behaviour sanitizers
 #   make lint       formatter and linter
@@ -83,6 +84,12 @@
 	$(MAKE) SAN=$(SAN) -j$(shell nproc) tests
 	t/run.sh $(B)
 
+SEEDS = 200
+
+soak: packages
+	$(MAKE) SAN=$(SAN) -j$(shell nproc) all helpers $(B)/t/sys_soak
+	t/soak.sh $(B) $(SEEDS)
+
 demo: packages
 	$(MAKE) SAN=$(SAN) -j$(shell nproc) all helpers
 	t/demo.sh $(B)
@@ -108,5 +115,5 @@
 
 -include $(shell find build -name '*.d' 2>/dev/null)
 
-.PHONY: all helpers tests test demo packages format lint clean
+.PHONY: all helpers tests test soak demo packages format lint clean
 .SECONDARY:
--- a/t/sys_once.cc
+++ b/t/sys_once.cc
@@ -103,10 +103,27 @@
 
 		return r.ok ? atoi(r.value().c_str()) : -1;
 	}
-	bool committed(const std::string &key)
+	/* Returns when the request is committed at the primary, but awaits
+	 * the majority, because no replica gets the log. */
+	void send_and_hold(Pending &p, const std::string &key)
 	{
-		return wait_until(CHANGE_MS,
-				  [&] { return count(primary, key) == 1; });
+		c.fault("freeze orders-*>" + primary);
+		p.send(sql(key));
+		EXPECT_TRUE(wait_until(CHANGE_MS, [&] {
+			return count(primary, key) == 1;
+		})) << key;
+	}
+	/* Lets the replicas have it. */
+	void release(const std::string &key)
+	{
+		c.fault("heal orders-*>" + primary);
+		EXPECT_TRUE(wait_until(CHANGE_MS, [&] {
+			int n = 0;
+
+			for (const std::string &m : c.members("orders"))
+				n += count(m, key) == 1;
+			return n >= 2;
+		})) << key;
 	}
 	/* Asks until there is an outcome. */
 	Result insist(const std::string &proxy, const std::string &key)
@@ -155,7 +172,7 @@
 	struct {
 		const char *key;
 		std::string proxy;
-		std::string pattern;
+		std::string link;
 	} cases[] = {
 		{"lost-member", owner, owner + ">" + primary},
 		{"lost-proxies", other, other + ">" + owner + "-link"},
@@ -165,10 +182,10 @@
 	for (auto &k : cases) {
 		Pending p(c, k.proxy);
 
-		c.fault("drop " + k.pattern + " down");
-		p.send(sql(k.key));
-		EXPECT_TRUE(committed(k.key)) << k.key;
-		c.fault("cut " + k.pattern);
+		send_and_hold(p, k.key);
+		c.fault("drop " + k.link + " down");
+		release(k.key);
+		c.fault("cut " + k.link);
 		std::string state = p.state();
 		EXPECT_TRUE(state == "08007" || state == "08006")
 			<< k.key << ": " << state;
@@ -185,12 +202,10 @@
 		std::string key = "killed-" + victim;
 		Pending p(c, other);
 
-		c.fault("drop " + owner + ">" + primary + " down");
-		p.send(sql(key));
-		EXPECT_TRUE(committed(key));
+		send_and_hold(p, key);
 		c.process(victim).kill();
-		std::string state = p.state();
-		EXPECT_EQ(victim == owner ? "08007" : "08006", state) << key;
+		EXPECT_EQ(victim == owner ? "08007" : "08006", p.state())
+			<< key;
 		c.fault("heal *");
 		c.start(victim);
 		expect_once(key);
@@ -199,19 +214,29 @@
 }
 
 /* Guards against a commit that is forgotten, or done again, because its
- * primary died before the answer left. */
+ * primary died before the answer left: once when a replica had it, and once
+ * when none had. */
 TEST_F(Once, PrimaryKilledBetweenCommitAndAnswer)
 {
-	Pending p(c, other);
-
-	c.fault("drop " + owner + ">" + primary + " down");
-	p.send(sql("died"));
-	EXPECT_TRUE(committed("died"));
-	c.process(primary).kill();
-	c.fault("heal *");
-	EXPECT_EQ("08007", p.state());
-	c.start(primary);
-	expect_once("died");
+	for (bool replicated : {true, false}) {
+		std::string key = replicated ? "died" : "died-alone";
+		std::string old = primary;
+		Pending p(c, other);
+
+		send_and_hold(p, key);
+		c.fault("drop " + owner + ">" + primary + " down");
+		if (replicated)
+			release(key);
+		c.process(old).kill();
+		/* What the relay holds back is lost with the connection. */
+		c.fault("cut " + owner + ">" + old);
+		c.fault("heal *");
+		EXPECT_EQ("08007", p.state()) << key;
+		EXPECT_EQ("INSERT 0 1", insist(other, key).tag);
+		c.start(old);
+		expect_once(key);
+		look();
+	}
 }
 
 /* Guards against a first outcome that is lost with the primary, and against
--- /dev/null
+++ b/t/sys_soak.cc
@@ -0,0 +1,221 @@
+/*
+ * Random faults under load, with the history checker at the end. Seeds are
+ * taken from the environment variable SEED, or else are the fixed ones of the
+ * ordinary test run; "make soak SEEDS=200" runs many.
+ */
+
+#include "lib_load.h"
+
+#include <gtest/gtest.h>
+
+using namespace cluster;
+using namespace load;
+
+namespace
+{
+
+constexpr int FAULT_TIME_MS = 5000;
+constexpr int MAX_FAULTS = 2; /* at a time */
+constexpr int SETTLE_MS = 15000;
+
+struct Fault {
+	std::string name; /* of a process, or "" */
+	std::string undo; /* command to the relay, "start" or "thaw" */
+	std::string text;
+	int64_t until;
+};
+
+class Soak : public testing::TestWithParam<int>
+{
+      protected:
+	static Spec spec()
+	{
+		Spec s;
+
+		s.relay = true;
+		return s;
+	}
+	Cluster c{spec()};
+	history::History h;
+	std::mt19937 rng{(unsigned)GetParam()};
+	std::vector<Fault> faults;
+	int64_t began = 0;
+
+	int pick(int n)
+	{
+		return (int)(rng() % (unsigned)n);
+	}
+	std::string process(const char *kind)
+	{
+		return kind + std::to_string(pick(3) + 1);
+	}
+	std::string any_process()
+	{
+		const char *kinds[] = {"orders-", "orders-", "p", "c"};
+
+		return process(kinds[pick(4)]);
+	}
+	/* A link between two kinds of processes, as the relay names it. */
+	std::string any_link()
+	{
+		switch (pick(5)) {
+		case 0:
+			return process("p") + ">" + process("orders-");
+		case 1:
+			return process("orders-") + ">" + process("orders-");
+		case 2:
+			return process("p") + ">" + process("c");
+		case 3:
+			return process("c") + ">" + process("c");
+		default:
+			return process("p") + ">" + process("p") + "-link";
+		}
+	}
+	void relay(const std::string &command, const std::string &pattern,
+		   const std::string &rest, int64_t until)
+	{
+		std::string line = command + " " + pattern + rest;
+
+		c.fault(line);
+		if (command != "forget")
+			faults.push_back({"", "heal " + pattern, line, until});
+		say(line);
+	}
+	void say(const std::string &text)
+	{
+		printf("%5lld ms: %s\n", (long long)(now_ms() - began),
+		       text.c_str());
+	}
+	bool taken(const std::string &name)
+	{
+		for (const Fault &f : faults)
+			if (f.name == name)
+				return true;
+		return false;
+	}
+	void stop(const std::string &name, bool kill, int64_t until)
+	{
+		if (taken(name))
+			return;
+		if (kill)
+			c.process(name).kill();
+		else
+			c.process(name).freeze();
+		faults.push_back({name, kill ? "start" : "thaw", "", until});
+		say((kill ? "kill " : "freeze ") + name);
+	}
+	void injure()
+	{
+		int64_t until = now_ms() + 200 + pick(2500);
+		std::string name;
+
+		switch (pick(9)) {
+		case 0:
+		case 1:
+			stop(any_process(), true, until);
+			break;
+		case 2:
+		case 3:
+			stop(any_process(), false, until);
+			break;
+		case 4:
+			name = any_process();
+			relay("cut", name, "", until);
+			relay("cut", name + ">*", "", until);
+			break;
+		case 5:
+			relay("cut", any_link(), "", until);
+			break;
+		case 6:
+			relay("forget", any_link(), "", until);
+			break;
+		case 7:
+			relay("drop", any_link(), pick(2) ? " up" : " down",
+			      until);
+			break;
+		case 8:
+			relay("delay", any_link(),
+			      " " + std::to_string(5 + pick(100)), until);
+			break;
+		}
+	}
+	void repair(const Fault &f)
+	{
+		if (f.undo == "start")
+			c.start(f.name);
+		else if (f.undo == "thaw")
+			c.process(f.name).thaw();
+		else
+			c.fault(f.undo);
+		say(f.name.empty() ? f.undo : f.undo + " " + f.name);
+	}
+	void repair_due(int64_t now)
+	{
+		for (size_t i = 0; i < faults.size();)
+			if (faults[i].until <= now) {
+				repair(faults[i]);
+				faults.erase(faults.begin() + (long)i);
+			} else {
+				i++;
+			}
+	}
+	void trouble()
+	{
+		int64_t next = 0;
+
+		began = now_ms();
+		while (now_ms() < began + FAULT_TIME_MS) {
+			repair_due(now_ms());
+			if (now_ms() >= next && faults.size() < MAX_FAULTS) {
+				injure();
+				next = now_ms() + 100 + pick(900);
+			}
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(10));
+		}
+		repair_due(INT64_MAX);
+		c.fault("heal *");
+	}
+};
+
+/* Guards against what the tests of single faults don't combine. */
+TEST_P(Soak, KeepsItsGuaranteesUnderRandomFaults)
+{
+	Options o;
+	std::string wrong;
+
+	o.seed = (unsigned)GetParam();
+	o.callers = 6;
+	ASSERT_TRUE(c.start()) << "seed " << o.seed;
+	ASSERT_TRUE(create_table(c));
+	Load l(c, h, o);
+	ASSERT_TRUE(wait_until(5000, [&] {
+		return h.count(history::Outcome::ANSWERED) > 50;
+	}));
+	trouble();
+	int64_t before = h.count(history::Outcome::ANSWERED);
+	EXPECT_TRUE(wait_until(SETTLE_MS, [&] {
+		return h.count(history::Outcome::ANSWERED) > before + 20;
+	})) << "no service after the faults";
+	l.stop();
+	EXPECT_EQ("", settle(c, h, "orders", SETTLE_MS));
+	EXPECT_EQ("", join(h.check()));
+	EXPECT_EQ("", join(l.complaints()));
+	printf("seed=%u answered=%lld unknown=%lld not_run=%lld %s\n", o.seed,
+	       (long long)h.count(history::Outcome::ANSWERED),
+	       (long long)h.count(history::Outcome::UNKNOWN),
+	       (long long)h.count(history::Outcome::NOT_RUN),
+	       HasFailure() ? "FAILED" : "passed");
+}
+
+std::vector<int> seeds()
+{
+	const char *one = getenv("SEED");
+
+	return one ? std::vector<int>{atoi(one)} : std::vector<int>{1, 2, 3, 4};
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Soak, testing::ValuesIn(seeds()),
+			 testing::PrintToStringParamName());
+
+} // namespace
