t: test that a replaced primary acknowledges nothing behind a partition

Durability is "primary" in this test, so that nothing but the lease stops the old primary. The service gap is now measured until the callers are stopped, not until the members have settled afterwards.

--- a/t/lib_history.cc
+++ b/t/lib_history.cc
@@ -253,6 +253,17 @@
 	return out;
 }
 
+std::map<int64_t, int64_t> History::answers_by_term(int64_t since) const
+{
+	std::lock_guard<std::mutex> guard(lock_);
+	std::map<int64_t, int64_t> out;
+
+	for (const Attempt &a : attempts_)
+		if (a.outcome == Outcome::ANSWERED && a.ended >= since)
+			out[a.term]++;
+	return out;
+}
+
 int64_t History::longest_gap(int64_t from, int64_t to) const
 {
 	std::lock_guard<std::mutex> guard(lock_);
--- a/t/lib_history.h
+++ b/t/lib_history.h
@@ -59,6 +59,9 @@
 	 * after it; 0 if none was. */
 	std::pair<int64_t, int64_t> answers_around(int64_t time) const;
 
+	/* Answers since a time, by the term of their token. */
+	std::map<int64_t, int64_t> answers_by_term(int64_t since) const;
+
 	/* Longest time without an answered attempt between two times of
 	 * cluster::now_ms(). */
 	int64_t longest_gap(int64_t from, int64_t to) const;
--- a/t/sys_failover.cc
+++ b/t/sys_failover.cc
@@ -110,11 +110,12 @@
 					       .value("role") == "replica";
 			}))
 			<< primary << " did not return as a replica";
+		int64_t end = now_ms();
 		l.stop();
 		EXPECT_EQ("", settle(c, h));
 		EXPECT_EQ("", join(h.check()));
 		EXPECT_EQ("", join(l.complaints()));
-		int64_t gap = h.longest_gap(at - 100, now_ms());
+		int64_t gap = h.longest_gap(at - 100, end);
 		printf("seed=%u fault=\"%s\" leader_killed=%d gap_ms=%lld "
 		       "answered=%lld unknown=%lld not_run=%lld\n",
 		       seed, fault_names[fault], with_leader, (long long)gap,
@@ -144,4 +145,91 @@
 	EXPECT_LE(gaps[gaps.size() / 2], MEDIAN_MS);
 }
 
+/* Writes are acknowledged without a majority here, so that the lease alone
+ * keeps a replaced primary from it. */
+struct Partition : testing::Test {
+	static Spec spec()
+	{
+		Spec s;
+
+		s.relay = true;
+		s.lists = "{\"plans\": [{\"name\": \"fast\", \"connections\": "
+			  "30, \"max_age_ms\": 5000, \"max_wait_ms\": 5000, "
+			  "\"durability\": \"primary\"}],\n\"customers\": [" +
+			  customer_json("shop", "fast", "shop-password") +
+			  "]}\n";
+		return s;
+	}
+	Cluster c{spec()};
+	history::History h;
+
+	/* Primary and owner see each other only. */
+	void divide(const std::string &primary, const std::string &owner)
+	{
+		for (const char *p : {"p1", "p2", "p3"})
+			if (p != owner) {
+				c.fault("cut " + std::string(p) + ">" +
+					primary);
+				c.fault("cut " + primary + ">" + p);
+			}
+		c.fault("cut " + owner + ">*-link");
+		c.fault("cut p*>" + owner + "-link");
+		c.fault("cut " + owner + ">c*");
+		for (const std::string &id : c.members("orders"))
+			if (id != primary)
+				c.fault("cut " + owner + ">" + id);
+		c.fault("cut c*>" + primary);
+		c.fault("cut orders-*>" + primary);
+		c.fault("cut " + primary + ">orders-*");
+	}
+};
+
+/* Guards against a primary that goes on acknowledging behind a partition after
+ * it was replaced. */
+TEST_F(Partition, ReplacedPrimaryAcknowledgesNothing)
+{
+	ASSERT_TRUE(c.start());
+	ASSERT_TRUE(create_table(c));
+	std::string primary = c.primary("orders");
+	std::string owner = show(c, "p1", "BACKENDS", primary, "owner");
+	Options inside, outside;
+
+	inside.proxies = {owner};
+	outside.proxies.clear();
+	for (const char *p : {"p1", "p2", "p3"})
+		if (p != owner)
+			outside.proxies.push_back(p);
+	outside.seed = 2;
+	Load in(c, h, inside);
+	Load out(c, h, outside);
+	ASSERT_TRUE(wait_until(10000, [&] {
+		return h.count(history::Outcome::ANSWERED) > 100;
+	}));
+	divide(primary, owner);
+	int64_t at = now_ms();
+	std::map<int64_t, int64_t> terms;
+	/* Answers of the old term under the last lease, then of the next. */
+	EXPECT_TRUE(wait_until(GAP_MS,
+			       [&] {
+				       terms = h.answers_by_term(at);
+				       return terms.size() > 1 &&
+					      terms.rbegin()->second > 50;
+			       }))
+		<< terms.size() << " terms";
+	c.fault("heal *");
+	EXPECT_TRUE(wait_until(10000, [&] {
+		return c.member(primary)
+			       .exec("SELECT * FROM marjoramlatch_status()")
+			       .value("role") == "replica";
+	}));
+	in.stop();
+	out.stop();
+	EXPECT_EQ("", settle(c, h));
+	for (const std::string &line : h.check())
+		EXPECT_NE(0u, line.find("acknowledged by a replaced")) << line;
+	for (const auto &[term, n] : terms)
+		printf("term=%lld answers=%lld\n", (long long)term,
+		       (long long)n);
+}
+
 } // namespace
--- a/t/unit_history.cc
+++ b/t/unit_history.cc
@@ -135,6 +135,16 @@
 			<< not_run;
 }
 
+TEST(History, FindsAnAnswerOfAReplacedPrimary)
+{
+	Sample h;
+
+	h.end(h.begin("s", "orders", "a1"), Outcome::ANSWERED, 2);
+	EXPECT_EQ(0u, h.found("acknowledged by a replaced primary"));
+	h.end(h.begin("s", "orders", "a2"), Outcome::ANSWERED, 1);
+	EXPECT_EQ(1u, h.found("acknowledged by a replaced primary: a2"));
+}
+
 TEST(History, MeasuresGaps)
 {
 	Sample h;
