--- a/t/helper/backend/store.c
+++ b/t/helper/backend/store.c
@@ -85,6 +85,14 @@
 	sqlite3_result_int64(ctx, clk_now_us());
 }
 
+/* Which member a statement ran on. */
+static void server_addr(sqlite3_context *ctx, int n, sqlite3_value **args)
+{
+	(void)n;
+	(void)args;
+	sqlite3_result_text(ctx, be.opt.listen, -1, SQLITE_STATIC);
+}
+
 sqlite3 *store_handle(void)
 {
 	char path[300];
@@ -96,6 +104,8 @@
 	sqlite3_busy_timeout(db, 2000);
 	sqlite3_create_function(db, "clock_timestamp", 0, SQLITE_UTF8, NULL,
 				clock_timestamp, NULL, NULL);
+	sqlite3_create_function(db, "inet_server_addr", 0, SQLITE_UTF8, NULL,
+				server_addr, NULL, NULL);
 	if (!store_exec(db, "PRAGMA journal_mode=WAL;"
 			    "PRAGMA synchronous=NORMAL"))
 		die("opening", sqlite3_errmsg(db));
