settings: shorten silent_ms to 2200 ms

Cause: the control leader counts silent_ms from the ask that passed an announcement on, which leaves the entry instance up to 400 ms after it was heard. With 2500 ms, work that was admitted just before ran up to and beyond 3 s after the last announcement. Ruled out: pushing of the record (milliseconds) and stale views.

--- a/settings.c
+++ b/settings.c
@@ -67,7 +67,9 @@
 		.grant_ms = 2000,
 		.poll_ms = 100,
 		.suspect_ms = 500,
-		.silent_ms = 2500,
+		/* With an ask of 400 ms in between, it takes 2600 ms from
+		 * the last announcement; no new work may start after 3 s. */
+		.silent_ms = 2200,
 		.heartbeat_ms = 100,
 		.election_min_ms = 500,
 		.stop_ms = 5000,
