--- /dev/null
+++ b/daemon.c
@@ -0,0 +1,100 @@
+#include "daemon.h"
+
+#include "log.h"
+#include "version.h"
+
+#include <argtable2.h>
+#include <ev.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+
+enum { EXIT_USAGE = 129 };
+
+struct daemon_run {
+	const struct daemon *d;
+	void *state;
+};
+
+static void daemon_on_signal(struct ev_loop *loop, ev_signal *w, int events)
+{
+	const struct daemon_run *run = w->data;
+
+	(void)loop;
+	(void)events;
+	run->d->stop(run->state);
+}
+
+static void daemon_catch(struct ev_loop *loop, ev_signal *w, int number,
+			 struct daemon_run *run)
+{
+	ev_signal_init(w, daemon_on_signal, number);
+	w->data = run;
+	ev_signal_start(loop, w);
+}
+
+static int daemon_run(const struct daemon *d, const struct settings *set)
+{
+	struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+	struct daemon_run run = {.d = d};
+	struct err e = ERR_INIT;
+	ev_signal term;
+	ev_signal interrupt;
+
+	if (d->start(&run.state, loop, set, &e)) {
+		log_error(d->module, "event=start_failed error=\"%s\"", e.text);
+		return 1;
+	}
+	daemon_catch(loop, &term, SIGTERM, &run);
+	daemon_catch(loop, &interrupt, SIGINT, &run);
+	log_info(d->module, "event=started id=%s zone=%s listen=%s link=%s",
+		 set->id, set->zone, set->listen, set->link);
+	ev_run(loop, 0);
+	d->finish(run.state);
+	log_info(d->module, "event=stopped");
+	return 0;
+}
+
+static int daemon_load(const struct daemon *d, const char *path)
+{
+	static struct settings set;
+	struct err e = ERR_INIT;
+
+	if (sodium_init() < 0 || set_load(&set, path, d->role, &e)) {
+		fprintf(stderr, "%s: %s\n", d->program, e.text);
+		return 1;
+	}
+	log_init(d->program, (enum log_level)log_parse_level(set.log_level));
+	signal(SIGPIPE, SIG_IGN);
+	return daemon_run(d, &set);
+}
+
+int daemon_main(const struct daemon *d, int argc, char **argv)
+{
+	struct arg_file *settings =
+		arg_file0(NULL, "settings", "FILE", "settings of the instance");
+	struct arg_lit *help = arg_lit0(NULL, "help", "show this help");
+	struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {settings, help, version, end};
+	int errors = arg_parse(argc, argv, table);
+	int code = EXIT_USAGE;
+
+	if (help->count) {
+		printf("Usage: %s --settings FILE\n\n%s\n\n", d->program,
+		       d->summary);
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		code = 0;
+	} else if (version->count) {
+		printf("%s %s\n", d->program, MARJORAMLATCH_VERSION);
+		code = 0;
+	} else if (errors || !settings->count) {
+		if (errors)
+			arg_print_errors(stderr, end, d->program);
+		fprintf(stderr, "Usage: %s --settings FILE\n", d->program);
+	} else {
+		code = daemon_load(d, settings->filename[0]);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
