--- a/pool.c
+++ b/pool.c
@@ -18,7 +18,6 @@
 	bool tainted;
 	clk_ms opened;
 	clk_ms since; /* of the state */
-	clk_ms rested; /* idle before it was handed out */
 	ev_io io;
 	int events;
 	void (*on_io)(void *arg, int revents);
@@ -292,8 +291,7 @@
 		struct pool_want *w = pool_next_want(p);
 
 		c->state = POOL_USED;
-		c->rested = clk_now() - c->since;
-		c->since += c->rested;
+		c->since = clk_now();
 		w->on_conn(w->arg, c);
 	}
 	if (p->wants)
@@ -429,11 +427,6 @@
 	pool_set_events(c, events);
 }
 
-clk_ms pool_rested(const struct pool_conn *c)
-{
-	return c->rested;
-}
-
 PGconn *pool_pg(struct pool_conn *c)
 {
 	return c->pg;
--- a/pool.h
+++ b/pool.h
@@ -76,9 +76,6 @@
 /* Sets the events that are watched, EV_READ and EV_WRITE. */
 void pool_watch(struct pool_conn *c, int events);
 
-/* How long a connection that is handed out now had been idle. */
-clk_ms pool_rested(const struct pool_conn *c);
-
 PGconn *pool_pg(struct pool_conn *c);
 
 int64_t pool_open(const struct pool *p);
--- a/runner.h
+++ b/runner.h
@@ -18,9 +18,6 @@
 struct runner;
 struct view;
 
-/* Longest idle time after which a connection is trusted without a check. */
-enum { RUNNER_TRUST_MS = 100 };
-
 struct runner_user {
 	void *arg;
 	void (*on_data)(void *arg, const char *bytes, size_t len);
--- a/runner_plan.c
+++ b/runner_plan.c
@@ -246,13 +246,19 @@
 	return PQenterPipelineMode(r->pg);
 }
 
-/* Reads and BEGIN carry a status row in front anyway. */
+/*
+ * A row that comes before the statement runs tells at once whether the
+ * connection still delivers data; a middlebox may have forgotten it since the
+ * last statement. Reads and BEGIN carry one anyway, and with a request id the
+ * answer to BEGIN tells the same.
+ */
 static bool plan_checks_first(const struct runner *r)
 {
-	if (pool_rested(r->conn) <= RUNNER_TRUST_MS)
-		return false;
-	return r->run->kind == RUN_WRITE || r->run->kind == RUN_TXN ||
-	       r->run->kind == RUN_DESCRIBE;
+	const struct msg_run *run = r->run;
+
+	if (run->kind == RUN_WRITE)
+		return !(run->flags & RUN_ONCE);
+	return run->kind == RUN_TXN || run->kind == RUN_DESCRIBE;
 }
 
 static bool plan_first(struct runner *r)
--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -410,6 +410,20 @@
 		return run(RUN_READ, "b1", "SELECT 1")->end.res == RES_OK;
 	}));
 	EXPECT_LT(clk_now() - from, 1500);
+	/* The same for writes, on a connection that was in use just before. */
+	for (int64_t flags : {(int64_t)RUN_MAJORITY, ONCE}) {
+		struct msg_run r =
+			request(RUN_WRITE, "b1",
+				"CREATE TABLE IF NOT EXISTS t (k int)", flags);
+		snprintf(r.request_id, sizeof(r.request_id), "r%lld",
+			 (long long)flags);
+		EXPECT_TRUE(until([&] { return run(r)->end.res == RES_OK; }));
+		relay.command("forget b");
+		from = clk_now();
+		EXPECT_EQ(RES_UNKNOWN, run(r)->end.res);
+		EXPECT_TRUE(until([&] { return run(r)->end.res == RES_OK; }));
+		EXPECT_LT(clk_now() - from, 1500);
+	}
 }
 
 /* Guards against new work on a server that leaves, and against requests that
