--- a/runner_plan.c
+++ b/runner_plan.c
@@ -39,11 +39,14 @@
 	return plan_sql(r, STEP_STATUS, STATUS_SQL) && plan_sync(r);
 }
 
-static bool plan_await(struct runner *r)
+/* What follows a commit: the term and position, and the majority's word. */
+static bool plan_confirm(struct runner *r)
 {
-	if (!(r->run->flags & RUN_MAJORITY))
-		return true;
-	return plan_sql(r, STEP_AWAIT, AWAIT_SQL) && plan_sync(r);
+	if (!plan_sql(r, STEP_STATUS, STATUS_SQL))
+		return false;
+	if (r->run->flags & RUN_MAJORITY && !plan_sql(r, STEP_AWAIT, AWAIT_SQL))
+		return false;
+	return plan_sync(r);
 }
 
 static bool plan_send_params(struct runner *r)
@@ -135,8 +138,7 @@
 /* The statement commits at the first sync, so that await() sees it. */
 static bool plan_write(struct runner *r)
 {
-	return plan_statement(r) && plan_sync(r) && plan_status(r) &&
-	       plan_await(r);
+	return plan_statement(r) && plan_sync(r) && plan_confirm(r);
 }
 
 static bool plan_claim_row(struct runner *r)
@@ -171,7 +173,7 @@
 		return false;
 	if (!r->commits)
 		return true;
-	return plan_status(r) && plan_await(r);
+	return plan_confirm(r);
 }
 
 static bool plan_prepare(struct runner *r)
@@ -307,7 +309,7 @@
 	r->phase = PHASE_REPLAY;
 	return plan_sql(r, STEP_ROLLBACK, "ROLLBACK") && plan_sync(r) &&
 	       plan_args(r, STEP_REPLAY, ONCE_REPLAY, 2, values) &&
-	       plan_sync(r) && plan_status(r) && plan_await(r);
+	       plan_sync(r) && plan_confirm(r);
 }
 
 static bool plan_create(struct runner *r)
@@ -329,7 +331,7 @@
 	values[2] = buf_str(&text);
 	ok = plan_args(r, STEP_OUTCOME, ONCE_OUTCOME, 3, values) &&
 	     plan_sql(r, STEP_COMMIT, "COMMIT") && plan_sync(r) &&
-	     plan_status(r) && plan_await(r);
+	     plan_confirm(r);
 	buf_free(&text);
 	return ok;
 }
@@ -383,7 +385,7 @@
 		if (r->failed || (r->run->kind == RUN_TXN &&
 				  PQtransactionStatus(r->pg) != PQTRANS_IDLE))
 			return false;
-		*ok = plan_pipeline(r) && plan_status(r) && plan_await(r);
+		*ok = plan_pipeline(r) && plan_confirm(r);
 		return true;
 	}
 	return false;
