failover: let replicas follow a primary that is suspected early

Cause: a proxy that learns of a new primary before it has polled it reports it as suspect at once. The leader then left the idle phase, and only that phase tells members to follow, so the new primary stayed alone, reported no majority after 500 ms and was replaced again.

Change: members are told in the probing phase, too.

Ruled out: the replicas were reachable and followed within 1 ms of the second promotion.

Before: each start of a deployment changed the primary twice within 1.7 s (terms 1 and 2 in every log of sys_failover); the new unit test fails.

--- a/failover.c
+++ b/failover.c
@@ -143,6 +143,36 @@
 	       p->status.majority_age_ms < f->cfg.no_majority_ms;
 }
 
+static bool fo_follows(const struct fo_member *m, const struct group_info *info,
+		       const char *addr)
+{
+	return m->follows_term == info->term &&
+	       m->follows_incarnation == m->status.incarnation &&
+	       !strcmp(m->follows, addr);
+}
+
+/* Tells members that may not follow the current primary to do so. */
+static void fo_lead_members(struct fo *f, struct fo_group *g,
+			    const struct group_info *info, clk_ms now)
+{
+	const struct fo_member *p = fo_member(g, info->primary);
+
+	if (!p)
+		return;
+	for (size_t i = 0; i < g->nmembers; i++) {
+		struct fo_member *m = &g->members[i];
+
+		if (m == p || !m->known || fo_follows(m, info, p->addr) ||
+		    !fo_may_call(m, FO_RETRY_MS, now))
+			continue;
+		m->follows_term = 0;
+		m->follows_incarnation = m->status.incarnation;
+		memcpy(m->follows, p->addr, ADDR_LEN);
+		memcpy(fo_call(f, g, m, FO_FOLLOW, info->term, now)->primary,
+		       p->addr, ADDR_LEN);
+	}
+}
+
 static void fo_probing_first(struct fo *f, struct fo_group *g)
 {
 	size_t n = fo_answered(g, g->since);
@@ -184,6 +214,9 @@
 {
 	const struct group_info *info = fo_info(f, g);
 
+	/* A primary that is suspected too early needs its replicas, too. */
+	if (info && info->term > 0)
+		fo_lead_members(f, g, info, now);
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
 	if (now < f->led + fo_wait(f))
 		return;
@@ -303,36 +336,6 @@
 	g->suspected = INT64_MIN / 2;
 }
 
-static bool fo_follows(const struct fo_member *m, const struct group_info *info,
-		       const char *addr)
-{
-	return m->follows_term == info->term &&
-	       m->follows_incarnation == m->status.incarnation &&
-	       !strcmp(m->follows, addr);
-}
-
-/* Tells members that may not follow the current primary to do so. */
-static void fo_lead_members(struct fo *f, struct fo_group *g,
-			    const struct group_info *info, clk_ms now)
-{
-	const struct fo_member *p = fo_member(g, info->primary);
-
-	if (!p)
-		return;
-	for (size_t i = 0; i < g->nmembers; i++) {
-		struct fo_member *m = &g->members[i];
-
-		if (m == p || !m->known || fo_follows(m, info, p->addr) ||
-		    !fo_may_call(m, FO_RETRY_MS, now))
-			continue;
-		m->follows_term = 0;
-		m->follows_incarnation = m->status.incarnation;
-		memcpy(m->follows, p->addr, ADDR_LEN);
-		memcpy(fo_call(f, g, m, FO_FOLLOW, info->term, now)->primary,
-		       p->addr, ADDR_LEN);
-	}
-}
-
 static void fo_start_probing(struct fo_group *g, clk_ms now)
 {
 	g->phase = FO_PROBING;
--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -258,6 +258,25 @@
 	}));
 }
 
+/* Guards against a new primary without replicas, because somebody suspects it
+ * before it is known to all. */
+TEST(Fo, SuspicionDoesNotKeepReplicasFromFollowing)
+{
+	Failover f;
+
+	f.lead();
+	ASSERT_TRUE(f.until(3000, [&] { return f.settled(0); }));
+	fo_suspect(f.fo, "orders", 1, f.now);
+	EXPECT_TRUE(f.until(300, [&] {
+		int n = 0;
+
+		for (auto &m : f.members)
+			n += m.follows == 1;
+		return n == 2;
+	}));
+	EXPECT_FALSE(f.until(4000, [&] { return f.group()->changing; }));
+}
+
 /* Guards against an interruption longer than the lease asks for, and against
  * one shorter. */
 TEST(Fo, KilledPrimaryIsReplacedAfterOneLease)
