--- a/failover.c
+++ b/failover.c
@@ -244,8 +244,8 @@
 	const struct group_info *info = fo_info(f, g);
 
 	/* Replicas that returned may give the primary its majority back, or
-	 * take over from it if it is leaving. */
-	if (info && fo_is_primary(fo_member(g, info->primary)))
+	 * take over from it; one that is suspected too early needs them. */
+	if (info && info->term > 0)
 		fo_lead_members(f, g, info, now);
 	fo_call_all(f, g, FO_PROBE, FO_RETRY_MS, now);
 	if (info && info->term > 0)
--- a/filter.c
+++ b/filter.c
@@ -42,6 +42,7 @@
 	admit_free(f->admit);
 	rng_free(f->rng);
 	free(f->actions);
+	free(f->doubts);
 	free(f);
 }
 
@@ -148,6 +149,35 @@
 	flt_pump(f, r->customer, now);
 }
 
+/* Keeps the unit of a statement that may still run at its backend. */
+static void flt_doubt(struct flt *f, struct flt_record *r, clk_ms now)
+{
+	if (!r->has_unit)
+		return;
+	r->has_unit = false;
+	f->doubts = realloc(f->doubts, (f->ndoubts + 1) * sizeof(*f->doubts));
+	if (!f->doubts)
+		abort();
+	f->doubts[f->ndoubts++] =
+		(struct flt_doubt){.customer = r->customer,
+				   .since = r->unit_since,
+				   .until = now + FLT_DOUBT_MS};
+}
+
+static void flt_settle_doubts(struct flt *f, clk_ms now)
+{
+	size_t n = 0;
+
+	while (n < f->ndoubts && f->doubts[n].until <= now) {
+		admit_release(f->doubts[n].customer, now - f->doubts[n].since);
+		n++;
+	}
+	f->ndoubts -= n;
+	if (n && f->ndoubts)
+		memmove(f->doubts, f->doubts + n,
+			f->ndoubts * sizeof(*f->doubts));
+}
+
 /* Ends a request with an end that came from exec or was made here. */
 static void flt_done(struct flt *f, struct flt_record *r,
 		     const struct msg_end *end, clk_ms now)
@@ -167,6 +197,8 @@
 		cnt_refusal((enum res)end->res);
 	if (end->pin)
 		r->has_unit = false; /* the pin keeps it, see flt_unpin() */
+	if (res_ran((enum res)end->res) == RES_RAN_MAYBE)
+		flt_doubt(f, r, now);
 	flt_give_back(f, r, now);
 	flt_forget(f, r);
 }
@@ -410,15 +442,16 @@
 		flt_done(f, r, end, now);
 }
 
-void flt_abandon(struct flt *f, int64_t id)
+void flt_abandon(struct flt *f, int64_t id, clk_ms now)
 {
 	struct flt_record *r;
 
 	HASH_FIND(hh, f->records, &id, sizeof(id), r);
 	if (!r)
 		return;
-	if (r->has_unit)
-		r->customer->in_use--;
+	if (r->phase == FLT_RUNNING)
+		flt_doubt(f, r, now);
+	flt_give_back(f, r, now);
 	flt_forget(f, r);
 }
 
@@ -490,12 +523,15 @@
 			flt_route(f, r, now);
 	}
 	free(ids);
+	flt_settle_doubts(f, now);
 	admit_each(f->admit, flt_pump_one, &args);
 }
 
 clk_ms flt_due(const struct flt *f)
 {
-	return f->waiting ? f->ticked + FLT_TICK_MS : CLK_NEVER;
+	if (f->waiting)
+		return f->ticked + FLT_TICK_MS;
+	return f->ndoubts ? f->doubts[0].until : CLK_NEVER;
 }
 
 struct flt_demand_list {
--- a/filter.h
+++ b/filter.h
@@ -83,7 +83,7 @@
 
 /* The caller has gone: the request is forgotten, flt_ended() is not to be
  * called for it and no FLT_DONE follows. */
-void flt_abandon(struct flt *f, int64_t id);
+void flt_abandon(struct flt *f, int64_t id, clk_ms now);
 
 /* A transaction's pinned connection counts against the customer's units until
  * it is given up. */
--- a/filter_priv.h
+++ b/filter_priv.h
@@ -9,6 +9,7 @@
 #include "admit.h"
 #include "exec.h"
 #include "filter.h"
+#include "link.h"
 
 #include <uthash.h>
 
@@ -16,7 +17,18 @@
 	FLT_TICK_MS = 5, /* how often waiting requests are looked at */
 	FLT_PARK_MS = 20, /* pause before looking again for a primary */
 	FLT_STATEMENT_MS = 30000, /* bound of one statement's run time */
-	FLT_MAX_TRIED = 8
+	FLT_MAX_TRIED = 8,
+	/* A lost link ends its requests at once here, but the owner notices
+	 * only after LINK_SILENT_MS and then cancels them. Their units are not
+	 * used again before. */
+	FLT_DOUBT_MS = 2 * LINK_SILENT_MS
+};
+
+/* A unit whose statement may still run at the backend. */
+struct flt_doubt {
+	struct admit_customer *customer;
+	clk_ms since;
+	clk_ms until;
 };
 
 enum flt_phase {
@@ -65,6 +77,8 @@
 	int64_t next_id;
 	struct flt_action *actions; /* ring */
 	size_t first, count, cap;
+	struct flt_doubt *doubts; /* in order of their end */
+	size_t ndoubts;
 	bool wants_quota;
 	int64_t waiting; /* records in FLT_QUEUED or FLT_PARKED */
 	clk_ms ticked;
--- a/request.c
+++ b/request.c
@@ -207,7 +207,7 @@
 
 	snprintf(end.sqlstate, sizeof(end.sqlstate), "%s",
 		 res_sqlstate(RES_CANCELED));
-	flt_abandon(q->flt, r->id);
+	flt_abandon(q->flt, r->id, clk_now());
 	req_drop(q, r);
 	cnt_refusal(RES_CANCELED);
 	sink.on_end(sink.arg, &end);
@@ -319,7 +319,7 @@
 		return;
 	if (r->run_id)
 		exec_abandon(q->exec, r->run_id);
-	flt_abandon(q->flt, id);
+	flt_abandon(q->flt, id, clk_now());
 	req_drop(q, r);
 	ev_idle_start(q->loop, &q->later);
 }
