cost: grow the table of a backend server with its use

Cause: every proxy holds a cost table for each backend server of the view, 2048 entries (about 90 KB) each, also for those that others own.

Change: a table starts with 16 entries and doubles up to its bound.

--- a/cost.c
+++ b/cost.c
@@ -5,6 +5,7 @@
 enum {
 	COST_RECENT = 255, /* statements the median is taken of */
 	COST_REFRESH = 16, /* statements between computations of the median */
+	COST_START = 16, /* entries of a new table */
 	COST_NONE = -1
 };
 
@@ -23,6 +24,7 @@
 	struct cost_entry *entries;
 	int *buckets;
 	int max;
+	int size; /* allocated entries and buckets */
 	int used;
 	int newest;
 	int oldest;
@@ -31,22 +33,38 @@
 	int64_t median;
 };
 
+static int *cost_bucket(struct cost *c, int64_t fingerprint);
+
+/* A proxy has a table for each backend server that it knows, most of them
+ * empty, so tables grow with their use. */
+static void cost_resize(struct cost *c, int size)
+{
+	c->entries = realloc(c->entries, (size_t)size * sizeof(*c->entries));
+	c->buckets = realloc(c->buckets, (size_t)size * sizeof(*c->buckets));
+	if (!c->entries || !c->buckets)
+		abort();
+	c->size = size;
+	for (int i = 0; i < size; i++)
+		c->buckets[i] = COST_NONE;
+	for (int i = 0; i < c->used; i++) {
+		int *bucket = cost_bucket(c, c->entries[i].fingerprint);
+
+		c->entries[i].chain = *bucket;
+		*bucket = i;
+	}
+}
+
 struct cost *cost_new(int max)
 {
 	struct cost *c = calloc(1, sizeof(*c));
 
 	if (!c)
 		abort();
-	c->entries = calloc((size_t)max, sizeof(*c->entries));
-	c->buckets = calloc((size_t)max, sizeof(*c->buckets));
-	if (!c->entries || !c->buckets)
-		abort();
 	c->max = max;
 	c->newest = COST_NONE;
 	c->oldest = COST_NONE;
 	c->median = COST_FIRST_US;
-	for (int i = 0; i < max; i++)
-		c->buckets[i] = COST_NONE;
+	cost_resize(c, max < COST_START ? max : COST_START);
 	return c;
 }
 
@@ -62,7 +80,7 @@
 /* Fingerprints are hashes already. */
 static int *cost_bucket(struct cost *c, int64_t fingerprint)
 {
-	return &c->buckets[(uint64_t)fingerprint % (uint64_t)c->max];
+	return &c->buckets[(uint64_t)fingerprint % (uint64_t)c->size];
 }
 
 static int cost_find(struct cost *c, int64_t fingerprint)
@@ -116,8 +134,13 @@
 
 static int cost_add(struct cost *c, int64_t fingerprint, double us)
 {
-	int i = c->used < c->max ? c->used++ : cost_evict(c);
-	int *bucket = cost_bucket(c, fingerprint);
+	int *bucket;
+	int i;
+
+	if (c->used == c->size && c->size < c->max)
+		cost_resize(c, 2 * c->size < c->max ? 2 * c->size : c->max);
+	i = c->used < c->max ? c->used++ : cost_evict(c);
+	bucket = cost_bucket(c, fingerprint);
 
 	c->entries[i] = (struct cost_entry){
 		.fingerprint = fingerprint, .us = us, .chain = *bucket};
