view, exec: look records up in sorted tables

Cause: view_backend() and view_proxy() searched linearly. A change of the view looks up every backend server, so that its cost grew with the square of their number; perf showed 73% of a proxy's time in strcmp with 900 members. Each poll also compared the group names of all backend servers.

Change: sorted keys for groups, backend servers and proxies of the view. The round trips of a group's other members are collected only when a poll was slow enough to matter.

--- a/exec_backend.c
+++ b/exec_backend.c
@@ -105,12 +105,16 @@
 	return (x > y) - (x < y);
 }
 
-/* Median poll round trip of the group's other members polled from here. */
-static int64_t exec_others_us(const struct exec_backend *b)
+/* Median poll round trip of the group's other members polled from here; only
+ * looked for if this one could count as slow. */
+static int64_t exec_others_us(const struct exec_backend *b, int64_t own_us)
 {
 	int64_t us[16];
 	size_t n = 0;
 
+	if (own_us <= HEALTH_SLOW_MIN_US &&
+	    b->health.round_trip_us <= HEALTH_SLOW_MIN_US)
+		return 0;
 	for (const struct exec_backend *o = b->x->backends; o; o = o->hh.next) {
 		if (o == b || strcmp(o->group, b->group) || !o->probe ||
 		    !o->health.round_trip_us || n == sizeof(us) / sizeof(us[0]))
@@ -173,8 +177,8 @@
 	int64_t term;
 
 	exec_heard(b, st);
-	health_measure(&b->health, round_trip_us, exec_others_us(b), b->x->rng,
-		       now);
+	health_measure(&b->health, round_trip_us,
+		       exec_others_us(b, round_trip_us), b->x->rng, now);
 	if (b->silent_since) {
 		log_info("exec", "backend=%s answers again after_ms=%lld",
 			 b->id, (long long)(now - b->silent_since));
--- a/view.c
+++ b/view.c
@@ -1,10 +1,23 @@
 #include "view.h"
+#include "table.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
+/* Where a record is, sorted by id: a view of the target size holds thousands
+ * of records, which are looked up for each statement. */
+struct view_key {
+	char id[ID_LEN];
+	size_t at;
+};
+
+struct view_keys {
+	struct view_key *keys;
+	size_t n;
+};
+
 struct view {
 	char self[ID_LEN];
 	char zone[ID_LEN];
@@ -14,11 +27,14 @@
 	struct group_info *groups;
 	bool *changing; /* by index of groups */
 	size_t ngroups;
+	struct view_keys group_keys;
 	struct backend_info *backends;
 	size_t nbackends;
+	struct view_keys backend_keys;
 	struct proxy_info *proxies;
 	bool *down; /* by index of proxies: the link is broken */
 	size_t nproxies;
+	struct view_keys proxy_keys;
 };
 
 struct view *view_new(const char *self_id, const char *self_zone)
@@ -43,6 +59,9 @@
 	free(v->backends);
 	free(v->proxies);
 	free(v->down);
+	free(v->group_keys.keys);
+	free(v->backend_keys.keys);
+	free(v->proxy_keys.keys);
 	lst_unref(v->lists);
 	free(v);
 }
@@ -57,32 +76,45 @@
 	return grown;
 }
 
+static const struct view_key *key_find(const struct view_keys *k,
+				       const char *id)
+{
+	return tab_find(k->keys, k->n, sizeof(*k->keys), id);
+}
+
+static void key_add(struct view_keys *k, const char *id, size_t at)
+{
+	void *base = k->keys;
+	struct view_key *key = tab_insert(&base, &k->n, sizeof(*key), id);
+
+	k->keys = base;
+	key->at = at;
+}
+
 static struct group_info *group_find(const struct view *v, const char *name)
 {
-	for (size_t i = 0; i < v->ngroups; i++)
-		if (!strcmp(v->groups[i].name, name))
-			return &v->groups[i];
-	return NULL;
+	const struct view_key *k = key_find(&v->group_keys, name);
+
+	return k ? &v->groups[k->at] : NULL;
 }
 
 static struct backend_info *backend_find(const struct view *v, const char *id)
 {
-	for (size_t i = 0; i < v->nbackends; i++)
-		if (!strcmp(v->backends[i].id, id))
-			return &v->backends[i];
-	return NULL;
+	const struct view_key *k = key_find(&v->backend_keys, id);
+
+	return k ? &v->backends[k->at] : NULL;
 }
 
 static struct proxy_info *proxy_find(const struct view *v, const char *id)
 {
-	for (size_t i = 0; i < v->nproxies; i++)
-		if (!strcmp(v->proxies[i].id, id))
-			return &v->proxies[i];
-	return NULL;
+	const struct view_key *k = key_find(&v->proxy_keys, id);
+
+	return k ? &v->proxies[k->at] : NULL;
 }
 
-static struct group_info *group_add(struct view *v)
+static struct group_info *group_add(struct view *v, const char *name)
 {
+	key_add(&v->group_keys, name, v->ngroups);
 	v->groups = view_grow(v->groups, v->ngroups, sizeof(*v->groups));
 	v->changing = view_grow(v->changing, v->ngroups, sizeof(*v->changing));
 	return &v->groups[v->ngroups++];
@@ -96,7 +128,7 @@
 	if (g && g->version >= in->version)
 		return false;
 	if (!g)
-		g = group_add(v);
+		g = group_add(v, in->name);
 	free(g->starts);
 	*g = *in;
 	g->starts = malloc(size ? size : 1);
@@ -114,6 +146,7 @@
 	if (b && b->version >= in->version)
 		return false;
 	if (!b) {
+		key_add(&v->backend_keys, in->id, v->nbackends);
 		v->backends = view_grow(v->backends, v->nbackends,
 					sizeof(*v->backends));
 		b = &v->backends[v->nbackends++];
@@ -129,6 +162,7 @@
 	if (p && p->version >= in->version)
 		return false;
 	if (!p) {
+		key_add(&v->proxy_keys, in->id, v->nproxies);
 		v->proxies =
 			view_grow(v->proxies, v->nproxies, sizeof(*v->proxies));
 		v->down = view_grow(v->down, v->nproxies, sizeof(*v->down));
