--- a/t/sys_exec.cc
+++ b/t/sys_exec.cc
@@ -2,6 +2,10 @@
 
 #include "lib_exec.h"
 
+extern "C" {
+#include "once.h"
+}
+
 #include <set>
 #include <string.h>
 
@@ -158,6 +162,18 @@
 	Answer *lost = run(l);
 	EXPECT_EQ(RES_ANSWER_LOST, lost->end.res);
 	EXPECT_EQ("INSERT 0 1", lost->text);
+	/* Rows that are too old are deleted, and no others. */
+	run(RUN_WRITE, "b1",
+	    "INSERT INTO marjoramlatch_requests VALUES ('shop', 'old', '', 5)");
+	struct run_param before = {};
+	before.value = {"1000", 4};
+	struct msg_run prune = request(RUN_WRITE, "b1", ONCE_PRUNE);
+	prune.params = &before;
+	prune.nparams = 1;
+	Answer *pruned = run(prune);
+	EXPECT_EQ(RES_OK, pruned->end.res) << pruned->text;
+	EXPECT_EQ("3",
+		  sql("b1", "SELECT count(*) FROM marjoramlatch_requests"));
 }
 
 /* Guards against a lost answer that leads to a second order. */
