cancel: cancel by pg_cancel_backend() on the loop in place of a thread

PQcancel() blocks, so it ran in a short-lived thread, against the rule of one loop on one thread. A cancel is now a connection of its own that the loop drives, at most two for a backend, from the connections kept in reserve.

--- a/cancel.c
+++ b/cancel.c
@@ -1,53 +1,137 @@
 #include "cancel.h"
 
 #include "log.h"
+#include "pool.h"
+#include "pqwatch.h"
 
-#include <pthread.h>
-#include <signal.h>
-#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
-static atomic_int cancel_running;
+struct cancel {
+	struct cancel *next;
+	struct cancel_list *list;
+	struct ev_loop *loop;
+	PGconn *pg;
+	ev_io io;
+	ev_timer timer;
+	int pid;
+	bool sent;
+};
 
-static void *cancel_thread(void *arg)
+static void cancel_end(struct cancel *c)
 {
-	char error[256];
+	struct cancel **p = &c->list->first;
 
-	if (!PQcancel(arg, error, sizeof(error)))
-		log_warn("cancel", "request failed: %s", error);
-	PQfreeCancel(arg);
-	atomic_fetch_sub(&cancel_running, 1);
-	return NULL;
+	while (*p != c)
+		p = &(*p)->next;
+	*p = c->next;
+	c->list->n--;
+	pqw_watch(c->loop, &c->io, c->pg, 0);
+	ev_timer_stop(c->loop, &c->timer);
+	PQfinish(c->pg);
+	free(c);
 }
 
-static bool cancel_start(PGcancel *cancel)
+static void cancel_fail(struct cancel *c, const char *why)
 {
-	pthread_attr_t attr;
-	pthread_t thread;
-	sigset_t all;
-	sigset_t old;
-	int rc;
+	log_warn("cancel", "pid=%d failed: %.*s", c->pid,
+		 (int)strcspn(why, "\n"), why);
+	cancel_end(c);
+}
+
+static void cancel_ask(struct cancel *c)
+{
+	char sql[64];
 
-	/* Signals are for the thread of the event loop. */
-	sigfillset(&all);
-	pthread_sigmask(SIG_SETMASK, &all, &old);
-	pthread_attr_init(&attr);
-	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
-	rc = pthread_create(&thread, &attr, cancel_thread, cancel);
-	pthread_attr_destroy(&attr);
-	pthread_sigmask(SIG_SETMASK, &old, NULL);
-	return rc == 0;
+	snprintf(sql, sizeof(sql), "SELECT pg_cancel_backend(%d)", c->pid);
+	PQsetnonblocking(c->pg, 1);
+	c->sent = true;
+	if (!PQsendQuery(c->pg, sql))
+		cancel_fail(c, PQerrorMessage(c->pg));
+	else
+		pqw_watch(c->loop, &c->io, c->pg,
+			  PQflush(c->pg) ? EV_READ | EV_WRITE : EV_READ);
 }
 
-bool cancel_send(PGconn *pg)
+static void cancel_connect(struct cancel *c)
 {
-	PGcancel *cancel = PQgetCancel(pg);
+	switch (PQconnectPoll(c->pg)) {
+	case PGRES_POLLING_READING:
+		pqw_watch(c->loop, &c->io, c->pg, EV_READ);
+		break;
+	case PGRES_POLLING_WRITING:
+		pqw_watch(c->loop, &c->io, c->pg, EV_WRITE);
+		break;
+	case PGRES_POLLING_OK:
+		cancel_ask(c);
+		break;
+	default:
+		cancel_fail(c, PQerrorMessage(c->pg));
+	}
+}
 
-	if (!cancel)
+static void cancel_io(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct cancel *c = w->data;
+
+	(void)loop;
+	if (!c->sent) {
+		cancel_connect(c);
+		return;
+	}
+	if (revents & EV_WRITE && PQflush(c->pg) == 0)
+		pqw_watch(c->loop, &c->io, c->pg, EV_READ);
+	if (!(revents & EV_READ))
+		return;
+	if (!PQconsumeInput(c->pg))
+		cancel_fail(c, PQerrorMessage(c->pg));
+	else if (!PQisBusy(c->pg))
+		cancel_end(c);
+}
+
+static void cancel_timer(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	(void)loop;
+	(void)revents;
+	cancel_fail(t->data, "no answer in time");
+}
+
+bool cancel_send(struct cancel_list *list, struct ev_loop *loop,
+		 const struct settings *set, const char *addr,
+		 const char *dbname, int pid)
+{
+	PGconn *pg;
+	struct cancel *c;
+
+	if (list->n >= CANCEL_MAX || !pid)
 		return false;
-	if (atomic_fetch_add(&cancel_running, 1) < CANCEL_MAX &&
-	    cancel_start(cancel))
-		return true;
-	atomic_fetch_sub(&cancel_running, 1);
-	PQfreeCancel(cancel);
-	return false;
+	pg = pool_connect(set, addr, dbname);
+	if (!pg || PQstatus(pg) == CONNECTION_BAD) {
+		PQfinish(pg);
+		return false;
+	}
+	c = calloc(1, sizeof(*c));
+	if (!c)
+		abort();
+	c->next = list->first;
+	c->list = list;
+	list->first = c;
+	list->n++;
+	c->loop = loop;
+	c->pg = pg;
+	c->pid = pid;
+	ev_init(&c->io, cancel_io);
+	c->io.data = c;
+	ev_timer_init(&c->timer, cancel_timer, CANCEL_MS / 1000.0, 0.);
+	c->timer.data = c;
+	ev_timer_start(loop, &c->timer);
+	pqw_watch(loop, &c->io, pg, EV_WRITE);
+	return true;
+}
+
+void cancel_stop(struct cancel_list *list)
+{
+	while (list->first)
+		cancel_end(list->first);
 }
--- a/cancel.h
+++ b/cancel.h
@@ -4,19 +4,36 @@
 /*
  * Cancel requests to backend servers.
  *
- * libpq 15 can only send a cancel request with a blocking connect, and keeps
- * the secret key to itself. A short-lived thread therefore runs PQcancel(),
- * which is safe to call from one; it shares nothing with the loop. At most
- * CANCEL_MAX run at a time, since an unreachable server holds its thread until
- * the connect times out; further requests are dropped.
+ * libpq 15 sends the protocol's cancel request only with a blocking connect,
+ * and keeps the secret key that it needs to itself. So a statement is canceled
+ * by pg_cancel_backend() on a connection of its own, which the loop drives.
+ * At most CANCEL_MAX run at a time for a backend; further ones are dropped,
+ * since the connection of the statement is closed anyway.
  */
 
-#include <libpq-fe.h>
+#include <ev.h>
 #include <stdbool.h>
 
-enum { CANCEL_MAX = 16 };
+struct cancel;
+struct settings;
 
-/* Returns false if the request was dropped. */
-bool cancel_send(PGconn *pg);
+enum {
+	CANCEL_MAX = 2, /* connections kept free for it, see exec_backend.c */
+	CANCEL_MS = 1000 /* until the backend must have answered */
+};
+
+/* Cancels that run on one backend. */
+struct cancel_list {
+	struct cancel *first;
+	int n;
+};
+
+/* Cancels what the server process pid runs; false if it was dropped. */
+bool cancel_send(struct cancel_list *list, struct ev_loop *loop,
+		 const struct settings *set, const char *addr,
+		 const char *dbname, int pid);
+
+/* Gives up those that run. */
+void cancel_stop(struct cancel_list *list);
 
 #endif
--- a/pool.c
+++ b/pool.c
@@ -1,5 +1,6 @@
 #include "pool.h"
 
+#include "cancel.h"
 #include "counter.h"
 #include "log.h"
 #include "settings.h"
@@ -34,6 +35,7 @@
 	struct pool_want *wants;
 	struct pool_want **wants_end;
 	ev_timer timer;
+	struct cancel_list cancels;
 	int64_t failures;
 	clk_ms retry_at;
 	char error[160];
@@ -350,6 +352,7 @@
 	ev_timer_stop(p->loop, &p->timer);
 	while (p->conns)
 		pool_close(p->conns);
+	cancel_stop(&p->cancels);
 	free(p);
 }
 
@@ -397,6 +400,14 @@
 		pool_serve(p);
 }
 
+void pool_cancel(struct pool_conn *c)
+{
+	struct pool *p = c->pool;
+
+	cancel_send(&p->cancels, p->loop, p->set, p->addr, p->dbname,
+		    PQbackendPID(c->pg));
+}
+
 void pool_taint(struct pool_conn *c)
 {
 	c->tainted = true;
--- a/pool.h
+++ b/pool.h
@@ -62,6 +62,9 @@
 /* Gives back a connection; it is closed unless clean. */
 void pool_release(struct pool_conn *c, bool clean);
 
+/* Asks the backend to cancel what the connection runs. */
+void pool_cancel(struct pool_conn *c);
+
 /* Lets a connection be closed when it is given back. */
 void pool_taint(struct pool_conn *c);
 
--- a/runner.c
+++ b/runner.c
@@ -1,7 +1,6 @@
 #include "runner_priv.h"
 
 #include "answer.h"
-#include "cancel.h"
 #include "counter.h"
 #include "pgwire.h"
 #include "view.h"
@@ -594,7 +593,7 @@
 	/* The request may reach the backend after the statement has ended and
 	 * must not hit one of another caller. */
 	pool_taint(r->conn);
-	cancel_send(r->pg);
+	pool_cancel(r->conn);
 }
 
 void runner_expire(struct runner *r)
@@ -604,7 +603,7 @@
 		return;
 	}
 	if (!r->gone && r->head < r->nsteps)
-		cancel_send(r->pg);
+		pool_cancel(r->conn);
 	if (!r->ended) {
 		enum res res = guard_expired(r);
 
--- a/t/helper/backend/backend.h
+++ b/t/helper/backend/backend.h
@@ -95,7 +95,15 @@
 	K_REFUSED /* COPY and others that have no meaning here */
 };
 
-enum fn { FN_STATUS, FN_FENCE, FN_PROMOTE, FN_FOLLOW, FN_AWAIT, FN_PULL };
+enum fn {
+	FN_STATUS,
+	FN_FENCE,
+	FN_PROMOTE,
+	FN_FOLLOW,
+	FN_AWAIT,
+	FN_CANCEL,
+	FN_PULL
+};
 
 struct call {
 	enum fn fn;
@@ -172,6 +180,10 @@
 void conn_abort_writers(void);
 bool conn_any_busy(void);
 
+/* Cancels what the session with this process id runs; false if there is none.
+ */
+bool conn_cancel(int32_t pid);
+
 /* ---- session.c: statements of one connection ---- */
 
 struct session;
--- a/t/helper/backend/conn.c
+++ b/t/helper/backend/conn.c
@@ -87,6 +87,17 @@
 			ses_cancel(c->ses);
 }
 
+bool conn_cancel(int32_t pid)
+{
+	struct conn *c = conns;
+
+	while (c && (c->pid != pid || !c->ses))
+		c = c->next;
+	if (c)
+		ses_cancel(c->ses);
+	return c != NULL;
+}
+
 static void on_startup(struct conn *c, const struct pgw_msg *m)
 {
 	struct pgw_reader r;
--- a/t/helper/backend/func.c
+++ b/t/helper/backend/func.c
@@ -19,6 +19,7 @@
 static const char *const promote_names[] = {"marjoramlatch_promote"};
 static const char *const follow_names[] = {"marjoramlatch_follow"};
 static const char *const await_names[] = {"marjoramlatch_await"};
+static const char *const cancel_names[] = {"pg_cancel_backend"};
 static const char *const pull_names[] = {"position", "term", "sql"};
 
 int fn_columns(enum fn fn, const char *const **names)
@@ -37,6 +38,9 @@
 	case FN_AWAIT:
 		*names = await_names;
 		return 1;
+	case FN_CANCEL:
+		*names = cancel_names;
+		return 1;
 	case FN_PULL:
 		*names = pull_names;
 		return 3;
@@ -175,6 +179,7 @@
 		       int64_t *rows, struct fn_wait *w, struct sqlerr *e)
 {
 	const char *ok = "ok";
+	const char *canceled;
 
 	*rows = 1;
 	switch (c->fn) {
@@ -196,6 +201,10 @@
 			return FN_FAILED;
 		pgw_put_text_row(out, &ok, 1);
 		return FN_DONE;
+	case FN_CANCEL:
+		canceled = conn_cancel((int32_t)number(c, 0)) ? "t" : "f";
+		pgw_put_text_row(out, &canceled, 1);
+		return FN_DONE;
 	case FN_AWAIT:
 		return call_await(seen, out, rows, w, e);
 	case FN_PULL:
--- a/t/helper/backend/sqltext.c
+++ b/t/helper/backend/sqltext.c
@@ -107,6 +107,7 @@
 		[FN_PROMOTE] = "marjoramlatch_promote",
 		[FN_FOLLOW] = "marjoramlatch_follow",
 		[FN_AWAIT] = "marjoramlatch_await",
+		[FN_CANCEL] = "pg_cancel_backend",
 		[FN_PULL] = "marjoramlatch_pull",
 	};
 	int fn;
