--- a/caller.c
+++ b/caller.c
@@ -8,9 +8,12 @@
 #include "request.h"
 #include "settings.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
 
@@ -18,7 +21,7 @@
  * flood of them is closed at once. */
 #define CALLERS_OVER_MAX 1024
 
-#define CALLERS_SWEEP_S 1.0
+#define CALLERS_SWEEP_S 0.5
 
 struct buf *caller_out(struct caller *c)
 {
@@ -183,6 +186,7 @@
 	case CALLER_CLOSING:
 		return true;
 	}
+	c->since = clk_now();
 	c->extended = m->type != 'Q';
 	switch (m->type) {
 	case 'X':
@@ -224,6 +228,12 @@
 		int n = pgw_next(net_in(c->conn), c->phase == CALLER_STARTUP,
 				 &m, &e);
 
+		if (n == 0 && c->phase == CALLER_PASSWORD &&
+		    buf_len(net_in(c->conn)) > PGW_MAX_STARTUP) {
+			err_set(&e, RES_BAD_FRAME,
+				"password message is too long");
+			n = -1;
+		}
 		if (n < 0) {
 			cnt_add(CNT_bad_input, 1);
 			caller_fatal(c, e.code, e.text);
@@ -238,6 +248,25 @@
 	net_flush(c->conn);
 }
 
+/*
+ * Lets the kernel find callers that vanished without closing, as they may hold
+ * a transaction. Failure leaves the connection without that.
+ */
+static void caller_keepalive(int fd)
+{
+	const int on = 1;
+	const int idle = CALLER_KEEPALIVE_IDLE_S;
+	const int interval = CALLER_KEEPALIVE_INTERVAL_S;
+	const int probes = CALLER_KEEPALIVE_PROBES;
+	const unsigned int unread = CALLER_UNACKED_MS;
+
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unread, sizeof(unread));
+}
+
 static void caller_on_read(void *arg)
 {
 	caller_pump(arg);
@@ -248,7 +277,22 @@
 	caller_free(arg);
 }
 
-/* Closes connections that don't authenticate or don't take their end. */
+/*
+ * A caller whose connection went silent leaves no other trace. Its transaction
+ * would keep its locks for ever.
+ */
+static void caller_check_idle(struct caller *c, clk_ms now)
+{
+	if (c->txn == 'I' || caller_busy(c) ||
+	    now - c->since < c->all->cfg.set->txn_idle_ms)
+		return;
+	caller_drop_pin(c);
+	caller_fatal(c, RES_TXN_IDLE, res_text(RES_TXN_IDLE));
+	net_flush(c->conn);
+}
+
+/* Closes connections that don't authenticate or don't take their end, and
+ * those that hold a transaction open and send nothing. */
 static void callers_sweep(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct callers *all = w->data;
@@ -262,8 +306,10 @@
 		clk_ms age = now - c->since;
 
 		next = c->next;
-		if (c->phase == CALLER_READY)
+		if (c->phase == CALLER_READY) {
+			caller_check_idle(c, now);
 			continue;
+		}
 		if (age > (c->phase == CALLER_CLOSING ? CALLER_CLOSE_MS
 						      : CALLER_STARTUP_MS))
 			caller_free(c);
@@ -319,6 +365,7 @@
 	h.arg = c;
 	c->all = all;
 	c->txn = 'I';
+	caller_keepalive(fd);
 	ses_init(&c->ses);
 	caller_enter(c, CALLER_STARTUP);
 	c->conn = net_accepted(all->cfg.loop, fd, &h);
--- a/exec_priv.h
+++ b/exec_priv.h
@@ -106,6 +106,8 @@
 	bool suspect;
 	enum suspect_reason reason;
 	clk_ms silent_since;
+	int64_t led_term; /* as the view has it */
+	clk_ms led_since; /* when the view first had it */
 	clk_ms pruned;
 	bool dispatching;
 	int64_t behind; /* requests in EXEC_BEHIND */
@@ -149,7 +151,16 @@
 void exec_recheck_behind(struct exec_backend *b);
 void exec_tick_backend(struct exec_backend *b, clk_ms now);
 void exec_dispatch(struct exec_backend *b);
+void exec_local_recheck(struct exec_req *r);
+void exec_local_silent(struct exec_req *r, bool certain);
+
+/* exec_pin.c */
+struct exec_pin *exec_pin_find(struct exec *x, int64_t id);
+struct pool_conn *exec_pin_take_out(struct exec_pin *p);
 void exec_pin_close(struct exec_pin *p);
+void exec_judge(struct exec_backend *b, enum res res);
+void exec_pin_rest(struct exec_pin *p);
+int64_t exec_pin_update(struct exec_req *r, const struct msg_end *end);
 
 /* exec_backend.c */
 struct exec_backend *exec_backend_get(struct exec *x, const char *id);
