--- a/t/lib_load.cc
+++ b/t/lib_load.cc
@@ -221,29 +221,71 @@
 	return "";
 }
 
-std::string control_leader(Cluster &c, int controls)
+namespace
 {
-	const std::string mark = "event=leading term=";
-	std::string leader;
-	int64_t newest = -1;
 
+/* Of the control instances' log lines with a mark, calls f for the last one of
+ * each; it gets the instance and the line from the mark on. */
+template <typename F>
+void last_lines(Cluster &c, int controls, const std::string &mark, F f)
+{
 	for (int i = 1; i <= controls; i++) {
 		std::string id = "c" + std::to_string(i);
 		std::string log = c.process(id).log();
 		size_t at = log.rfind(mark);
 
-		if (at == std::string::npos)
-			continue;
-		int64_t term =
-			strtoll(log.c_str() + at + mark.size(), nullptr, 10);
-		if (term > newest) {
-			newest = term;
-			leader = id;
-		}
+		if (at != std::string::npos)
+			f(id, log.substr(at, log.find('\n', at) - at));
 	}
+}
+
+int64_t number_after(const std::string &line, const std::string &key)
+{
+	size_t at = line.find(key);
+
+	return at == std::string::npos
+		       ? -1
+		       : strtoll(line.c_str() + at + key.size(), nullptr, 10);
+}
+
+} // namespace
+
+std::string control_leader(Cluster &c, int controls)
+{
+	std::string leader;
+	int64_t newest = -1;
+
+	last_lines(c, controls, "event=leading",
+		   [&](const std::string &id, const std::string &line) {
+			   int64_t term = number_after(line, "term=");
+
+			   if (term > newest) {
+				   newest = term;
+				   leader = id;
+			   }
+		   });
 	return leader;
 }
 
+std::string promoted_last(Cluster &c, int controls)
+{
+	std::string member;
+	int64_t newest = -1;
+
+	last_lines(c, controls, "event=promoted",
+		   [&](const std::string &, const std::string &line) {
+			   int64_t term = number_after(line, "term=");
+			   size_t at = line.find("primary=") + 8;
+
+			   if (term > newest) {
+				   newest = term;
+				   member = line.substr(at, line.find(' ', at) -
+								    at);
+			   }
+		   });
+	return member;
+}
+
 void cut_off(Cluster &c, const std::string &name)
 {
 	c.fault("cut " + name);
--- a/t/lib_load.h
+++ b/t/lib_load.h
@@ -79,6 +79,9 @@
 /* The control instance that became leader last. */
 std::string control_leader(cluster::Cluster &c, int controls = 3);
 
+/* The member that a control instance promoted last; asks no process. */
+std::string promoted_last(cluster::Cluster &c, int controls = 3);
+
 /* Closes and refuses all connections to and from a process. */
 void cut_off(cluster::Cluster &c, const std::string &name);
 
--- a/t/sys_soak.cc
+++ b/t/sys_soak.cc
@@ -49,20 +49,33 @@
 	{
 		return kind + std::to_string(pick(3) + 1);
 	}
-	std::string any_process()
+	/* Faults that meet no primary seldom matter. */
+	std::string any_member()
 	{
-		const char *kinds[] = {"orders-", "orders-", "p", "c"};
+		std::string primary = promoted_last(c);
 
-		return process(kinds[pick(4)]);
+		return pick(2) && !primary.empty() ? primary
+						   : process("orders-");
+	}
+	std::string any_process()
+	{
+		switch (pick(4)) {
+		case 0:
+			return process("p");
+		case 1:
+			return process("c");
+		default:
+			return any_member();
+		}
 	}
 	/* A link between two kinds of processes, as the relay names it. */
 	std::string any_link()
 	{
 		switch (pick(5)) {
 		case 0:
-			return process("p") + ">" + process("orders-");
+			return process("p") + ">" + any_member();
 		case 1:
-			return process("orders-") + ">" + process("orders-");
+			return process("orders-") + ">" + any_member();
 		case 2:
 			return process("p") + ">" + process("c");
 		case 3:
@@ -109,7 +122,7 @@
 		int64_t until = now_ms() + 200 + pick(2500);
 		std::string name;
 
-		switch (pick(9)) {
+		switch (pick(11)) {
 		case 0:
 		case 1:
 			stop(any_process(), true, until);
@@ -134,6 +147,14 @@
 			      until);
 			break;
 		case 8:
+			name = any_member();
+			relay("cut", "orders-*>" + name, "", until);
+			break;
+		case 9:
+			name = any_member();
+			relay("drop", "p*>" + name, " down", until);
+			break;
+		case 10:
 			relay("delay", any_link(),
 			      " " + std::to_string(5 + pick(100)), until);
 			break;
