--- a/daemon.c
+++ b/daemon.c
@@ -51,7 +51,7 @@
 		 set->id, set->zone, set->listen, set->link);
 	ev_run(loop, 0);
 	d->finish(run.state);
-	log_info(d->module, "event=stopped");
+	log_info(d->module, "event=exit status=0");
 	return 0;
 }
 
--- a/t/unit_filter.cc
+++ b/t/unit_filter.cc
@@ -7,6 +7,7 @@
 #include "counter.h"
 #include "exec.h"
 #include "filter.h"
+#include "link.h"
 #include "lists.h"
 #include "quota.h"
 #include "retry.h"
@@ -276,6 +277,43 @@
 	EXPECT_EQ("done PLAN_LIMIT", next());
 }
 
+/* Guards against a customer that exceeds its plan because statements of a lost
+ * link still run: seen to hand the units out again at once without doubts. */
+TEST_F(Filter, UnitOfALostStatementIsKept)
+{
+	int64_t id;
+
+	submit(RUN_WRITE);
+	EXPECT_EQ("m1", next(&id));
+	end(id, "m1", RES_UNKNOWN);
+	EXPECT_EQ("done UNKNOWN", next());
+	submit(RUN_READ);
+	submit(RUN_READ);
+	EXPECT_EQ("m2", next());
+	EXPECT_EQ("nothing", next());
+	flt_abandon(f, id, now);
+	answer(1, "m1", 2);
+	now = flt_due(f);
+	flt_tick(f, now);
+	EXPECT_EQ("nothing", next());
+}
+
+TEST_F(Filter, UnitOfALostStatementComesBack)
+{
+	int64_t id;
+	quota_demand d[4];
+
+	submit(RUN_WRITE);
+	EXPECT_EQ("m1", next(&id));
+	end(id, "m1", RES_UNKNOWN);
+	EXPECT_EQ("done UNKNOWN", next());
+	EXPECT_EQ(1, flt_demands(f, d, 4, now));
+	EXPECT_GE(flt_due(f), now + LINK_SILENT_MS);
+	now = flt_due(f);
+	flt_tick(f, now);
+	EXPECT_EQ(0, flt_demands(f, d, 4, now));
+}
+
 /* Guards against a pinned unit that is never given back. */
 TEST_F(Filter, TransactionHoldsItsUnit)
 {
