exec: end statements on connections that went silent with the poll's

Cause: a statement sent on a connection whose state a middlebox lost kept its slot until its limit of 30 s. Once its kind was learned as long, two of them took both slots for long statements, and all writes of the kind waited. Ruled out: the member's writer lock (a direct write worked), the lease and the announcements (valid).

Change: when a new connection answers where the poll's went silent, statements sent before that have much overrun their learned cost end: reads are retried, writes report their outcome as unknown.

--- a/exec_backend.c
+++ b/exec_backend.c
@@ -171,6 +171,17 @@
 	exec_start(b->x, &run, &sink);
 }
 
+static void exec_drop_lost(struct exec_backend *b)
+{
+	struct exec_req *r, *next;
+
+	for (r = b->x->reqs; r; r = next) {
+		next = r->hh.next;
+		if (r->b == b)
+			exec_local_lost(r, b->silent_since);
+	}
+}
+
 static void exec_on_poll(void *arg, const struct backend_status *st,
 			 int64_t round_trip_us)
 {
@@ -182,6 +193,7 @@
 	health_measure(&b->health, round_trip_us, exec_others_us(b), b->x->rng,
 		       now);
 	if (b->silent_since) {
+		exec_drop_lost(b);
 		log_info("exec", "backend=%s answers again after_ms=%lld",
 			 b->id, (long long)(now - b->silent_since));
 		b->silent_since = 0;
--- a/exec_local.c
+++ b/exec_local.c
@@ -394,6 +394,26 @@
 	cost_raise(b->cost, r->run.fingerprint, us);
 }
 
+/*
+ * A middlebox that lost the state of the poll's connection has likely lost
+ * that of others. A statement sent before, which takes much longer than it
+ * should, would keep its slot until its limit of 30 s; two of them keep out
+ * all writes of their kind.
+ */
+void exec_local_lost(struct exec_req *r, clk_ms silent_since)
+{
+	int64_t us = clk_now_us() - r->started_us;
+
+	if (!r->runner || !r->started_us || r->run.flags & RUN_LONG ||
+	    r->started_us / 1000 >= silent_since ||
+	    !cost_overruns(r->b->cost, r->job.cost_us, us))
+		return;
+	if (r->run.kind == RUN_READ && !r->run.pin)
+		runner_break(r->runner, "connection is silent");
+	else
+		runner_expire(r->runner);
+}
+
 /* What was learned while a job waits counts for it as well. */
 static void exec_relearn(struct exec_req *r)
 {
--- a/exec_priv.h
+++ b/exec_priv.h
@@ -152,6 +152,8 @@
 void exec_tick_backend(struct exec_backend *b, clk_ms now);
 void exec_dispatch(struct exec_backend *b);
 void exec_local_recheck(struct exec_req *r);
+/* A new connection answers where an older one went silent at a time. */
+void exec_local_lost(struct exec_req *r, clk_ms silent_since);
 void exec_local_silent(struct exec_req *r, bool certain);
 
 /* exec_pin.c */
