view: remember the owners of backend servers

A lookup hashes the backend server's id with every proxy of its zone, and every statement and every change of the view needs one per backend server.

--- a/t/bench/cluster.sh
+++ b/t/bench/cluster.sh
@@ -50,6 +50,7 @@
 	"$@" >>"$dir/$name.log" 2>&1 &
 	pids="$pids $!"
 	echo $! >"$dir/$name.pid"
+	echo $! >>"$top/pids"
 }
 
 pid_of() {
@@ -297,6 +298,15 @@
 	pids=""
 }
 
+# What an interrupted part left running.
+stop_leftovers() {
+	local p
+
+	while read -r p; do
+		grep -qs "$top" "/proc/$p/cmdline" && kill -9 "$p"
+	done <"$top/pids"
+}
+
 # load NAME USER GROUP ARGS...: runs a load client, its report in NAME.load.
 load() {
 	local name=$1 user=$2 group=$3
--- a/view.c
+++ b/view.c
@@ -18,6 +18,11 @@
 	size_t n;
 };
 
+struct view_owned {
+	const char *id;
+	uint64_t epoch;
+};
+
 struct view {
 	char self[ID_LEN];
 	char zone[ID_LEN];
@@ -35,6 +40,12 @@
 	bool *down; /* by index of proxies: the link is broken */
 	size_t nproxies;
 	struct view_keys proxy_keys;
+
+	/* Owners that were looked up since the proxies last changed, by index
+	 * of backends: a lookup hashes with every proxy, and each statement
+	 * needs one. */
+	struct view_owned *owned;
+	uint64_t epoch;
 };
 
 struct view *view_new(const char *self_id, const char *self_zone)
@@ -43,6 +54,7 @@
 
 	if (!v)
 		abort();
+	v->epoch = 1;
 	snprintf(v->self, sizeof(v->self), "%s", self_id);
 	snprintf(v->zone, sizeof(v->zone), "%s", self_zone);
 	return v;
@@ -59,6 +71,7 @@
 	free(v->backends);
 	free(v->proxies);
 	free(v->down);
+	free(v->owned);
 	free(v->group_keys.keys);
 	free(v->backend_keys.keys);
 	free(v->proxy_keys.keys);
@@ -149,8 +162,10 @@
 		key_add(&v->backend_keys, in->id, v->nbackends);
 		v->backends = view_grow(v->backends, v->nbackends,
 					sizeof(*v->backends));
+		v->owned = view_grow(v->owned, v->nbackends, sizeof(*v->owned));
 		b = &v->backends[v->nbackends++];
 	}
+	v->owned[b - v->backends].epoch = 0;
 	*b = *in;
 	return true;
 }
@@ -168,6 +183,7 @@
 		v->down = view_grow(v->down, v->nproxies, sizeof(*v->down));
 		p = &v->proxies[v->nproxies++];
 	}
+	v->epoch++;
 	*p = *in;
 	return true;
 }
@@ -295,8 +311,10 @@
 {
 	const struct proxy_info *p = proxy_find(v, proxy);
 
-	if (p)
-		v->down[p - v->proxies] = !up;
+	if (!p || v->down[p - v->proxies] == !up)
+		return;
+	v->down[p - v->proxies] = !up;
+	v->epoch++;
 }
 
 static uint64_t view_weight(const char *backend, const char *proxy)
@@ -333,7 +351,8 @@
 	return best;
 }
 
-const char *view_owner(const struct view *v, const struct backend_info *b)
+static const char *view_find_owner(const struct view *v,
+				   const struct backend_info *b)
 {
 	const char *id = view_highest(v, b, b->zone);
 
@@ -341,3 +360,17 @@
 		id = view_highest(v, b, NULL);
 	return id ? id : v->self;
 }
+
+const char *view_owner(const struct view *v, const struct backend_info *b)
+{
+	const struct view_key *k = key_find(&v->backend_keys, b->id);
+	struct view_owned *o = k ? &v->owned[k->at] : NULL;
+
+	if (!o)
+		return view_find_owner(v, b);
+	if (o->epoch != v->epoch) {
+		o->id = view_find_owner(v, b);
+		o->epoch = v->epoch;
+	}
+	return o->id;
+}
