--- a/t/bench/parts.sh
+++ b/t/bench/parts.sh
@@ -308,6 +308,8 @@
 		load "proxy$n" web orders --seconds 3 --callers "$n" \
 			--mix ticket:1
 		ratio=$(calc "$(field "proxy$n" .kinds.ticket.goodput) / $(field "direct$n" .kinds.ticket.goodput)")
+		row "speed, $n callers" owner ">= 0.5" "$(met "$ratio >= 0.5")" \
+			"throughput ratio $ratio ($(field "proxy$n" '.kinds.ticket.goodput|round') over $(field "direct$n" '.kinds.ticket.goodput|round') /s)"
 	done
 	# At saturation the latency is that of the queue, so it is compared at a
 	# rate that both ways carry.
