net: end a finished connection that is idle when another is flushed

Cause: net_finish(), called while another connection was flushed and with nothing left to write, stopped reading and waited for writability without asking for it, so the connection stayed open. There it was the relay's connection to a member, whose session then kept its lock; the proxies use the same call. Ruled out by looking at a hung deployment: leaked units, pins and pool connections of the proxy, and cancels. The new test fails without the change.

--- a/net.c
+++ b/net.c
@@ -151,7 +151,8 @@
 		return;
 	if (!c->paused && !c->connecting)
 		events |= EV_READ;
-	if (c->connecting || buf_len(&c->out))
+	/* A finished connection without output ends when it is writable. */
+	if (c->connecting || c->finishing || buf_len(&c->out))
 		events |= EV_WRITE;
 	if (events == c->io.events && ev_is_active(&c->io))
 		return;
