--- a/caller_ext.c
+++ b/caller_ext.c
@@ -261,16 +261,25 @@
 	return false;
 }
 
-static void ext_on_describe(struct caller *c, const struct pgw_msg *m)
+/* Reads what a Describe or Close names: 'S' for a prepared statement, 'P' for a
+ * portal; 0 if the message is malformed. */
+static char ext_read_target(const struct pgw_msg *m, const char **name)
 {
 	struct pgw_reader r;
 	char what;
-	const char *name;
 
 	pgw_read(&r, m);
 	what = pgw_get_byte(&r);
-	name = pgw_get_string(&r);
-	if (r.bad || (what != 'S' && what != 'P')) {
+	*name = pgw_get_string(&r);
+	return r.bad || (what != 'S' && what != 'P') ? '\0' : what;
+}
+
+static void ext_on_describe(struct caller *c, const struct pgw_msg *m)
+{
+	const char *name;
+	char what = ext_read_target(m, &name);
+
+	if (!what) {
 		ext_malformed(c);
 	} else if (what == 'S') {
 		struct prep *prep = caller_prep_find(c, name);
@@ -356,14 +365,10 @@
 
 static void ext_on_close(struct caller *c, const struct pgw_msg *m)
 {
-	struct pgw_reader r;
-	char what;
 	const char *name;
+	char what = ext_read_target(m, &name);
 
-	pgw_read(&r, m);
-	what = pgw_get_byte(&r);
-	name = pgw_get_string(&r);
-	if (r.bad || (what != 'S' && what != 'P')) {
+	if (!what) {
 		ext_malformed(c);
 		return;
 	}
--- a/state.c
+++ b/state.c
@@ -60,34 +60,36 @@
 	msg_encode(&cmd, out);
 }
 
+/* Records travel in the log as they do to proxies, in an ANSWER. */
+static void state_cmd_records(struct buf *out, const struct msg_answer *records)
+{
+	struct msg cmd = {.type = MSG_ANSWER, .u.answer = *records};
+
+	msg_encode(&cmd, out);
+}
+
 void state_cmd_group(struct buf *out, const struct group_info *g)
 {
 	struct group_info copy = *g;
-	struct msg cmd = {.type = MSG_ANSWER};
 
-	cmd.u.answer.groups = &copy;
-	cmd.u.answer.ngroups = 1;
-	msg_encode(&cmd, out);
+	state_cmd_records(out,
+			  &(struct msg_answer){.groups = &copy, .ngroups = 1});
 }
 
 void state_cmd_backend(struct buf *out, const struct backend_info *b)
 {
 	struct backend_info copy = *b;
-	struct msg cmd = {.type = MSG_ANSWER};
 
-	cmd.u.answer.backends = &copy;
-	cmd.u.answer.nbackends = 1;
-	msg_encode(&cmd, out);
+	state_cmd_records(
+		out, &(struct msg_answer){.backends = &copy, .nbackends = 1});
 }
 
 void state_cmd_proxy(struct buf *out, const struct proxy_info *p)
 {
 	struct proxy_info copy = *p;
-	struct msg cmd = {.type = MSG_ANSWER};
 
-	cmd.u.answer.proxies = &copy;
-	cmd.u.answer.nproxies = 1;
-	msg_encode(&cmd, out);
+	state_cmd_records(
+		out, &(struct msg_answer){.proxies = &copy, .nproxies = 1});
 }
 
 const struct state_request *state_find_request(const struct state *s,
