--- a/counter.c
+++ b/counter.c
@@ -24,11 +24,6 @@
 	refusals[r]++;
 }
 
-uint64_t cnt_get(enum cnt c)
-{
-	return counters[c];
-}
-
 uint64_t cnt_get_refusal(enum res r)
 {
 	return refusals[r];
--- a/counter.h
+++ b/counter.h
@@ -16,7 +16,7 @@
 	X(callers_accepted) X(callers_closed) X(statements) \
 	X(reads_replica) X(reads_primary) X(reads_replica_eligible) \
 	X(reads_eligible_primary) X(writes) X(forwarded) X(config_applied) X(config_ignored_older) \
-	X(lease_granted) X(lease_lapsed) X(backend_connects) \
+	X(lease_granted) X(backend_connects) \
 	X(backend_connect_failures) X(backend_full) \
 	X(backend_silent) X(late_answers) \
 	X(token_lost) X(dedup_hits) X(links_refused) \
@@ -40,7 +40,6 @@
 /* Counts a refusal or failure by its result code. */
 void cnt_refusal(enum res r);
 
-uint64_t cnt_get(enum cnt c);
 uint64_t cnt_get_refusal(enum res r);
 
 /* Calls fn for every counter, refusals as "refused_<code name>". */
--- a/net.c
+++ b/net.c
@@ -133,16 +133,6 @@
 	free(l);
 }
 
-int net_listener_port(const struct net_listener *l)
-{
-	struct sockaddr_in sa;
-	socklen_t len = sizeof(sa);
-
-	if (getsockname(l->io.fd, (struct sockaddr *)&sa, &len))
-		return -1;
-	return ntohs(sa.sin_port);
-}
-
 static void net_watch(struct net_conn *c)
 {
 	int events = 0;
--- a/net.h
+++ b/net.h
@@ -34,9 +34,6 @@
 		    void *arg, struct err *e);
 void net_listener_free(struct net_listener *l);
 
-/* Port that a listener on port 0 was given. */
-int net_listener_port(const struct net_listener *l);
-
 /* Wraps an accepted socket. */
 struct net_conn *net_accepted(struct ev_loop *loop, int fd,
 			      const struct net_handler *h);
--- a/pool.c
+++ b/pool.c
@@ -456,8 +456,3 @@
 {
 	return pool_count(p, POOL_IDLE);
 }
-
-int64_t pool_failures(const struct pool *p)
-{
-	return p->failures;
-}
--- a/pool.h
+++ b/pool.h
@@ -84,9 +84,6 @@
 int64_t pool_open(const struct pool *p);
 int64_t pool_idle(const struct pool *p);
 
-/* Consecutive failed attempts to connect. */
-int64_t pool_failures(const struct pool *p);
-
 /* Starts a connection with the settings' password, or NULL. */
 PGconn *pool_connect(const struct settings *set, const char *addr,
 		     const char *dbname);
--- a/probe.c
+++ b/probe.c
@@ -23,7 +23,6 @@
 	ev_timer timer;
 	clk_ms since; /* of the state */
 	clk_ms heard;
-	clk_ms opened;
 	int64_t asked_us;
 	int64_t failures;
 };
@@ -99,7 +98,6 @@
 		break;
 	case PGRES_POLLING_OK:
 		PQsetnonblocking(p->pg, 1);
-		p->opened = clk_now();
 		probe_ask(p);
 		break;
 	default:
@@ -227,11 +225,6 @@
 	return p->heard;
 }
 
-clk_ms probe_opened(const struct probe *p)
-{
-	return p->opened;
-}
-
 int64_t probe_failures(const struct probe *p)
 {
 	return p->failures;
--- a/probe.h
+++ b/probe.h
@@ -39,9 +39,6 @@
 /* When a status last came; the start of the probe before the first. */
 clk_ms probe_heard(const struct probe *p);
 
-/* When the connection in use was opened. */
-clk_ms probe_opened(const struct probe *p);
-
 /* Failed attempts in a row. */
 int64_t probe_failures(const struct probe *p);
 
--- a/t/lib_cluster.h
+++ b/t/lib_cluster.h
@@ -24,6 +24,14 @@
 {
 
 std::string program(const std::string &name);
+
+struct ShellResult {
+	int status; /* exit status, -1 if a signal ended it */
+	std::string out;
+};
+
+/* Runs a shell command to its end. */
+ShellResult shell(const std::string &command);
 int64_t now_ms();
 
 /* Polls f until it is true; false after ms. */
--- a/t/lib_process.cc
+++ b/t/lib_process.cc
@@ -84,6 +84,20 @@
 
 } // namespace
 
+ShellResult shell(const std::string &command)
+{
+	FILE *f = popen(command.c_str(), "r");
+	ShellResult r = {-1, ""};
+	char buf[4096];
+	size_t n;
+
+	while ((n = fread(buf, 1, sizeof(buf), f)))
+		r.out.append(buf, n);
+	int status = pclose(f);
+	r.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	return r;
+}
+
 std::string program(const std::string &name)
 {
 	const char *build = getenv("BUILD");
--- a/t/sys_cli.cc
+++ b/t/sys_cli.cc
@@ -3,32 +3,17 @@
 #include <cstdio>
 #include <cstdlib>
 #include <string>
-#include <sys/wait.h>
+
+#include "lib_cluster.h"
+
+using namespace cluster;
 
 /* The command line of marjoramlatch without a system behind it. Tests run in
  * the root of the repository. */
 
-struct Outcome {
-	int status;
-	std::string out; /* standard output and standard error */
-};
-
-static Outcome run(const std::string &args, const std::string &before = "")
+static ShellResult run(const std::string &args, const std::string &before = "")
 {
-	const char *build = getenv("BUILD");
-	std::string cmd = before +
-			  std::string(build ? build : "build/release") +
-			  "/marjoramlatch " + args + " 2>&1";
-	FILE *f = popen(cmd.c_str(), "r");
-	Outcome r = {-1, ""};
-	char buf[4096];
-	size_t n;
-
-	while ((n = fread(buf, 1, sizeof(buf), f)))
-		r.out.append(buf, n);
-	int status = pclose(f);
-	r.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-	return r;
+	return shell(before + program("marjoramlatch") + " " + args + " 2>&1");
 }
 
 /* Guards against scripts that take a wrong command line for a refusal. */
@@ -36,7 +21,7 @@
 {
 	for (const char *c : {"apply", "check", "counters", "diff", "load",
 			      "log", "status", "version"}) {
-		Outcome help = run(std::string(c) + " --help");
+		ShellResult help = run(std::string(c) + " --help");
 
 		EXPECT_EQ(0, help.status) << c;
 		EXPECT_NE(std::string::npos, help.out.find("usage:")) << c;
@@ -57,16 +42,16 @@
 {
 	for (const char *d : {"threlfall", "barfani"}) {
 		std::string dir = std::string("samples/") + d;
-		Outcome two = run("check " + dir + "/plans.json " + dir +
-				  "/customers.json");
+		ShellResult two = run("check " + dir + "/plans.json " + dir +
+				      "/customers.json");
 
 		EXPECT_EQ(0, two.status) << two.out;
 		EXPECT_EQ(1, run("check " + dir + "/plans.json").status);
 	}
 	/* The key file that the samples name does not exist here. */
 	for (const char *role : {"proxy", "control"}) {
-		Outcome r = run(std::string("check --") + role + " samples/" +
-				role + ".json");
+		ShellResult r = run(std::string("check --") + role +
+				    " samples/" + role + ".json");
 
 		EXPECT_EQ(1, r.status);
 		EXPECT_NE(std::string::npos, r.out.find("key_file: ")) << r.out;
@@ -75,7 +60,7 @@
 
 TEST(Cli, HashesPasswords)
 {
-	Outcome r = run("check --hash-password", "echo secret123 | ");
+	ShellResult r = run("check --hash-password", "echo secret123 | ");
 
 	EXPECT_EQ(0, r.status);
 	EXPECT_EQ(0u, r.out.find("$argon2id$")) << r.out;
@@ -88,7 +73,7 @@
 	const std::string env = "MARJORAMLATCH_PASSWORD=operator1 ";
 
 	for (const char *c : {"status", "log", "counters"}) {
-		Outcome r = run(std::string(c) + " --to 127.0.0.1:1", env);
+		ShellResult r = run(std::string(c) + " --to 127.0.0.1:1", env);
 
 		EXPECT_EQ(1, r.status) << c;
 		EXPECT_NE(std::string::npos, r.out.find("127.0.0.1:1")) << c;
--- a/t/sys_tools.cc
+++ b/t/sys_tools.cc
@@ -3,7 +3,6 @@
 #include <cstdio>
 #include <cstring>
 #include <string>
-#include <sys/wait.h>
 #include <thread>
 
 #include "lib_cluster.h"
@@ -12,29 +11,14 @@
 
 /* The commands of marjoramlatch against a deployment. */
 
-struct Outcome {
-	int status;
-	std::string out; /* standard output and standard error */
-};
-
-static Outcome run(const std::string &args)
+static ShellResult run(const std::string &args)
 {
-	std::string cmd =
+	return shell(
 		"MARJORAMLATCH_PASSWORD=" + std::string(OPERATOR_PASSWORD) +
-		" " + program("marjoramlatch") + " " + args + " 2>&1";
-	FILE *f = popen(cmd.c_str(), "r");
-	Outcome r = {-1, ""};
-	char buf[4096];
-	size_t n;
-
-	while ((n = fread(buf, 1, sizeof(buf), f)))
-		r.out.append(buf, n);
-	int status = pclose(f);
-	r.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-	return r;
+		" " + program("marjoramlatch") + " " + args + " 2>&1");
 }
 
-static void expect_text(const Outcome &r, const std::string &text)
+static void expect_text(const ShellResult &r, const std::string &text)
 {
 	EXPECT_NE(std::string::npos, r.out.find(text))
 		<< "missing: " << text << "\n"
@@ -88,24 +72,27 @@
 {
 	std::string a = write_lists("a.json", 11);
 	std::string b = write_lists("b.json", 12);
-	Outcome first = run("apply" + to +
-			    " --operator anna --base 1 --request-id r1 " + a);
+	ShellResult first =
+		run("apply" + to +
+		    " --operator anna --base 1 --request-id r1 " + a);
 
 	ASSERT_EQ(0, first.status) << first.out;
 	expect_text(first, "accepted: version 2");
-	Outcome again = run("apply" + to +
-			    " --operator anna --base 1 --request-id r1 " + a);
+	ShellResult again =
+		run("apply" + to +
+		    " --operator anna --base 1 --request-id r1 " + a);
 	EXPECT_EQ(0, again.status);
 	expect_text(again, "accepted: version 2");
-	Outcome conflict = run("apply" + to + " --operator bob --base 1 " + b);
+	ShellResult conflict =
+		run("apply" + to + " --operator bob --base 1 " + b);
 	EXPECT_EQ(1, conflict.status);
 	expect_text(conflict, "SQLSTATE 40001");
 	expect_text(conflict, "anna");
 	expect_text(conflict, "connections");
-	Outcome diff = run("diff" + to + " " + b);
+	ShellResult diff = run("diff" + to + " " + b);
 	EXPECT_EQ(0, diff.status);
 	expect_text(diff, "~ plan standard connections 11 -> 12");
-	Outcome base = run("apply" + to + " --operator bob " + b);
+	ShellResult base = run("apply" + to + " --operator bob " + b);
 	EXPECT_EQ(0, base.status);
 	expect_text(base, "based on version 2");
 	expect_text(base, "accepted: version 3");
@@ -137,8 +124,8 @@
  * it must accept a sound run and notice a row that is gone or doubled. */
 TEST_F(Tools, LoadVerifiesOrders)
 {
-	Outcome sound = run(load("--seconds 2 --callers 6 "
-				 "--mix order:2,order_read:1,browse:2"));
+	ShellResult sound = run(load("--seconds 2 --callers 6 "
+				     "--mix order:2,order_read:1,browse:2"));
 
 	EXPECT_EQ(0, sound.status) << sound.out;
 	expect_text(sound, " 0 lost, 0 doubled");
@@ -149,7 +136,7 @@
 		bool gone = change[0] == 'D';
 		std::string table = gone ? "load_gone" : "load_doubled";
 		std::string sql = change;
-		Outcome r;
+		ShellResult r;
 		std::thread t([&] {
 			r = run(load("--seconds 3 --callers 2 --rate 40 "
 				     "--mix order:1 --table " +
