front: copy no empty list of proxies

Cause: a view that names no proxy yet gives a null list; memcpy() from it is undefined. Change: nothing is copied from an empty list.

--- a/front_view.c
+++ b/front_view.c
@@ -75,7 +75,8 @@
 
 	if (!sorted)
 		abort();
-	memcpy(sorted, list, n * sizeof(*sorted));
+	if (n)
+		memcpy(sorted, list, n * sizeof(*sorted));
 	qsort(sorted, n, sizeof(*sorted), front_compare_proxies);
 	if (front_knows_proxies(f, sorted, n)) {
 		free(sorted);
--- a/t/unit_front.cc
+++ b/t/unit_front.cc
@@ -36,3 +36,17 @@
 	front_free(f);
 	ev_loop_destroy(loop);
 }
+
+/* Guards against a copy from a null pointer: a proxy whose view names no proxy
+ * yet ended under the sanitizers (sys_platform_soak, SEED=1003). */
+TEST(Front, TakesAnEmptyListOfProxies)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct settings set = {};
+	struct fronts *f = front_new(loop, &set);
+
+	front_take_proxies(f, nullptr, 0);
+	EXPECT_EQ(0, f->proxies);
+	front_free(f);
+	ev_loop_destroy(loop);
+}
