promote: watch a silent primary until enough proxies miss it

Cause: where the first question found the primary silent and fewer than a third of the proxies had missed it, the group rested for 200 ms and the next decision waited for a second silent primary of 400 ms. Ruled out: a shorter limit for a status (a loaded member takes that long), a shorter time without any answer (under load answers are a second old). Change: the group stays in probing for up to 2 s; the primary and the replicas are asked on, and each look decides by the reports of that moment. Test: Promote.DecidesAsSoonAsEnoughProxiesMissASilentPrimary.

--- a/promote.c
+++ b/promote.c
@@ -315,16 +315,46 @@
 	return NULL;
 }
 
+/*
+ * The primary did not answer, but too few proxies miss it yet. It is asked on,
+ * and the others again, so that a decision finds what they hold now.
+ */
+static void pro_watch(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	if (!g->nreports) {
+		pro_rest(g, now, "no proxy misses the primary any more");
+		return;
+	}
+	if (now - g->since >= PRO_WATCH_MS) {
+		pro_rest(g, now, "other proxies reach the primary");
+		return;
+	}
+	for (int i = 0; i < g->nmembers; i++) {
+		struct pro_member *m = &g->members[i];
+		bool primary = !strcmp(m->id, g->primary);
+		clk_ms pause = primary ? PRO_STATUS_MS : PRO_RETRY_MS;
+
+		/* Replicas that are silent, too, would hold the decision up. */
+		if (now - m->asked_at >= pause &&
+		    (primary || (!m->asked && m->reply == PRO_OK)))
+			pro_ask(p, g, m, now);
+	}
+}
+
 /* All have answered, or their time is over. */
 static void pro_decide(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	struct pro_member *primary = pro_member(g, g->primary);
 	struct pro_member *best = pro_best(g);
 	struct pro_member *other = pro_other_primary(g);
-	bool many = pro_many_suspect(p, g, 0, now);
-	bool quiet = g->nreports > 0 && now - g->heard >= PRO_QUIET_MS;
-	bool lasting = pro_many_suspect(p, g, PRO_PERSIST_MS, now);
+	bool lasting;
+	bool quiet;
+	bool many;
 
+	pro_forget_reports(g, now);
+	many = pro_many_suspect(p, g, 0, now);
+	quiet = g->nreports > 0 && now - g->heard >= PRO_QUIET_MS;
+	lasting = pro_many_suspect(p, g, PRO_PERSIST_MS, now);
 	if (other && !(pro_leads(primary) &&
 		       primary->status.term >= other->status.term)) {
 		pro_record(p, g, other->id, now);
@@ -344,16 +374,24 @@
 		/* Gone, deposed, or out of reach. */
 		pro_take_over(p, g, best, now);
 	} else {
-		pro_rest(g, now, "other proxies reach the primary");
+		pro_watch(p, g, now);
 	}
 }
 
+/* Whether an answer may still come; a primary that is watched is not waited
+ * for. */
 static bool pro_waiting(const struct pro_group *g, clk_ms now)
 {
-	for (int i = 0; i < g->nmembers; i++)
-		if (g->members[i].asked &&
-		    now - g->members[i].asked_at < PRO_STATUS_MS)
+	bool watched =
+		g->phase == PRO_PROBING && now - g->since >= PRO_STATUS_MS;
+
+	for (int i = 0; i < g->nmembers; i++) {
+		const struct pro_member *m = &g->members[i];
+
+		if (m->asked && now - m->asked_at < PRO_STATUS_MS &&
+		    !(watched && !strcmp(m->id, g->primary)))
 			return true;
+	}
 	return false;
 }
 
--- a/promote.h
+++ b/promote.h
@@ -9,7 +9,8 @@
  * The promoter names a group's new primary and deposes the old one at the
  * same moment, so no lease is needed; what the old primary acknowledged and
  * the new one has not received is lost. A group goes through these phases:
- *   probing   members are asked for their status
+ *   probing   members are asked for their status, a silent primary until
+ *             enough proxies miss it
  *   draining  a reachable primary steps down, and a replica receives what it
  *             held; for a primary that leaves or that many proxies can't reach
  *   pausing   replicas are kept from receiving, see below
@@ -50,6 +51,9 @@
 	 * tells what it heard every 400 ms. */
 	PRO_QUIET_MS = 1000,
 	PRO_STATUS_MS = 400, /* as long as failover.h gives a member */
+	/* A silent primary is watched for as long before its group rests: until
+	 * then enough proxies have missed it, or one has heard it. */
+	PRO_WATCH_MS = 2000,
 	PRO_CALL_MS = 500, /* the promoter answers in some 10 ms */
 	PRO_CALL_TRIES = 6, /* without an answer, before members are asked
 			     * again */
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -354,6 +354,49 @@
 	EXPECT_TRUE(calls.empty());
 }
 
+/* Guards against a pause and a second question of 400 ms where the first one
+ * found the primary silent and too few proxies had missed it yet: a cut of a
+ * zone left its groups without a primary for 0.5 s longer (Threlfall grown,
+ * trouble-3 at 34.3 s). The replica that holds most by then is promoted. */
+TEST_F(Promote, DecidesAsSoonAsEnoughProxiesMissASilentPrimary)
+{
+	run(300);
+	pro_heard(pro, "orders", now);
+	suspect(1, "a");
+	run(40);
+	answer("b", false, 12);
+	answer("c", false, 10);
+	run(PRO_STATUS_MS + 60);
+	ASSERT_TRUE(calls.empty());
+	pro_heard(pro, "orders", now);
+	run(PRO_RETRY_MS);
+	suspect(6, "a");
+	run(40);
+	for (const char *id : {"b", "c"})
+		if (asked.count(id))
+			answer(id, false, id[0] == 'b' ? 12 : 13);
+	run(40);
+	ASSERT_EQ(calls.size(), 1u);
+	EXPECT_STREQ(calls[0].member, "c");
+}
+
+/* The same, but the primary answers in the end. */
+TEST_F(Promote, AWatchedPrimaryThatAnswersStays)
+{
+	run(300);
+	pro_heard(pro, "orders", now);
+	suspect(1, "a");
+	run(40);
+	answer("b", false, 12);
+	answer("c", false, 10);
+	run(PRO_STATUS_MS + 60);
+	ASSERT_TRUE(asked.count("a")) << "it is asked again";
+	answer("a", true, 12);
+	suspect(6, "a");
+	run(100);
+	EXPECT_TRUE(calls.empty());
+}
+
 struct PromoteFew : Promote {
 	PromoteFew()
 	{
