rotation: refuse one probe in advance where most of control is silent

Cause: a proxy of a cut zone is sure 0.6 to 1.1 s after the cut, since a statement to a primary has to wait first. A probe that came before was answered with 200, so that the last proxy of a zone left up to 3.1 s after the cut, and its callers stay until none of the zone is in rotation. Change: after 400 ms without most of control one probe is refused; a single refusal has no effect. The decision moves from entry into rotation, free of I/O. Test: Rotation.*

--- a/entry.c
+++ b/entry.c
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "platform/calls.h"
+#include "rotation.h"
 #include "settings.h"
 #include "uplink.h"
 #include "view.h"
@@ -18,13 +19,6 @@
 enum {
 	ENTRY_STOP_TICK_MS = 20,
 	ENTRY_WATCH_MS = 100, /* between looks whether this one is cut off */
-	ENTRY_WATCHES = 2, /* looks in a row that must say so: a process that
-			    * was held up reads what came meanwhile between */
-	/* Age of the leader's newest answer when an instance counts as
-	 * connected again: asks are sent each 400 ms. */
-	ENTRY_LEADER_MS = 1000,
-	ENTRY_NOTICE_MS = 2300, /* the balancer probes each second and takes an
-				 * instance out after two refusals */
 	ENTRY_STOP_RESERVE_MS = 900 /* of stop_ms, to close what is left */
 };
 
@@ -43,8 +37,7 @@
 	bool closing;
 	bool was_ready;
 	bool listening;
-	clk_ms cut_off; /* since when; 0 while connected */
-	int lost; /* looks in a row that found most of control unreachable */
+	struct rotation rotation;
 	ev_timer watch;
 };
 
@@ -75,9 +68,9 @@
 	ev_break(p->loop, EVBREAK_ALL);
 }
 
-static bool entry_is_ready(const struct entry *p)
+static bool entry_is_ready(struct entry *p)
 {
-	return p->listening && !p->stop_began && !p->cut_off;
+	return p->listening && !p->stop_began && rot_probe(&p->rotation);
 }
 
 static void entry_on_probe(void *arg, const struct http_request *q)
@@ -90,7 +83,11 @@
 		status = entry_is_ready(p) ? 200 : 503;
 	if ((status == 200) != p->was_ready) {
 		p->was_ready = status == 200;
-		log_info("entry", "event=probe_changed status=%d", status);
+		log_info("entry",
+			 "event=probe_changed status=%d listening=%d "
+			 "stopping=%d cut_off=%d",
+			 status, p->listening, p->stop_began != 0,
+			 p->rotation.cut_off != 0);
 	}
 	http_answer(p->probe, q->number,
 		    &(struct http_response){.status = status});
@@ -187,31 +184,34 @@
 	metrics_hist(text, "statement_latency", front_latency(p->fronts));
 }
 
-/*
- * An instance that reaches neither most of control nor all primaries is cut off
- * with its zone, or alone. Others can serve its callers better: it leaves the
- * balancer's rotation, and when the balancer has noticed, it closes idle
- * sessions and refuses what waits, so that callers go there.
- */
 static void entry_check_cut_off(struct entry *p, clk_ms now)
 {
 	clk_ms age = uplink_age(p->up, now);
-	struct suspect one;
-
-	p->lost = uplink_reaches_most(p->up, now) ? 0 : p->lost + 1;
-	if (p->cut_off && !p->lost && age < ENTRY_LEADER_MS) {
+	clk_ms since = p->rotation.cut_off;
+	struct rot_seen look = {
+		.doubtful = !uplink_heard_most(p->up, ROT_DOUBT_MS, now),
+		.lost = !uplink_heard_most(p->up, ROT_LOST_MS, now),
+		.leader = age < ROT_LEADER_MS};
+	struct suspect missed = {0};
+
+	if (!p->listening)
+		return;
+	look.misses_primary = front_suspects(p->fronts, &missed, 1, now);
+	switch (rot_look(&p->rotation, &look, now)) {
+	case ROT_CONNECTED:
 		log_info("entry", "event=connected ms=%lld",
-			 (long long)(now - p->cut_off));
-		p->cut_off = 0;
+			 (long long)(now - since));
 		front_refuse_waiting(p->fronts, false);
 		front_drain(p->fronts, p->draining);
-	} else if (!p->cut_off && p->lost >= ENTRY_WATCHES && p->listening &&
-		   front_suspects(p->fronts, &one, 1, now)) {
+		break;
+	case ROT_CUT_OFF:
 		log_warn("entry", "event=cut_off control_age_ms=%lld group=%s",
-			 (long long)age, one.group);
-		p->cut_off = now;
+			 (long long)age, missed.group);
+		break;
+	case ROT_NOTHING:
+		break;
 	}
-	if (p->cut_off && now - p->cut_off >= ENTRY_NOTICE_MS) {
+	if (rot_is_out(&p->rotation, now)) {
 		front_refuse_waiting(p->fronts, true);
 		front_drain(p->fronts, true);
 	}
@@ -289,7 +289,7 @@
 	clk_ms age = clk_now() - p->stop_began;
 
 	(void)events;
-	if (!p->draining && age >= ENTRY_NOTICE_MS) {
+	if (!p->draining && age >= ROT_NOTICE_MS) {
 		p->draining = true;
 		log_info("entry", "event=draining sessions=%zu",
 			 front_count(p->fronts));
--- a/t/helper/platform.c
+++ b/t/helper/platform.c
@@ -700,7 +700,9 @@
 
 static void on_promote(void *arg, const struct http_request *q)
 {
-	struct json_object *o = json_tokener_parse(q->body);
+	struct json_tokener *tok = json_tokener_new();
+	struct json_object *o =
+		json_tokener_parse_ex(tok, q->body, (int)q->len);
 	struct json_object *id;
 	struct member *m = NULL;
 	int status = 409;
@@ -716,6 +718,7 @@
 		}
 	}
 	json_object_put(o);
+	json_tokener_free(tok);
 	http_answer(promoter, q->number,
 		    &(struct http_response){.status = status});
 }
--- a/uplink.c
+++ b/uplink.c
@@ -510,7 +510,7 @@
 	return leader < 0 ? "" : u->own.controls[leader].id;
 }
 
-bool uplink_reaches_most(const struct uplink *u, clk_ms now)
+bool uplink_heard_most(const struct uplink *u, clk_ms ms, clk_ms now)
 {
 	int members = 0;
 	int heard = 0;
@@ -521,7 +521,7 @@
 		if (u->own.seeded && !u->controls[i].member)
 			continue;
 		members++;
-		heard += link_is_up(l) && now - link_heard(l) < UPL_HEARD_MS;
+		heard += link_is_up(l) && now - link_heard(l) < ms;
 	}
 	return heard * 2 > members;
 }
--- a/uplink.h
+++ b/uplink.h
@@ -90,9 +90,9 @@
 /* Id of the control leader, "" while none is known. */
 const char *uplink_leader(const struct uplink *u);
 
-/* Whether most of the control instances were heard of a moment ago: an instance
- * that reaches fewer is cut off, also where no leader is elected. */
-bool uplink_reaches_most(const struct uplink *u, clk_ms now);
+/* Whether most of the control instances were heard within the last ms; this
+ * tells more than the leader's answers where none is elected. */
+bool uplink_heard_most(const struct uplink *u, clk_ms ms, clk_ms now);
 
 /* Time since the last answer of a leader, -1 before the first. */
 clk_ms uplink_age(const struct uplink *u, clk_ms now);
--- a/uplink_priv.h
+++ b/uplink_priv.h
@@ -15,8 +15,7 @@
 	UPL_MAX_SAMPLES = 1024, /* groups */
 	UPL_MAX_SUSPECTS = 256,
 	UPL_MAX_DEMANDS = 20000,
-	UPL_MAX_ANNOUNCES = 4096,
-	UPL_HEARD_MS = 500 /* two pings of a link */
+	UPL_MAX_ANNOUNCES = 4096
 };
 
 struct upl_control {
