relay: a statement's end tells that its connection was lost

A runner tells that the connection of a transaction was lost while the next statement is on its way there. The origin forgot the connection at once, and again with the end of that statement: freed memory was read, taken out of its table a second time and freed a second time. Ruled out: end of a link, of a queue, of a session with jobs elsewhere. Change: a connection is busy while a statement runs on it; that it was lost is then taken from the end of the statement. Test: Relay.AStatementOutlivesThatItsConnectionWasLost (heap-use-after-free in relay_forget_pin() before).

--- a/relay.c
+++ b/relay.c
@@ -60,6 +60,8 @@
 {
 	struct relay_pin *p = job->pin;
 
+	if (p)
+		p->busy = false;
 	if (!number || p)
 		return number ? p : NULL;
 	p = calloc(1, sizeof(*p));
@@ -105,7 +107,8 @@
 	void (*lost)(void *arg);
 	void *arg;
 
-	if (!p)
+	/* It was lost before the runner got the job. */
+	if (!p || p->busy)
 		return;
 	lost = p->lost;
 	arg = p->arg;
@@ -390,6 +393,7 @@
 		    clk_ms now)
 {
 	p->lost = NULL;
+	p->busy = true;
 	relay_send(p->gate, p, p->member, j, limit, now);
 }
 
--- a/relay_priv.h
+++ b/relay_priv.h
@@ -48,6 +48,7 @@
 	struct relay_gate *gate;
 	int64_t number;
 	struct db_member *member;
+	bool busy; /* a job runs on it, whose end tells what becomes of it */
 	void (*lost)(void *arg);
 	void *arg;
 	UT_hash_handle hh;
--- /dev/null
+++ b/t/unit_relay.cc
@@ -0,0 +1,209 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <ev.h>
+#include <sodium.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "link.h"
+#include "relay.h"
+#include "settings.h"
+}
+
+namespace
+{
+
+/* An address on loopback that was free a moment ago. */
+std::string free_addr()
+{
+	struct sockaddr_in a = {};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_family = AF_INET;
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&a, sizeof(a));
+	getsockname(fd, (struct sockaddr *)&a, &len);
+	close(fd);
+	return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+}
+
+} // namespace
+
+/* A proxy "p1" and its runner "p2", played by the test. */
+struct Relay : testing::Test {
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct settings own = {};
+	struct settings other = {};
+	struct db *db = nullptr;
+	struct relay *relay = nullptr;
+	struct link_server *server = nullptr;
+	struct link *peer = nullptr;
+	std::vector<int64_t> numbers; /* of the jobs that the runner got */
+	struct sctx ctx = {};
+	struct db_job job = {};
+	std::vector<struct db_result> results;
+
+	static int one(void *, const struct backend_info *)
+	{
+		return 1;
+	}
+
+	static void on_up(void *arg, struct link *l)
+	{
+		((Relay *)arg)->peer = l;
+	}
+
+	static void on_message(void *arg, struct link *, const struct msg *m)
+	{
+		if (m->type == MSG_JOB)
+			((Relay *)arg)->numbers.push_back(m->u.job.number);
+	}
+
+	static void on_done(struct db_job *j, const struct db_result *r)
+	{
+		((Relay *)j->arg)->results.push_back(*r);
+	}
+
+	bool until(const std::function<bool()> &done)
+	{
+		for (int i = 0; i < 2000; i++) {
+			if (done())
+				return true;
+			ev_run(loop, EVRUN_NOWAIT);
+			usleep(1000);
+		}
+		return false;
+	}
+
+	void identify(struct settings *s, const char *id)
+	{
+		snprintf(s->id, ID_LEN, "%s", id);
+		snprintf(s->zone, ID_LEN, "za");
+		snprintf(s->link, ADDR_LEN, "%s", free_addr().c_str());
+	}
+
+	void SetUp() override
+	{
+		struct db_config cfg = {};
+		struct link_handler h = {};
+		struct backend_info b = {};
+		struct proxy_info list[2] = {};
+		struct err e = ERR_INIT;
+
+		ASSERT_GE(sodium_init(), 0);
+		identify(&own, "p1");
+		identify(&other, "p2");
+		cfg.loop = loop;
+		cfg.share = one;
+		cfg.users = one;
+		db = db_new(&cfg);
+		snprintf(b.id, ID_LEN, "m0");
+		snprintf(b.zone, ID_LEN, "za");
+		snprintf(b.addr, ADDR_LEN, "127.0.0.1:1");
+		db_update(db, &b, 1);
+		h.arg = this;
+		h.on_up = on_up;
+		h.on_message = on_message;
+		ASSERT_EQ(RES_OK, link_serve(&server, loop, &other, "proxy", 2,
+					     &h, &e));
+		ASSERT_EQ(RES_OK, relay_new(&relay, loop, &own, db, 1, &e));
+		for (int i = 0; i < 2; i++) {
+			const struct settings *s = i ? &other : &own;
+
+			memcpy(list[i].id, s->id, ID_LEN);
+			memcpy(list[i].zone, s->zone, ID_LEN);
+			memcpy(list[i].addr, s->link, ADDR_LEN);
+			list[i].alive = true;
+		}
+		relay_take_proxies(relay, list, 2, 2);
+		job.ctx = &ctx;
+		job.done = on_done;
+		job.arg = this;
+		ASSERT_TRUE(until([&] { return peer != nullptr; }));
+	}
+
+	void TearDown() override
+	{
+		relay_free(relay);
+		link_server_free(server);
+		db_free(db);
+		ev_loop_destroy(loop);
+	}
+
+	/* The runner ends the last job that it got. */
+	void end(enum db_status status, int64_t pin)
+	{
+		struct msg m;
+		struct msg_job_end *out = &m.u.job_end;
+
+		memset(&m, 0, sizeof(m));
+		m.type = MSG_JOB_END;
+		out->number = numbers.back();
+		out->status = status;
+		out->sent = status == DB_DONE;
+		out->txn = pin ? 'T' : 'I';
+		out->pin = pin;
+		for (struct blob *b : {&out->code, &out->text, &out->answer})
+			*b = {"", 0};
+		link_send(peer, &m);
+	}
+
+	/* Starts a job and ends it with a connection that is kept. */
+	struct relay_pin *pin(int64_t number)
+	{
+		EXPECT_TRUE(until([&] {
+			return !numbers.empty() ||
+			       relay_start(relay, db_find(db, "m0"), 1, &job,
+					   clk_now() + 1000, clk_now());
+		}));
+		EXPECT_TRUE(until([&] { return !numbers.empty(); }));
+		end(DB_DONE, number);
+		EXPECT_TRUE(until([&] { return results.size() == 1; }));
+		return results.back().pin;
+	}
+};
+
+/* Guards against a proxy that ends with a segmentation fault: its runner told
+ * that the connection of a transaction was lost while the next statement of the
+ * transaction was on its way there. The connection was forgotten at once, and
+ * again with the statement's end (Threlfall grown, fresh-c88b). */
+TEST_F(Relay, AStatementOutlivesThatItsConnectionWasLost)
+{
+	struct relay_pin *p = pin(7);
+	struct msg m = {};
+
+	ASSERT_NE(nullptr, p);
+	relay_continue(p, &job, clk_now() + 1000, clk_now());
+	m.type = MSG_PIN_LOST;
+	m.u.pin_lost.pin = 7;
+	link_send(peer, &m);
+	ASSERT_TRUE(until([&] { return numbers.size() == 2; }));
+	end(DB_LOST, 0);
+	ASSERT_TRUE(until([&] { return results.size() == 2; }));
+	EXPECT_EQ(DB_LOST, results.back().status);
+	EXPECT_FALSE(results.back().sent);
+	EXPECT_EQ(nullptr, results.back().pin);
+}
+
+/* Between two statements the session hears at once. */
+TEST_F(Relay, ALostConnectionIsTold)
+{
+	struct relay_pin *p = pin(7);
+	struct msg m = {};
+	bool lost = false;
+
+	ASSERT_NE(nullptr, p);
+	relay_on_lost(
+		p, [](void *arg) { *(bool *)arg = true; }, &lost);
+	m.type = MSG_PIN_LOST;
+	m.u.pin_lost.pin = 7;
+	link_send(peer, &m);
+	EXPECT_TRUE(until([&] { return lost; }));
+}
