db, relay: members hold their share, choices live while places are made

The share of connections and the number of users of a member were computed for each idle connection in each tick of 10 ms; they change with proxies, routes and primaries only, and are set then. db_config with its two callbacks goes. db_note_sent() and db_note_given_up() only renamed db_began() and db_ended(). relay_place held the best runner and its weight, which are needed only while places are made.

--- a/db.c
+++ b/db.c
@@ -15,13 +15,13 @@
  * average: half of the way in about 700 answers. */
 #define DB_QUIET_WEIGHT 0.001
 
-struct db *db_new(const struct db_config *cfg)
+struct db *db_new(struct ev_loop *loop)
 {
 	struct db *d = calloc(1, sizeof(*d));
 
 	if (!d)
 		abort();
-	d->cfg = *cfg;
+	d->loop = loop;
 	return d;
 }
 
@@ -84,6 +84,8 @@
 	m->db = d;
 	m->info = *b;
 	db_log_member(b);
+	m->share = 100;
+	m->users = 1;
 	m->response_ms = DB_FIRST_RESPONSE_MS;
 	m->quiet_ms = DB_FIRST_RESPONSE_MS;
 	m->backoff = DB_BACKOFF_MS;
@@ -207,7 +209,6 @@
 	j->done(j, r);
 }
 
-/* A job began or ended to run on the member. */
 void db_began(struct db_member *m, clk_ms now)
 {
 	if (!m->running++)
@@ -229,16 +230,6 @@
 		m->quiet_ms += (m->response_ms - m->quiet_ms) * DB_QUIET_WEIGHT;
 }
 
-void db_note_sent(struct db_member *m, clk_ms now)
-{
-	db_began(m, now);
-}
-
-void db_note_given_up(struct db_member *m)
-{
-	db_ended(m);
-}
-
 void db_note_end(struct db_member *m, const struct db_result *r, clk_ms now)
 {
 	db_ended(m);
@@ -348,16 +339,9 @@
 	m->nqueue++;
 }
 
-int db_share(const struct db_member *m)
-{
-	return m->db->cfg.share(m->db->cfg.arg, &m->info);
-}
-
 int db_own(const struct db_member *m)
 {
-	int own = db_share(m) / 100;
-
-	return own > 0 ? own : 1;
+	return m->share >= 100 ? m->share / 100 : 1;
 }
 
 static bool db_is_pressed(const struct db_member *m, clk_ms now)
@@ -368,12 +352,11 @@
 
 bool db_may_run(const struct db_member *m, clk_ms now)
 {
-	int users = m->db->cfg.users(m->db->cfg.arg, &m->info);
 	int all = DB_LOAD * (int)m->info.slots;
 
-	if (all < users && !db_is_pressed(m, now))
+	if (all < m->users && !db_is_pressed(m, now))
 		return true;
-	return !m->running || m->running * users < all;
+	return !m->running || m->running * m->users < all;
 }
 
 /* After a refusal one connection at a time is tried. */
--- a/db.h
+++ b/db.h
@@ -127,6 +127,11 @@
 	struct db *db;
 	struct backend_info info;
 	bool known; /* in the roster */
+	/* Set by the user: connections that are this proxy's own, in
+	 * hundredths. Up to DB_EXTRA more are opened under load and soon closed
+	 * again. With less than two, proxies take turns. */
+	int share;
+	int users; /* proxies that use it, this one included */
 	struct db_conn **conns;
 	int nconns;
 	int opening;
@@ -152,19 +157,7 @@
 	clk_ms leaving_since; /* 0 if it does not leave */
 };
 
-struct db_config {
-	struct ev_loop *loop;
-	void *arg;
-	/* Connections to one backend of a group that are this proxy's own, in
-	 * hundredths. Up to DB_EXTRA more are opened under load and soon closed
-	 * again. With less than two, proxies take turns. */
-	int (*share)(void *arg, const struct backend_info *b);
-
-	/* Proxies that use a backend, this one included. */
-	int (*users)(void *arg, const struct backend_info *b);
-};
-
-struct db *db_new(const struct db_config *cfg);
+struct db *db_new(struct ev_loop *loop);
 void db_free(struct db *d);
 
 /* The roster changed. */
@@ -195,11 +188,12 @@
 /* True if every statement fails there, whatever it says of itself. */
 bool db_is_failing(const struct db_member *m, clk_ms now);
 
-/* A statement that another proxy runs for this one counts like an own: that it
- * was sent there, that it ended, or that its end is no longer waited for. */
-void db_note_sent(struct db_member *m, clk_ms now);
+/* A statement began or ended to run on the member. Those that another proxy
+ * runs for this one count, too: their end is noted with its result, but for
+ * those that are given up. */
+void db_began(struct db_member *m, clk_ms now);
+void db_ended(struct db_member *m);
 void db_note_end(struct db_member *m, const struct db_result *r, clk_ms now);
-void db_note_given_up(struct db_member *m);
 
 void db_tick(struct db *d, clk_ms now);
 size_t db_connections(const struct db *d);
--- a/db_conn.c
+++ b/db_conn.c
@@ -44,7 +44,7 @@
 	if (!c || !m->conns)
 		abort();
 	c->member = m;
-	c->net = net_connect(m->db->cfg.loop, m->info.addr, &h, &e);
+	c->net = net_connect(m->db->loop, m->info.addr, &h, &e);
 	if (!c->net) {
 		log_warn("db", "event=connect_failed member=%s error=\"%s\"",
 			 m->info.id, e.text);
@@ -304,8 +304,8 @@
 	if (c->error == LINE_E_CONN_LIMIT || c->error == LINE_E_BUSY) {
 		cnt_add(CNT_backend_full, 1);
 		m->full = true;
-		m->full_until = now + (db_share(m) < 200 ? DB_TURN_FULL_MS
-							 : DB_FULL_MS);
+		m->full_until =
+			now + (m->share < 200 ? DB_TURN_FULL_MS : DB_FULL_MS);
 		db_conn_free(c);
 		db_next(m, now);
 		return;
@@ -428,8 +428,8 @@
 
 	if (m->info.leaving)
 		return DB_LEAVING_IDLE_MS;
-	if (db_share(m) < 200)
-		return (clk_ms)db_share(m) * DB_TURN_MS / 100;
+	if (m->share < 200)
+		return (clk_ms)m->share * DB_TURN_MS / 100;
 	if (m->nconns > db_own(m))
 		return DB_EXTRA_IDLE_MS;
 	return m->nconns > DB_KEEP ? DB_SPARE_IDLE_MS : DB_IDLE_MS;
--- a/db_priv.h
+++ b/db_priv.h
@@ -39,7 +39,7 @@
 };
 
 struct db {
-	struct db_config cfg;
+	struct ev_loop *loop;
 	struct db_member **members;
 	size_t nmembers;
 };
@@ -51,8 +51,7 @@
 void db_conn_tick(struct db_conn *c, clk_ms now);
 
 /* db.c */
-int db_share(const struct db_member *m); /* hundredths */
-int db_own(const struct db_member *m); /* whole, at least one */
+int db_own(const struct db_member *m); /* connections, at least one */
 void db_next(struct db_member *m, clk_ms now);
 
 /* Whether one more statement may run there. Those of transactions always may:
@@ -61,8 +60,6 @@
 void db_forget_conn(struct db_conn *c);
 void db_failed(struct db_member *m, clk_ms now);
 void db_heard(struct db_member *m, clk_ms now);
-void db_began(struct db_member *m, clk_ms now);
-void db_ended(struct db_member *m);
 void db_learn_time(struct db_member *m, clk_ms ms);
 void db_end_job(struct db_job *j, struct db_result *r);
 
--- a/front.c
+++ b/front.c
@@ -128,29 +128,15 @@
 	front_tell_suspects(f, now);
 }
 
-static int front_on_share(void *arg, const struct backend_info *b)
-{
-	return front_share(arg, b);
-}
-
-static int front_on_users(void *arg, const struct backend_info *b)
-{
-	return front_users(arg, b);
-}
-
 struct fronts *front_new(struct ev_loop *loop, const struct settings *set)
 {
 	struct fronts *f = calloc(1, sizeof(*f));
-	struct db_config cfg = {.loop = loop,
-				.arg = f,
-				.share = front_on_share,
-				.users = front_on_users};
 
 	if (!f)
 		abort();
 	f->loop = loop;
 	f->set = set;
-	f->db = db_new(&cfg);
+	f->db = db_new(loop);
 	f->latency = hist_new();
 	f->hedges.tokens = FRONT_HEDGES_FIRST;
 	ev_timer_init(&f->tick, front_on_tick, FRONT_TICK_MS / 1000.0,
--- a/front_priv.h
+++ b/front_priv.h
@@ -200,14 +200,13 @@
 int front_count_slices(const struct fronts *f, int largest_zone);
 
 /*
- * Connections of a backend that are this proxy's, in hundredths, and how many
+ * Sets for each member how many connections are this proxy's, and how many
  * proxies share it. A runner shares with those of its slice. Without runners
  * every proxy needs the primary; a replica is used by the proxies of its zone,
  * others come now and then. Some connections are left for the control leader,
  * which asks members for their status.
  */
-int front_share(const struct fronts *f, const struct backend_info *b);
-int front_users(const struct fronts *f, const struct backend_info *b);
+void front_share_out(struct fronts *f);
 void front_send(struct front *s, struct db_member *m, clk_ms now);
 void front_send_kept(struct front *s, clk_ms now);
 void front_cancel(struct front *s);
--- a/front_send.c
+++ b/front_send.c
@@ -2,7 +2,6 @@
 
 #include "relay.h"
 #include "settings.h"
-#include "table.h"
 
 #include <string.h>
 
@@ -36,13 +35,11 @@
 	return slices < largest_zone ? slices : largest_zone;
 }
 
-int front_share(const struct fronts *f, const struct backend_info *b)
+static int send_share(const struct fronts *f, const struct backend_info *b,
+		      bool primary)
 {
 	int max = send_connections(f, b->group);
 	int slice = front_slice(f, b->group);
-	const struct front_group *g =
-		tab_find(f->groups, f->ngroups, sizeof(*g), b->group);
-	bool primary = g && !strcmp(g->primary, b->id);
 
 	if (f->slices && relay_runs_here(f->relay, b->zone, slice))
 		return max * FRONT_RUNNER_PERCENT /
@@ -53,20 +50,34 @@
 	return max * 100 / (f->proxies > 0 ? f->proxies : 1);
 }
 
-int front_users(const struct fronts *f, const struct backend_info *b)
+static int send_users(const struct fronts *f, const struct backend_info *b,
+		      bool primary)
 {
-	const struct front_group *g =
-		tab_find(f->groups, f->ngroups, sizeof(*g), b->group);
 	int users = f->neighbours;
 
 	if (f->slices)
 		users = relay_runners(f->relay, b->zone,
 				      front_slice(f, b->group));
-	else if (g && !strcmp(g->primary, b->id))
+	else if (primary)
 		users = f->proxies;
 	return users > 0 ? users : 1;
 }
 
+void front_share_out(struct fronts *f)
+{
+	for (size_t i = 0; i < f->ngroups; i++) {
+		const struct front_group *g = &f->groups[i];
+
+		for (size_t j = 0; j < g->nmembers; j++) {
+			struct db_member *m = g->members[j];
+			bool primary = !strcmp(g->primary, m->info.id);
+
+			m->share = send_share(f, &m->info, primary);
+			m->users = send_users(f, &m->info, primary);
+		}
+	}
+}
+
 void front_send(struct front *s, struct db_member *m, clk_ms now)
 {
 	struct fronts *f = s->all;
--- a/front_view.c
+++ b/front_view.c
@@ -53,6 +53,7 @@
 			 f->proxies);
 	f->slices = slices;
 	relay_take_proxies(f->relay, f->proxy_list, f->nlist, slices);
+	front_share_out(f);
 }
 
 static bool front_knows_proxies(const struct fronts *f,
@@ -132,22 +133,28 @@
 {
 	db_update(f->db, list, n);
 	front_collect_members(f);
+	front_share_out(f);
 }
 
 void front_take_groups(struct fronts *f, const struct group_info *list,
 		       size_t n)
 {
+	bool changed = false;
+
 	for (size_t i = 0; i < n; i++) {
 		struct front_group *g = front_find_group(f, list[i].name);
 
 		if (!strcmp(g->primary, list[i].primary))
 			continue;
+		changed = true;
 		log_info("front",
 			 "event=primary group=%s member=%s term=%lld before=%s",
 			 g->name, list[i].primary, (long long)list[i].term,
 			 g->primary);
 		memcpy(g->primary, list[i].primary, ID_LEN);
 	}
+	if (changed)
+		front_share_out(f);
 }
 
 int64_t front_suspects(struct fronts *f, struct suspect *out, int64_t max,
--- a/relay.c
+++ b/relay.c
@@ -258,13 +258,20 @@
 	return p;
 }
 
+/* The runner of a place, while proxies are taken. */
+struct relay_choice {
+	const struct proxy_info *best;
+	uint64_t weight;
+};
+
 /* The proxies of a zone are dealt out to the slices in the order of their ids;
  * those that are down keep their place. */
 static void relay_deal(struct relay *r, const struct proxy_info *list, size_t i,
-		       int slices)
+		       int slices, struct relay_choice *choices)
 {
 	const struct proxy_info *x = &list[i];
 	uint64_t weight = relay_weight(r, x->id);
+	struct relay_choice *choice;
 	struct relay_place *p;
 	int before = 0;
 
@@ -273,29 +280,33 @@
 	p = relay_add_place(r, x->zone, before % slices);
 	p->runners++;
 	p->here |= !strcmp(x->id, r->set->id);
-	if (x->alive && (!p->best || weight > p->weight)) {
-		p->best = x;
-		p->weight = weight;
-	}
+	choice = &choices[p - r->places];
+	if (x->alive && (!choice->best || weight > choice->weight))
+		*choice = (struct relay_choice){.best = x, .weight = weight};
 }
 
 void relay_take_proxies(struct relay *r, const struct proxy_info *list,
 			size_t n, int slices)
 {
+	/* There are no more places than proxies. */
+	struct relay_choice *choices = calloc(n + 1, sizeof(*choices));
+
+	if (!choices)
+		abort();
 	for (struct relay_gate *g = r->gates; g; g = g->next)
 		g->chosen = false;
 	r->nplaces = 0;
 	for (size_t i = 0; slices && i < n; i++)
-		relay_deal(r, list, i, slices);
+		relay_deal(r, list, i, slices, choices);
 	for (size_t i = 0; i < r->nplaces; i++) {
 		struct relay_place *p = &r->places[i];
 
-		if (p->best && !p->here) {
-			p->gate = relay_gate(r, p->best);
-			p->gate->chosen = true;
-		}
-		p->best = NULL;
+		if (!choices[i].best || p->here)
+			continue;
+		p->gate = relay_gate(r, choices[i].best);
+		p->gate->chosen = true;
 	}
+	free(choices);
 }
 
 int relay_runners(const struct relay *r, const char *zone, int slice)
@@ -371,7 +382,7 @@
 	j->conn = NULL;
 	j->started = now;
 	j->sent = true;
-	db_note_sent(m, now);
+	db_began(m, now);
 	cnt_add(CNT_forwarded, 1);
 	link_send(g->link, &msg);
 	free(out->values);
@@ -405,7 +416,7 @@
 
 	m.u.job_cancel.number = job->number;
 	link_send(job->gate->link, &m);
-	db_note_given_up(job->member);
+	db_ended(job->member);
 	if (job->pin)
 		relay_forget_pin(r, job->pin);
 	relay_forget_job(r, job);
--- a/relay_priv.h
+++ b/relay_priv.h
@@ -28,8 +28,6 @@
 	int slice;
 	int runners; /* proxies that hold its connections */
 	bool here; /* this one does */
-	uint64_t weight; /* of the chosen runner */
-	const struct proxy_info *best; /* while proxies are taken */
 	struct relay_gate *gate; /* NULL if no runner is alive */
 };
 
--- a/t/unit_db.cc
+++ b/t/unit_db.cc
@@ -6,34 +6,17 @@
 
 /* How many statements a proxy gives a member at a time. */
 struct DbLoad : testing::Test {
-	int users = 8;
-	struct db *db = nullptr;
 	struct db_member m = {};
 	clk_ms now = 100000;
 
-	static int on_users(void *arg, const struct backend_info *)
-	{
-		return *(int *)arg;
-	}
-
 	void SetUp() override
 	{
-		struct db_config cfg = {};
-
-		cfg.arg = &users;
-		cfg.users = on_users;
-		db = db_new(&cfg);
-		m.db = db;
+		m.users = 8;
 		m.info.slots = 6;
 		m.response_ms = 10;
 		m.quiet_ms = 10;
 	}
 
-	void TearDown() override
-	{
-		db_free(db);
-	}
-
 	int at_most()
 	{
 		for (m.running = 0; m.running < 100; m.running++)
@@ -49,9 +32,9 @@
 TEST_F(DbLoad, HoldsWithoutPressureWhereEachMayRunOne)
 {
 	EXPECT_EQ(2, at_most());
-	users = 12;
+	m.users = 12;
 	EXPECT_EQ(1, at_most());
-	users = 2;
+	m.users = 2;
 	EXPECT_EQ(DB_LOAD * m.info.slots / 2, at_most());
 }
 
@@ -59,7 +42,7 @@
  * statement only (Barfani, quiet-1). */
 TEST_F(DbLoad, HoldsUnderPressureOnlyWhereItIsLessThanOne)
 {
-	users = 13;
+	m.users = 13;
 	EXPECT_EQ(100, at_most());
 	m.pressed_until = now + 1;
 	EXPECT_EQ(1, at_most());
--- a/t/unit_relay.cc
+++ b/t/unit_relay.cc
@@ -50,11 +50,6 @@
 	struct db_job job = {};
 	std::vector<struct db_result> results;
 
-	static int one(void *, const struct backend_info *)
-	{
-		return 1;
-	}
-
 	static void on_up(void *arg, struct link *l)
 	{
 		((Relay *)arg)->peer = l;
@@ -91,7 +86,6 @@
 
 	void SetUp() override
 	{
-		struct db_config cfg = {};
 		struct link_handler h = {};
 		struct backend_info b = {};
 		struct proxy_info list[2] = {};
@@ -100,10 +94,7 @@
 		ASSERT_GE(sodium_init(), 0);
 		identify(&own, "p1");
 		identify(&other, "p2");
-		cfg.loop = loop;
-		cfg.share = one;
-		cfg.users = one;
-		db = db_new(&cfg);
+		db = db_new(loop);
 		snprintf(b.id, ID_LEN, "m0");
 		snprintf(b.zone, ID_LEN, "za");
 		snprintf(b.addr, ADDR_LEN, "127.0.0.1:1");
