link, control: connect anew when a peer is known to run

Cause: after a loss of all power a control instance tries to connect to one that has no power yet; the attempt hangs for 300 ms, also when the other has started and opened its own link meanwhile. Ruled out: a shorter limit to connect (a first packet that is lost costs that attempt on lossy links). Change: when a peer's link comes up, an own attempt that has heard nothing is given up and made anew. Test: Link.ConnectsAnewWhenThePeerIsKnownToRun (not up within 100 ms before).

--- a/control.c
+++ b/control.c
@@ -315,8 +315,13 @@
 	x->next = c->clients;
 	c->clients = x;
 	link_set_data(l, x);
-	if (control_is_control(l))
+	if (control_is_control(l)) {
+		struct link *back = control_peer(c, link_peer_id(l));
+
+		if (back)
+			link_hurry(back);
 		ctl_peer(c->ctl, link_peer_id(l), link_peer_uuid(l), clk_now());
+	}
 	control_kick(c);
 }
 
--- a/link.c
+++ b/link.c
@@ -329,6 +329,18 @@
 	link_say_hello(l);
 }
 
+void link_hurry(struct link *l)
+{
+	bool silent = l->phase == LINK_HELLO && l->heard == l->began;
+
+	if (l->freed || l->server || (l->conn && !silent))
+		return;
+	net_free(l->conn);
+	l->conn = NULL;
+	l->phase = LINK_IDLE;
+	link_start(l);
+}
+
 static struct link *link_new(struct ev_loop *loop, const struct settings *set,
 			     const char *role, int64_t uuid,
 			     const struct link_handler *h)
--- a/link.h
+++ b/link.h
@@ -48,6 +48,10 @@
 		       const char *role, const char *addr, int64_t uuid,
 		       const struct link_handler *h);
 
+/* Connects anew at once where nothing has been heard yet: the peer is known to
+ * run now, and an attempt from before may hang until LINK_CONNECT_MS. */
+void link_hurry(struct link *l);
+
 /* Accepts links; each struct link handed to on_up dies after on_down. */
 enum res link_serve(struct link_server **out, struct ev_loop *loop,
 		    const struct settings *set, const char *role, int64_t uuid,
