--- a/db.c
+++ b/db.c
@@ -152,8 +152,11 @@
 
 static void db_count_failure(struct db_member *m, clk_ms now)
 {
-	if (!m->failures++ || now - m->failed_last >= DB_FAILING_MS)
+	if (!m->failures || now - m->failed_last >= DB_FAILING_MS) {
+		m->failures = 0;
 		m->failed_first = now;
+	}
+	m->failures++;
 	m->failed_last = now;
 	if (!db_is_failing(m, now))
 		return;
--- a/db.h
+++ b/db.h
@@ -27,12 +27,14 @@
 			      * slot for some ms, which may be queued for */
 	DB_ABANDONED_MS = 3000, /* for the answer of a job that was given up */
 	DB_SUSPECT_MS = 500, /* as settings suspect_ms: nothing was heard */
-	/* A member fails if as many statements or more, over DB_SUSPECT_MS or
-	 * longer, ended without success and none with it. It may answer status
-	 * questions all the same. */
+	/* A member is failing after as many statements in a row without
+	 * success, over DB_SUSPECT_MS or longer; one that is lost now and then
+	 * is followed by others that succeed. */
 	DB_FAILURES = 3,
-	DB_FAILING_MS = 2000, /* and the last of them is no older */
-	DB_ASIDE_MS = 300, /* between two tries of such a member */
+	DB_FAILING_MS =
+		2000, /* a row that has ended for longer tells nothing */
+	DB_ASIDE_MS = 300, /* between two tries of a failing member; as
+			    * DB_BACKOFF_MAX_MS */
 	DB_IDLE_MS = 45000, /* backends close idle connections after 60 s */
 	DB_KEEP = 1, /* idle connections kept for so long; others go after
 		      * DB_SPARE_IDLE_MS, since those of a proxy that lost
@@ -145,8 +147,8 @@
 	clk_ms heard;
 	clk_ms waiting_since; /* oldest unanswered statement; 0 for none */
 	bool down; /* the last connection failed and nothing came since */
-	int failures; /* statements without success since the last with it */
-	clk_ms failed_first; /* of them */
+	int failures; /* statements in a row without success */
+	clk_ms failed_first; /* when the first of them ended, and the last */
 	clk_ms failed_last;
 	clk_ms fail_until;
 	clk_ms backoff;
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -124,6 +124,18 @@
 		run(PRO_STATUS_MS + 40);
 	}
 
+	/* One proxy misses "a", and it does not answer control in time. */
+	void find_primary_silent()
+	{
+		run(300);
+		pro_heard(pro, "orders", now);
+		suspect(1, "a");
+		run(40);
+		answer("b", false, 12);
+		answer("c", false, 10);
+		run(PRO_STATUS_MS + 60);
+	}
+
 	void answer(const char *id, bool primary, int64_t held,
 		    int64_t term = 1)
 	{
@@ -360,13 +372,7 @@
  * trouble-3 at 34.3 s). The replica that holds most by then is promoted. */
 TEST_F(Promote, DecidesAsSoonAsEnoughProxiesMissASilentPrimary)
 {
-	run(300);
-	pro_heard(pro, "orders", now);
-	suspect(1, "a");
-	run(40);
-	answer("b", false, 12);
-	answer("c", false, 10);
-	run(PRO_STATUS_MS + 60);
+	find_primary_silent();
 	ASSERT_TRUE(calls.empty());
 	pro_heard(pro, "orders", now);
 	run(PRO_RETRY_MS);
@@ -383,13 +389,7 @@
 /* The same, but the primary answers in the end. */
 TEST_F(Promote, AWatchedPrimaryThatAnswersStays)
 {
-	run(300);
-	pro_heard(pro, "orders", now);
-	suspect(1, "a");
-	run(40);
-	answer("b", false, 12);
-	answer("c", false, 10);
-	run(PRO_STATUS_MS + 60);
+	find_primary_silent();
 	ASSERT_TRUE(asked.count("a")) << "it is asked again";
 	answer("a", true, 12);
 	suspect(6, "a");
