db: a replica that lacks a position is tried less and less often

A refusal kept others away for 20 ms only, and also reads that would have been served, since they may be older. Change: the pause doubles up to 160 ms and holds for reads that need as much.

--- a/db.c
+++ b/db.c
@@ -167,6 +167,25 @@
 	m->fail_until = now + DB_ASIDE_MS;
 }
 
+bool db_is_behind(const struct db_member *m, struct pos need, clk_ms now)
+{
+	return now < m->behind_until && pos_cmp(need, m->behind) >= 0;
+}
+
+static void db_learn_behind(struct db_member *m, const struct db_job *j,
+			    const struct db_result *r, clk_ms now)
+{
+	if (r->status == DB_DONE && pos_cmp(j->wait, m->behind) >= 0)
+		m->behind_pause = 0;
+	if (r->status != DB_REFUSED || r->error != LINE_E_BEHIND)
+		return;
+	m->behind_pause = m->behind_pause ? 2 * m->behind_pause : DB_BEHIND_MS;
+	if (m->behind_pause > DB_BEHIND_MAX_MS)
+		m->behind_pause = DB_BEHIND_MAX_MS;
+	m->behind_until = now + m->behind_pause;
+	m->behind = j->wait;
+}
+
 /* What the end of a statement that was sent tells of the member. What was not
  * run for its state tells nothing. */
 static void db_learn_end(struct db_member *m, const struct db_result *r,
@@ -188,17 +207,21 @@
 	}
 }
 
-static void db_learn_refusal(struct db_member *m, const struct db_result *r,
-			     clk_ms now)
+static void db_learn_busy(struct db_member *m, const struct db_result *r,
+			  clk_ms now)
 {
-	if (r->status != DB_REFUSED)
+	if (r->status != DB_REFUSED || r->error != LINE_E_BUSY)
 		return;
-	if (r->error == LINE_E_BUSY) {
-		m->busy_until = now + DB_BUSY_MS;
-		m->pressed_until = now + DB_PRESSED_MS;
-	}
-	if (r->error == LINE_E_BEHIND)
-		m->behind_until = now + DB_BEHIND_MS;
+	m->busy_until = now + DB_BUSY_MS;
+	m->pressed_until = now + DB_PRESSED_MS;
+}
+
+static void db_learn(struct db_member *m, const struct db_job *j,
+		     const struct db_result *r, clk_ms now)
+{
+	db_learn_end(m, r, now);
+	db_learn_busy(m, r, now);
+	db_learn_behind(m, j, r, now);
 }
 
 void db_end_job(struct db_job *j, struct db_result *r)
@@ -207,8 +230,7 @@
 
 	j->member = NULL;
 	j->conn = NULL;
-	db_learn_refusal(m, r, clk_now());
-	db_learn_end(m, r, clk_now());
+	db_learn(m, j, r, clk_now());
 	j->done(j, r);
 }
 
@@ -233,10 +255,11 @@
 		m->quiet_ms += (m->response_ms - m->quiet_ms) * DB_QUIET_WEIGHT;
 }
 
-void db_note_end(struct db_member *m, const struct db_result *r, clk_ms now)
+void db_note_end(struct db_member *m, const struct db_job *j,
+		 const struct db_result *r, clk_ms now)
 {
 	db_ended(m);
-	db_learn_end(m, r, now);
+	db_learn(m, j, r, now);
 	if (r->status == DB_LOST) {
 		if (!r->sent)
 			db_failed(m, now);
@@ -246,7 +269,6 @@
 	m->pos = pos_max(m->pos, r->pos);
 	if (r->status == DB_DONE)
 		db_learn_time(m, now - r->sent_at);
-	db_learn_refusal(m, r, now);
 }
 
 /* Jobs that wait can be started elsewhere. */
--- a/db.h
+++ b/db.h
@@ -67,7 +67,9 @@
 	 * quiet. */
 	DB_PRESSED_MS = 500,
 	DB_PRESSED_TIMES = 3,
-	DB_BEHIND_MS = 20, /* pause after a replica lacked a position */
+	DB_BEHIND_MS = 20, /* pause after a replica lacked a position, for
+			    * reads that need as much; doubled each time */
+	DB_BEHIND_MAX_MS = 160, /* one that has caught up waits for as long */
 	DB_USER_TIMEOUT_MS = 1500 /* unacknowledged data, TCP_USER_TIMEOUT */
 };
 
@@ -155,6 +157,8 @@
 	bool full; /* the last connection was refused for their number */
 	clk_ms full_until;
 	clk_ms busy_until;
+	struct pos behind; /* position that it lacked last */
+	clk_ms behind_pause; /* 0 after a success with that position */
 	clk_ms behind_until;
 	clk_ms leaving_since; /* 0 if it does not leave */
 };
@@ -190,12 +194,16 @@
 /* True if every statement fails there, whatever it says of itself. */
 bool db_is_failing(const struct db_member *m, clk_ms now);
 
+/* True if a replica lacked such a position a moment ago. */
+bool db_is_behind(const struct db_member *m, struct pos need, clk_ms now);
+
 /* A statement began or ended to run on the member. Those that another proxy
  * runs for this one count, too: their end is noted with its result, but for
  * those that are given up. */
 void db_began(struct db_member *m, clk_ms now);
 void db_ended(struct db_member *m);
-void db_note_end(struct db_member *m, const struct db_result *r, clk_ms now);
+void db_note_end(struct db_member *m, const struct db_job *j,
+		 const struct db_result *r, clk_ms now);
 
 void db_tick(struct db *d, clk_ms now);
 size_t db_connections(const struct db *d);
--- a/front_place.c
+++ b/front_place.c
@@ -13,9 +13,9 @@
 }
 
 static bool place_usable(const struct db_member *m, const struct front *s,
-			 bool primary, clk_ms now)
+			 bool primary, struct pos need, clk_ms now)
 {
-	if (!primary && now < m->behind_until)
+	if (!primary && db_is_behind(m, need, now))
 		return false;
 	return m->known && !m->info.leaving && now >= m->fail_until &&
 	       now >= m->busy_until && !db_is_silent(m, now) &&
@@ -44,7 +44,7 @@
 }
 
 struct db_member *front_place_read(struct fronts *f, const struct front *s,
-				   clk_ms now)
+				   struct pos need, clk_ms now)
 {
 	struct front_group *g = front_find_group(f, s->group);
 	const struct db_member *primary = front_primary(g);
@@ -55,7 +55,7 @@
 	for (size_t i = 0; i < g->nmembers; i++) {
 		double cost;
 
-		if (!place_usable(list[i], s, list[i] == primary, now))
+		if (!place_usable(list[i], s, list[i] == primary, need, now))
 			continue;
 		cost = place_cost(f, s, list[i], list[i] == primary);
 		if (!best || cost < best_cost) {
--- a/front_priv.h
+++ b/front_priv.h
@@ -226,6 +226,6 @@
 /* front_place.c */
 struct db_member *front_primary(const struct front_group *g);
 struct db_member *front_place_read(struct fronts *f, const struct front *s,
-				   clk_ms now);
+				   struct pos need, clk_ms now);
 
 #endif
--- a/front_run.c
+++ b/front_run.c
@@ -327,9 +327,9 @@
 static void run_read(struct front *s, clk_ms now)
 {
 	struct front_group *g = front_find_group(s->all, s->group);
-	struct db_member *m = front_place_read(s->all, s, now);
-	struct pos need;
+	struct pos need = {0};
 	bool known = run_need(s, &need);
+	struct db_member *m = front_place_read(s->all, s, need, now);
 
 	if (!known && m != front_primary(g))
 		run_without_position(s, g, now);
--- a/relay.c
+++ b/relay.c
@@ -50,7 +50,7 @@
 	if (job->pin && !res->pin)
 		relay_forget_pin(r, job->pin);
 	relay_forget_job(r, job);
-	db_note_end(m, res, clk_now());
+	db_note_end(m, j, res, clk_now());
 	j->done(j, res);
 }
 
