daemon: name the file operation that held the loop up

Only fsync was timed; writes, creates, renames and removals of files and the write of a log line can wait for the file system as long.

All of these are timed now, and event=held_up names the longest one.

--- a/daemon.c
+++ b/daemon.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "log.h"
+#include "stall.h"
 #include "version.h"
 
 #include <argtable2.h>
@@ -92,9 +93,9 @@
 }
 
 /*
- * Logs that the event loop was blocked, and how much processor time the process
- * used meanwhile. For the rest of the time it was stopped or waited for the
- * disk.
+ * Logs that the event loop was blocked, how much processor time the process
+ * used meanwhile, and which file operation took longest. If that does not
+ * account for the time, the process was stopped.
  */
 static void daemon_on_loop_check(struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -102,14 +103,17 @@
 	clk_ms now = clk_now();
 	clk_ms cpu = clk_cpu();
 	clk_ms late = now - run->loop_checked_at - DAEMON_LOOP_CHECK_MS;
+	struct stl_operation op = stl_take_longest();
 
 	(void)loop;
 	(void)events;
 	if (late >= DAEMON_LOOP_BLOCKED_MS) {
 		cnt_add(CNT_held_up, 1);
 		log_warn(run->d->log_module,
-			 "event=held_up ms=%lld cpu_ms=%lld", (long long)late,
-			 (long long)(cpu - run->cpu_ms));
+			 "event=held_up ms=%lld cpu_ms=%lld file_op=%s "
+			 "file_ms=%lld",
+			 (long long)late, (long long)(cpu - run->cpu_ms),
+			 op.name, (long long)op.ms);
 	}
 	run->loop_checked_at = now;
 	run->cpu_ms = cpu;
--- a/log.c
+++ b/log.c
@@ -1,4 +1,5 @@
 #include "log.h"
+#include "stall.h"
 
 #include <fcntl.h>
 #include <stdarg.h>
@@ -60,6 +61,7 @@
 	char stamp[32];
 	struct timespec ts;
 	struct tm tm;
+	int64_t began;
 	va_list ap;
 	int n;
 
@@ -86,8 +88,10 @@
 	line[n] = '\n';
 	/* One write per line, so that lines of several processes that share
 	 * the output do not interleave. */
+	began = clk_now_us();
 	if (write(STDOUT_FILENO, line, (size_t)n + 1) < 0)
 		log_dropped++;
 	else
 		log_dropped = 0;
+	stl_record("log", began);
 }
--- a/store.c
+++ b/store.c
@@ -2,6 +2,7 @@
 
 #include "counter.h"
 #include "log.h"
+#include "stall.h"
 #include "store_file.h"
 
 #include <dirent.h>
@@ -207,6 +208,7 @@
 
 static void store_open_last_segment(struct store *s)
 {
+	int64_t began = clk_now_us();
 	char name[STORE_NAME_LEN];
 	struct stat st;
 
@@ -215,6 +217,7 @@
 			   O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
 	if (s->log_fd < 0 || fstat(s->log_fd, &st))
 		sfile_fail("open", name);
+	stl_record("create", began);
 	s->log_size = st.st_size;
 	sfile_sync(s->dir_fd, ".");
 }
@@ -231,6 +234,7 @@
 
 static void store_remove_segments(struct store *s, int64_t first_seq)
 {
+	int64_t began = clk_now_us();
 	char name[STORE_NAME_LEN];
 	size_t n = 0;
 
@@ -239,6 +243,7 @@
 		unlinkat(s->dir_fd, name, 0);
 		n++;
 	}
+	stl_record("remove", began);
 	s->nsegments -= n;
 	memmove(s->segments, s->segments + n,
 		s->nsegments * sizeof(*s->segments));
--- a/store_file.c
+++ b/store_file.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "log.h"
+#include "stall.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -55,6 +56,8 @@
 
 void sfile_write(int fd, const char *name, const char *data, size_t len)
 {
+	int64_t began = clk_now_us();
+
 	while (len > 0) {
 		ssize_t n = write(fd, data, len);
 
@@ -65,16 +68,18 @@
 		data += n;
 		len -= (size_t)n;
 	}
+	stl_record("write", began);
 }
 
 void sfile_sync(int fd, const char *name)
 {
-	clk_ms began = clk_now();
+	int64_t began = clk_now_us();
 	clk_ms ms;
 
 	if (fsync(fd))
 		sfile_fail("sync", name);
-	ms = clk_now() - began;
+	stl_record("sync", began);
+	ms = (clk_now_us() - began) / 1000;
 	if (ms < SFILE_SLOW_SYNC_MS)
 		return;
 	cnt_add(CNT_slow_syncs, 1);
@@ -85,17 +90,21 @@
 void sfile_replace(int dir, const char *name, const struct buf *data)
 {
 	char tmp[64];
+	int64_t began = clk_now_us();
 	int fd;
 
 	snprintf(tmp, sizeof(tmp), "%s.tmp", name);
 	fd = openat(dir, tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
 	if (fd < 0)
 		sfile_fail("open", tmp);
+	stl_record("create", began);
 	sfile_write(fd, tmp, buf_data(data), buf_len(data));
 	sfile_sync(fd, tmp);
 	close(fd);
+	began = clk_now_us();
 	if (renameat(dir, tmp, dir, name))
 		sfile_fail("rename", name);
+	stl_record("rename", began);
 	sfile_sync(dir, ".");
 }
 
