--- a/cluster.h
+++ b/cluster.h
@@ -41,6 +41,8 @@
 				 * asked to promote; empty before that */
 	int64_t member_term; /* the primary's own term when it was recorded; 0
 			      * if unknown */
+	char late_call[ID_LEN]; /* member for which an earlier call may still
+				 * be carried out; empty if none can */
 };
 
 struct backend_info {
--- a/ctl_core.c
+++ b/ctl_core.c
@@ -440,6 +440,7 @@
 	struct buf cmd = BUF_INIT;
 
 	memcpy(g.name, a->promoter.group, ID_LEN);
+	memcpy(g.late_call, a->promoter.late_call, ID_LEN);
 	switch (a->promoter.type) {
 	case PRO_RECORD_PRIMARY:
 		g.term = a->promoter.term;
--- a/entry.c
+++ b/entry.c
@@ -218,11 +218,13 @@
 		log_info("entry", "event=connected ms=%lld",
 			 (long long)(now - since));
 		front_refuse_waiting(p->fronts, false);
+		front_refuse_without_lease(p->fronts, false);
 		front_drain(p->fronts, p->draining);
 		break;
 	case ROT_CUT_OFF:
 		log_warn("entry", "event=cut_off control_age_ms=%lld group=%s",
 			 (long long)age, missed.group);
+		front_refuse_without_lease(p->fronts, true);
 		break;
 	case ROT_UNCHANGED:
 		break;
--- a/front.c
+++ b/front.c
@@ -198,6 +198,11 @@
 	f->refuse_waiting = refuse;
 }
 
+void front_refuse_without_lease(struct front_server *f, bool refuse)
+{
+	f->refuse_without_lease = refuse;
+}
+
 void front_close_rest(struct front_server *f)
 {
 	struct front_session *next;
--- a/front.h
+++ b/front.h
@@ -92,6 +92,10 @@
 /* Sets whether statements that wait for a member are refused at once. */
 void front_refuse_waiting(struct front_server *f, bool refuse);
 
+/* Sets whether statements that need a lease are refused at once while there is
+ * none: it will not be renewed soon, and another proxy can run them. */
+void front_refuse_without_lease(struct front_server *f, bool refuse);
+
 /* Closes the remaining sessions, including those in a transaction. */
 void front_close_rest(struct front_server *f);
 struct hist;
--- a/front_priv.h
+++ b/front_priv.h
@@ -203,6 +203,7 @@
 	ev_timer tick;
 	bool draining;
 	bool refuse_waiting;
+	bool refuse_without_lease;
 	void (*on_urgent)(void *arg);
 	void *arg;
 	/* when on_urgent was last called for a suspected primary */
--- a/front_run.c
+++ b/front_run.c
@@ -372,6 +372,20 @@
 	return true;
 }
 
+/* Lets a statement wait for a lease, or refuses it if there will be none. */
+static void run_without_lease(struct front_session *s,
+			      const struct db_member *m)
+{
+	cnt_add(CNT_retry_no_lease, 1);
+	if (!s->server->refuse_without_lease || s->run.sent) {
+		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_LEASE);
+		return;
+	}
+	if (s->txn == FRONT_OPEN)
+		front_release_kept(s);
+	run_refuse(s, RES_NO_LEASE, m->info.id);
+}
+
 static void run_on_primary(struct front_session *s, clk_ms now)
 {
 	struct front_group *g = front_find_group(s->server, s->group);
@@ -393,8 +407,7 @@
 		return;
 	}
 	if (now >= m->lease_until) {
-		cnt_add(CNT_retry_no_lease, 1);
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_LEASE);
+		run_without_lease(s, m);
 		return;
 	}
 	if (now < m->fail_until || now < m->busy_until ||
@@ -471,8 +484,7 @@
 		return;
 	}
 	if (s->job.needs_lease && now >= m->lease_until) {
-		cnt_add(CNT_retry_no_lease, 1);
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_LEASE);
+		run_without_lease(s, m);
 		return;
 	}
 	run_note_lease(s, m, now);
--- a/front_send.c
+++ b/front_send.c
@@ -52,16 +52,23 @@
 	return max * 100 / (f->proxies > 0 ? f->proxies : 1);
 }
 
+/*
+ * Counts the proxies whose statements a member serves. Those that are down or
+ * cut off send none: if they counted, the proxies that take over their callers
+ * would leave slots of the member idle.
+ */
 static int send_users(const struct front_server *f,
 		      const struct backend_info *b, bool primary)
 {
-	int users = f->zone_proxies;
+	int users = 0;
 
 	if (f->slice_count)
-		users = relay_count_runners(f->relay, b->zone,
-					    front_slice(f, b->group));
-	else if (primary)
-		users = f->proxies;
+		users = relay_count_live_runners(f->relay, b->zone,
+						 front_slice(f, b->group));
+	for (size_t i = 0; !f->slice_count && i < f->nlist; i++)
+		users += f->proxy_list[i].alive &&
+			 (primary ||
+			  !strcmp(f->proxy_list[i].zone, f->set->zone));
 	return users > 0 ? users : 1;
 }
 
--- a/promote.c
+++ b/promote.c
@@ -214,6 +214,8 @@
 		term = info->change_term;
 	a->term = term + 1;
 	a->member_term = member_term;
+	if (now < g->late_call_until)
+		memcpy(a->late_call, g->called_member, ID_LEN);
 	log_info("promote", "event=primary group=%s member=%s term=%lld",
 		 g->name, member, (long long)a->term);
 	for (int i = 0; i < g->nmembers; i++)
@@ -418,9 +420,16 @@
 	return false;
 }
 
+static struct pro_member *pro_choose(struct pro *p, struct pro_group *g,
+				     clk_ms now)
+{
+	return p->use_leases ? pro_next_candidate(p, g, now)
+			     : pro_best_candidate(g);
+}
+
 static void pro_tick_drain(struct pro *p, struct pro_group *g, clk_ms now)
 {
-	struct pro_member *best = pro_best_candidate(g);
+	struct pro_member *best = pro_choose(p, g, now);
 
 	/* Without synchronous replicas, commits that no replica has received in
 	 * time may be lost. */
@@ -452,7 +461,7 @@
 
 	if (pro_awaits_replies(g, now))
 		return;
-	best = pro_best_candidate(g);
+	best = pro_choose(p, g, now);
 	if (best && pro_has_all_commits(g))
 		pro_promote(p, g, best, now);
 	else
@@ -552,6 +561,10 @@
 {
 	switch (g->phase) {
 	case PRO_IDLE:
+		if (p->use_leases) {
+			pro_note_settled(p, g, now);
+			pro_forget_late_call(p, g, now);
+		}
 		if (pro_needs_probe(p, g, now))
 			pro_start_probing(p, g, now);
 		break;
--- a/promote.h
+++ b/promote.h
@@ -119,6 +119,8 @@
 	 * record of the group. */
 	int64_t term;
 	int64_t member_term; /* RECORD_PRIMARY: the member's own term, or 0 */
+	char late_call[ID_LEN]; /* RECORD: member for which an earlier call may
+				 * still be carried out, or empty */
 	int64_t promoter_token; /* CALL: fencing token */
 };
 
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -43,7 +43,7 @@
 /* Proposes that the group's primary is being changed, to a candidate if it is
  * not empty. */
 static void pro_record_change(struct pro *p, struct pro_group *g,
-			      const char *candidate)
+			      const char *candidate, clk_ms now)
 {
 	const struct group_info *info = pro_info(p, g);
 	struct pro_action *a = pro_queue_act(p, g, PRO_RECORD_CHANGE);
@@ -53,6 +53,8 @@
 		term = info->term;
 	a->term = term + 1;
 	snprintf(a->member, ID_LEN, "%s", candidate);
+	if (now < g->late_call_until)
+		memcpy(a->late_call, g->called_member, ID_LEN);
 }
 
 /* Asks the old primary to step down, since its leases needn't be waited for
@@ -71,7 +73,7 @@
 	const struct group_info *info = pro_info(p, g);
 
 	if (!info || !info->changing_primary) {
-		pro_record_change(p, g, "");
+		pro_record_change(p, g, "", now);
 		g->uncovered_since = 0;
 	}
 	log_info("promote",
@@ -81,28 +83,58 @@
 	pro_ask_to_step_down(p, g, now);
 }
 
-/* The best member, or the one that must be called again because an earlier call
- * for it may still be carried out. */
-static struct pro_member *pro_next_candidate(const struct pro *p,
-					     struct pro_group *g, clk_ms now)
+/* If an earlier leader called a member, its calls may still be carried out. */
+static void pro_note_earlier_calls(const struct pro *p, struct pro_group *g)
 {
 	const struct group_info *info = pro_info(p, g);
+	const char *called = !info		  ? ""
+			     : pro_is_named(p, g) ? info->candidate
+						  : info->late_call;
+
+	if (!called[0] || g->late_call_until || !strcmp(g->target, called))
+		return;
+	memcpy(g->called_member, called, ID_LEN);
+	g->late_call_until = p->leading_since + PRO_LATE_CALL_MS;
+}
+
+void pro_forget_late_call(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	const struct group_info *info = pro_info(p, g);
+
+	if (!info || info->changing_primary || !info->late_call[0])
+		return;
+	pro_note_earlier_calls(p, g);
+	if (now >= g->late_call_until && now >= g->next_change_at)
+		pro_record_primary(p, g, info->primary, info->member_term, now);
+}
+
+/* True if the member leads, or believes so, for another reason than that this
+ * change named it. It steps down first: another member may have been promoted
+ * since, and its lead could be taken for that of the call. */
+static bool pro_must_step_down_first(const struct pro *p,
+				     const struct pro_group *g,
+				     const struct pro_member *m)
+{
+	return pro_is_primary(m) &&
+	       !(pro_is_named(p, g) &&
+		 !strcmp(pro_info(p, g)->candidate, m->id));
+}
+
+struct pro_member *pro_next_candidate(struct pro *p, struct pro_group *g,
+				      clk_ms now)
+{
 	struct pro_member *m;
 
-	if (pro_is_named(p, g) && strcmp(g->target, info->candidate) != 0 &&
-	    !g->late_call_until) {
-		/* An earlier leader named it; whether its calls were answered
-		 * is unknown. */
-		memcpy(g->called_member, info->candidate, ID_LEN);
-		g->late_call_until = p->leading_since + PRO_LATE_CALL_MS;
-	}
-	if (now >= g->late_call_until)
-		return pro_best_candidate(g);
-	m = pro_find_member(g, g->called_member);
-	return m && !m->awaiting_reply && m->reply == PRO_OK &&
-			       strcmp(m->id, g->old_primary) != 0
-		       ? m
-		       : NULL;
+	pro_note_earlier_calls(p, g);
+	m = now >= g->late_call_until ? pro_best_candidate(g)
+				      : pro_find_member(g, g->called_member);
+	if (!m || m->awaiting_reply || m->reply != PRO_OK ||
+	    !strcmp(m->id, g->old_primary))
+		return NULL;
+	if (!pro_must_step_down_first(p, g, m))
+		return m;
+	pro_send_command(p, g, m, PRO_STEP_DOWN, pro_newest_term(g) + 1, now);
+	return NULL;
 }
 
 void pro_note_unanswered_call(struct pro_group *g, clk_ms now)
@@ -115,7 +147,7 @@
 			struct pro_member *m, clk_ms now)
 {
 	memcpy(g->target, m->id, ID_LEN);
-	pro_record_change(p, g, m->id);
+	pro_record_change(p, g, m->id, now);
 	pro_set_phase(g, PRO_NAMING, now);
 }
 
@@ -186,11 +218,37 @@
 	}
 }
 
+/*
+ * True if no lease names the old primary once it has stepped down. It may lead
+ * again because of a late call, and a proxy may still hold a lease for a change
+ * before the last one, in which it was the primary.
+ */
+static bool pro_step_down_counts(const struct pro *p, const struct pro_group *g,
+				 clk_ms at, clk_ms now)
+{
+	return at >= g->late_call_until &&
+	       now >= lse_over_at(&p->leases, g->settled_version,
+				  g->settled_since);
+}
+
+void pro_note_settled(const struct pro *p, struct pro_group *g, clk_ms now)
+{
+	const struct group_info *info = pro_info(p, g);
+
+	if (!info || info->changing_primary ||
+	    (g->settled_since && info->version == g->settled_version))
+		return;
+	g->settled_version = info->version;
+	g->settled_since = now;
+}
+
 void pro_tick_waiting(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	const struct group_info *info = pro_info(p, g);
 	const struct pro_member *primary = pro_find_member(g, g->old_primary);
-	bool deposed = pro_answers(primary) && !primary->status.primary;
+	bool deposed =
+		pro_answers(primary) && !primary->status.primary &&
+		pro_step_down_counts(p, g, primary->request_sent_at, now);
 
 	if (!info || !info->changing_primary) {
 		if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
@@ -258,7 +316,8 @@
 		for (int i = 0; i < g->nmembers; i++)
 			g->members[i].rejected_by_promoter = false;
 		pro_back_off(g, now, "no member can be promoted");
-	} else if (!named && pro_is_primary(primary)) {
+	} else if (!named && pro_is_primary(primary) &&
+		   pro_step_down_counts(p, g, now, now)) {
 		pro_step_down(p, g, primary, now);
 	} else if (!named && !changing && primary && !primary->awaiting_reply &&
 		   primary->reply == PRO_BUSY) {
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -72,7 +72,10 @@
 	/* With leases: */
 	clk_ms uncovered_since; /* when this leader saw the record of the
 				 * change; 0 before */
-	bool stepped_down; /* the old primary confirmed it in this change */
+	/* View version of the newest record that names a primary, and when this
+	 * leader saw it. */
+	int64_t settled_version;
+	clk_ms settled_since;
 	char called_member[ID_LEN]; /* of the last call without an answer */
 	clk_ms late_call_until; /* when that call is not carried out any more */
 };
@@ -140,6 +143,17 @@
 void pro_name_candidate(struct pro *p, struct pro_group *g,
 			struct pro_member *m, clk_ms now);
 void pro_note_unanswered_call(struct pro_group *g, clk_ms now);
+/* Notes the newest record that names a primary; called with each tick. */
+void pro_note_settled(const struct pro *p, struct pro_group *g, clk_ms now);
+
+/* The member to promote: the best one, or the one that must be called again
+ * since an earlier call for it may still be carried out. NULL if none can be
+ * promoted now; one that believes that it leads is asked to step down first. */
+struct pro_member *pro_next_candidate(struct pro *p, struct pro_group *g,
+				      clk_ms now);
+
+/* Records that no call can be carried out any more, once that is true. */
+void pro_forget_late_call(struct pro *p, struct pro_group *g, clk_ms now);
 void pro_tick_waiting(struct pro *p, struct pro_group *g, clk_ms now);
 void pro_tick_naming(struct pro *p, struct pro_group *g, clk_ms now);
 
--- a/relay.c
+++ b/relay.c
@@ -290,6 +290,7 @@
 		before += !strcmp(list[j].zone, x->zone);
 	p = relay_add_slice_zone(r, x->zone, before % slices);
 	p->runners++;
+	p->live_runners += x->alive;
 	p->runs_here |= !strcmp(x->id, r->set->id);
 	choice = &choices[p - r->slice_zones];
 	if (x->alive && (!choice->best || weight > choice->weight))
@@ -328,6 +329,14 @@
 	return p ? p->runners : 0;
 }
 
+int relay_count_live_runners(const struct relay *r, const char *zone, int slice)
+{
+	const struct relay_slice_zone *p =
+		relay_find_slice_zone(r, zone, slice);
+
+	return p ? p->live_runners : 0;
+}
+
 bool relay_runs_here(const struct relay *r, const char *zone, int slice)
 {
 	const struct relay_slice_zone *p =
--- a/relay.h
+++ b/relay.h
@@ -47,9 +47,11 @@
 void relay_take_proxies(struct relay *r, const struct proxy_info *list,
 			size_t n, int slices);
 
-/* The number of proxies that hold the connections of a slice in a zone, and
- * whether this proxy is one of them. */
+/* The number of proxies that hold the connections of a slice in a zone, how
+ * many of them are alive, and whether this proxy is one of them. */
 int relay_count_runners(const struct relay *r, const char *zone, int slice);
+int relay_count_live_runners(const struct relay *r, const char *zone,
+			     int slice);
 bool relay_runs_here(const struct relay *r, const char *zone, int slice);
 
 /* Has a job run by the runner of the member's zone and slice. Returns false if
--- a/relay_priv.h
+++ b/relay_priv.h
@@ -29,6 +29,7 @@
 	char zone[ID_LEN];
 	int slice;
 	int runners; /* number of proxies that hold its connections */
+	int live_runners; /* those of them that are alive */
 	bool runs_here; /* this proxy is one of them */
 	struct relay_runner *runner; /* NULL if no runner is alive */
 };
--- a/state.c
+++ b/state.c
@@ -248,11 +248,13 @@
 		g->changing_primary = true;
 		g->change_term = in->change_term;
 		memcpy(g->candidate, in->candidate, ID_LEN);
+		memcpy(g->late_call, in->late_call, ID_LEN);
 	} else if (!in->nterm_starts) {
 		if (in->term <= g->term || in->term <= g->change_term)
 			return;
 		g->changing_primary = false;
 		g->candidate[0] = '\0';
+		memcpy(g->late_call, in->late_call, ID_LEN);
 		g->term = in->term;
 		g->member_term = in->member_term;
 		memcpy(g->primary, in->primary, ID_LEN);
--- a/t/unit_front.cc
+++ b/t/unit_front.cc
@@ -50,3 +50,46 @@
 	front_free(f);
 	ev_loop_destroy(loop);
 }
+
+/*
+ * Guards against the pattern that one proxy serves the callers of all others,
+ * which are cut off, and sends a pressed member no more than its own share of
+ * statements, while slots of the member are idle (incident of Bung, inc-ed8a
+ * at 12 to 15 s).
+ */
+TEST(Front, ProxiesThatAreDownLeaveTheirStatementsToTheOthers)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct settings set = {};
+	struct proxy_info proxies[6] = {};
+	struct backend_info b = {};
+	struct group_info g = {};
+	struct err e = ERR_INIT;
+
+	strcpy(set.id, "p0");
+	strcpy(set.zone, "za");
+	strcpy(set.link, "127.0.0.1:0");
+	struct front_server *f = front_new(loop, &set);
+	ASSERT_EQ(RES_OK, front_link(f, 1, &e)) << e.text;
+	strcpy(b.id, "m0");
+	strcpy(b.group, "orders");
+	strcpy(b.zone, "za");
+	strcpy(b.addr, "127.0.0.1:1");
+	strcpy(g.name, "orders");
+	strcpy(g.primary, "m0");
+	for (int i = 0; i < 6; i++) {
+		snprintf(proxies[i].id, ID_LEN, "p%d", i);
+		strcpy(proxies[i].zone, i < 3 ? "za" : "zb");
+		proxies[i].alive = true;
+	}
+	front_take_proxies(f, proxies, 6);
+	front_take_backends(f, &b, 1);
+	front_take_groups(f, &g, 1);
+	EXPECT_EQ(6, db_find(f->db, "m0")->sharing_proxies);
+	for (int i = 1; i < 6; i++)
+		proxies[i].alive = false;
+	front_take_proxies(f, proxies, 6);
+	EXPECT_EQ(1, db_find(f->db, "m0")->sharing_proxies);
+	front_free(f);
+	ev_loop_destroy(loop);
+}
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -80,6 +80,7 @@
 		strcpy(g.primary, a.member);
 		g.term = a.term;
 		g.member_term = a.member_term;
+		strcpy(g.late_call, a.late_call);
 		state_cmd_group(&cmd, &g);
 		apply(&cmd);
 		recorded.push_back(a.member);
@@ -94,6 +95,7 @@
 		strcpy(g.candidate, a.member);
 		g.changing_primary = true;
 		g.change_term = a.term;
+		strcpy(g.late_call, a.late_call);
 		state_cmd_group(&cmd, &g);
 		apply(&cmd);
 	}
@@ -625,20 +627,25 @@
 	ASSERT_EQ(recorded.back(), "b");
 	announce_member("b", false);
 	grant_leases(6);
+	bool stepped_down = false;
 	for (int i = 0; i < 100; i++) {
 		suspect(6, "b");
 		run(20);
-		for (const char *id : {"a", "c"})
-			if (requests.count(id))
-				answer(id, id[0] == 'a', 12);
+		if (requests.count("a")) {
+			stepped_down |= requests["a"].type == PRO_STEP_DOWN;
+			answer("a", !stepped_down, 12);
+		}
+		if (requests.count("c"))
+			answer("c", false, 12);
 		grant_leases(6);
 	}
 	EXPECT_NE(recorded.back(), "a");
 	ASSERT_EQ(calls.size(), 2u);
 }
 
-/* Guards against recording the target before the promotion has taken effect,
- * because it believes in a lead from before that. */
+/* Guards against taking a lead that a member believes in for that of the new
+ * call: it must step down before it is called, and then lead with a new term.
+ */
 TEST_F(PromoteLeased, TheTargetMustLeadWithANewTerm)
 {
 	run_members(PRO_STATUS_TIMEOUT_MS + 100);
@@ -651,17 +658,21 @@
 	size_t before = recorded.size();
 	/* "b" is replaced by "a", which has not noticed that it was replaced.
 	 */
+	bool stepped_down = false;
 	for (int i = 0; i < 100 && calls.size() < 2; i++) {
 		suspect(6, "b");
 		run(20);
-		if (requests.count("a"))
-			answer("a", true, 12, 1);
+		if (requests.count("a")) {
+			stepped_down |= requests["a"].type == PRO_STEP_DOWN;
+			answer("a", !stepped_down, 12, 1);
+		}
 		if (requests.count("c"))
 			answer("c", false, 11, 2);
 		grant_leases(6);
 	}
 	ASSERT_EQ(calls.size(), 2u);
 	ASSERT_STREQ(calls[1].member, "a");
+	EXPECT_TRUE(stepped_down);
 	pro_on_promoter_reply(pro, calls[1].action_id, 200, now);
 	run(100);
 	answer("a", true, 12, 1);
@@ -745,3 +756,48 @@
 	EXPECT_EQ(recorded.back(), "a");
 	EXPECT_FALSE(state_group(state, "orders")->changing_primary);
 }
+
+/* Guards against a call for the present primary that got no answer and is
+ * carried out after this primary was replaced in turn: a leader that did not
+ * make the call must know of it. */
+TEST_F(PromoteLeased, ANewLeaderKnowsOfACallForThePresentPrimary)
+{
+	run_members(PRO_STATUS_TIMEOUT_MS + 100);
+	grant_leases(6);
+	run_members(100);
+	ASSERT_STREQ(calls.back().member, "b");
+	pro_on_promoter_reply(pro, calls.back().action_id, 0, now);
+	leads = "b";
+	run_members(300);
+	ASSERT_EQ(recorded.back(), "b");
+	EXPECT_STREQ(state_group(state, "orders")->late_call, "b");
+	calls.clear();
+	requests.clear();
+	pro_start_leading(pro, 8, now);
+	clk_ms since = now;
+	while (now < since + PRO_LATE_CALL_MS + 3000 && calls.empty()) {
+		suspect(6, "b");
+		run(20);
+		for (const char *id : {"a", "c"})
+			if (requests.count(id))
+				answer(id, false, 12);
+		grant_leases(6);
+	}
+	ASSERT_EQ(calls.size(), 1u);
+	EXPECT_GE(now, since + PRO_LATE_CALL_MS);
+}
+
+/* Guards against waiting for such a call for ever. */
+TEST_F(PromoteLeased, ALateCallIsForgotten)
+{
+	run_members(PRO_STATUS_TIMEOUT_MS + 100);
+	grant_leases(6);
+	run_members(100);
+	pro_on_promoter_reply(pro, calls.back().action_id, 0, now);
+	leads = "b";
+	run_members(300);
+	ASSERT_EQ(recorded.back(), "b");
+	run(PRO_LATE_CALL_MS + 1000);
+	EXPECT_STREQ(state_group(state, "orders")->late_call, "");
+	EXPECT_EQ(recorded.back(), "b");
+}
