--- a/json.c
+++ b/json.c
@@ -219,6 +219,8 @@
 	if (!d || !tok)
 		abort();
 	d->name = strdup(name);
+	if (!text)
+		text = ""; /* an empty text in a message */
 	if (len >= JS_MAX_FILE_BYTES)
 		r = js_fail_at(d, 0, "", e, "longer than 64 MB");
 	else if (memchr(text, '\0', len))
--- a/msg.c
+++ b/msg.c
@@ -1,4 +1,5 @@
 #include "msg.h"
+#include "msg_lengths.h"
 
 #include <arpa/inet.h>
 #include <msgpack.h>
@@ -620,6 +621,11 @@
 	enum res r;
 
 	memset(m, 0, sizeof(*m));
+	if (!msg_lengths_fit(data, len))
+		return err_set(e, RES_BAD_MESSAGE,
+			       "frame of %zu bytes is too short for its "
+			       "contents",
+			       len);
 	msgpack_unpacked_init(&in);
 	if (msgpack_unpack_next(&in, data, len, &off) !=
 		    MSGPACK_UNPACK_SUCCESS ||
