--- a/t/unit_ctl.cc
+++ b/t/unit_ctl.cc
@@ -127,6 +127,21 @@
 		execute_actions(i);
 		return lease;
 	}
+	/* Proposes that the primary of the group "orders" is being changed. */
+	void propose_change(int at)
+	{
+		struct group_info g = {};
+		struct buf b = BUF_INIT;
+
+		strcpy(g.name, "orders");
+		g.changing_primary = true;
+		g.change_term = 7;
+		state_cmd_group(&b, &g);
+		raft_propose(ctl_raft(c[at]), buf_data(&b), buf_len(&b));
+		raft_send_proposals(ctl_raft(c[at]), now);
+		buf_free(&b);
+		execute_actions(at);
+	}
 	int leader()
 	{
 		int found = -1;
@@ -224,16 +239,7 @@
 	for (int i = 0; i < 20; i++)
 		step();
 	EXPECT_GE(backend_calls, 3);
-	struct group_info g = {};
-	struct buf b = BUF_INIT;
-	strcpy(g.name, "orders");
-	g.changing_primary = true;
-	g.change_term = 7;
-	state_cmd_group(&b, &g);
-	raft_propose(ctl_raft(c[at]), buf_data(&b), buf_len(&b));
-	raft_send_proposals(ctl_raft(c[at]), now);
-	buf_free(&b);
-	execute_actions(at);
+	propose_change(at);
 	for (int i = 0; i < 20; i++)
 		step();
 	EXPECT_EQ(1000, ask(at, true, &changing));
@@ -282,21 +288,6 @@
 		c[i] = fresh;
 		execute_actions(i);
 	}
-
-	void propose_change(int at)
-	{
-		struct group_info g = {};
-		struct buf b = BUF_INIT;
-
-		strcpy(g.name, "orders");
-		g.changing_primary = true;
-		g.change_term = 7;
-		state_cmd_group(&b, &g);
-		raft_propose(ctl_raft(c[at]), buf_data(&b), buf_len(&b));
-		raft_send_proposals(ctl_raft(c[at]), now);
-		buf_free(&b);
-		execute_actions(at);
-	}
 };
 
 /*
