promote: drop a rule that the model shows to be unneeded

Both had found errors before later rules were added: that a candidate must not lead when it is named, and that a step down does not count while a late call may come. So the later rules cover them.

The wait for leases of the change before the last one is removed from model and code. The comparison of terms is removed from the model, and stays in the code as a check of what a member says.

--- a/promote.c
+++ b/promote.c
@@ -561,10 +561,8 @@
 {
 	switch (g->phase) {
 	case PRO_IDLE:
-		if (p->use_leases) {
-			pro_note_settled(p, g, now);
+		if (p->use_leases)
 			pro_forget_late_call(p, g, now);
-		}
 		if (pro_needs_probe(p, g, now))
 			pro_start_probing(p, g, now);
 		break;
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -218,37 +218,19 @@
 	}
 }
 
-/*
- * True if no lease names the old primary once it has stepped down. It may lead
- * again because of a late call, and a proxy may still hold a lease for a change
- * before the last one, in which it was the primary.
- */
-static bool pro_step_down_counts(const struct pro *p, const struct pro_group *g,
-				 clk_ms at, clk_ms now)
+/* True if an old primary that stepped down at a time stays so: a late call
+ * could make it lead again. */
+static bool pro_step_down_counts(const struct pro_group *g, clk_ms at)
 {
-	return at >= g->late_call_until &&
-	       now >= lse_over_at(&p->leases, g->settled_version,
-				  g->settled_since);
-}
-
-void pro_note_settled(const struct pro *p, struct pro_group *g, clk_ms now)
-{
-	const struct group_info *info = pro_info(p, g);
-
-	if (!info || info->changing_primary ||
-	    (g->settled_since && info->version == g->settled_version))
-		return;
-	g->settled_version = info->version;
-	g->settled_since = now;
+	return at >= g->late_call_until;
 }
 
 void pro_tick_waiting(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	const struct group_info *info = pro_info(p, g);
 	const struct pro_member *primary = pro_find_member(g, g->old_primary);
-	bool deposed =
-		pro_answers(primary) && !primary->status.primary &&
-		pro_step_down_counts(p, g, primary->request_sent_at, now);
+	bool deposed = pro_answers(primary) && !primary->status.primary &&
+		       pro_step_down_counts(g, primary->request_sent_at);
 
 	if (!info || !info->changing_primary) {
 		if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
@@ -317,7 +299,7 @@
 			g->members[i].rejected_by_promoter = false;
 		pro_back_off(g, now, "no member can be promoted");
 	} else if (!named && pro_is_primary(primary) &&
-		   pro_step_down_counts(p, g, now, now)) {
+		   pro_step_down_counts(g, now)) {
 		pro_step_down(p, g, primary, now);
 	} else if (!named && !changing && primary && !primary->awaiting_reply &&
 		   primary->reply == PRO_BUSY) {
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -72,10 +72,6 @@
 	/* With leases: */
 	clk_ms uncovered_since; /* when this leader saw the record of the
 				 * change; 0 before */
-	/* View version of the newest record that names a primary, and when this
-	 * leader saw it. */
-	int64_t settled_version;
-	clk_ms settled_since;
 	char called_member[ID_LEN]; /* of the last call without an answer */
 	clk_ms late_call_until; /* when that call is not carried out any more */
 };
@@ -143,9 +139,6 @@
 void pro_name_candidate(struct pro *p, struct pro_group *g,
 			struct pro_member *m, clk_ms now);
 void pro_note_unanswered_call(struct pro_group *g, clk_ms now);
-/* Notes the newest record that names a primary; called with each tick. */
-void pro_note_settled(const struct pro *p, struct pro_group *g, clk_ms now);
-
 /* The member to promote: the best one, or the one that must be called again
  * since an earlier call for it may still be carried out. NULL if none can be
  * promoted now; one that believes that it leads is asked to step down first. */
