--- a/front.h
+++ b/front.h
@@ -28,6 +28,7 @@
 struct ev_loop;
 struct front_server;
 struct settings;
+struct view;
 
 struct front_server *front_new(struct ev_loop *loop,
 			       const struct settings *set);
@@ -59,7 +60,6 @@
  * primary, statements go to a primary as such only under a lease, and a commit
  * is acknowledged only under one.
  */
-struct view;
 void front_take_leases(struct front_server *f, const struct view *v);
 
 /* Lists the groups whose primary can't be reached from here. */
--- a/view.h
+++ b/view.h
@@ -62,6 +62,7 @@
 /* Returns when the lease of a group ends; 0 if it does not cover the group. */
 clk_ms view_lease_until(const struct view *v, const char *group);
 
+/* Returns when the lease ends, whatever groups it covers. */
 clk_ms view_lease_expires_at(const struct view *v);
 
 /* Extends the lease to a time until which a majority of the voters supports
