front, uplink, control: log where a read's required position came from

So a position of a member that no longer leads, one with the time of another clock, and a read sent without its position look the same.

No decision changes. frs_required_sample() returns the whole sample in place of the position; its tests check the same values.

--- a/counter.h
+++ b/counter.h
@@ -27,7 +27,8 @@
 	X(elections) X(leader_changes) X(promotions) X(snapshots) \
 	X(log_synced) X(log_torn) X(cfg_conflicts) X(cfg_resends) \
 	X(backends_announced) X(backends_silenced) X(bad_input) \
-	X(http_evicted) X(held_up) X(slow_syncs)
+	X(http_evicted) X(held_up) X(slow_syncs) X(positions_contradicted) \
+	X(samples_ahead)
 /* clang-format on */
 
 enum cnt {
--- a/ctl_proxy.c
+++ b/ctl_proxy.c
@@ -199,16 +199,32 @@
 	}
 }
 
+/* A position can't have been asked for later than now: its time is one of
+ * another clock. */
+static void ask_log_ahead(const char *proxy, clk_ms ahead_ms)
+{
+	if (ahead_ms <= 0)
+		return;
+	cnt_add(CNT_samples_ahead, 1);
+	log_info("control", "event=samples_ahead proxy=%s ahead_ms=%lld", proxy,
+		 (long long)ahead_ms);
+}
+
 /* Passes the positions of primaries from the proxies that use them to the
  * others, which then need not query a primary to learn how fresh a replica must
  * be. */
-static void ask_exchange_samples(struct ctl *c, const struct msg_ask *ask,
-				 clk_ms now, struct msg_answer *a)
+static void ask_exchange_samples(struct ctl *c, const char *proxy,
+				 const struct msg_ask *ask, clk_ms now,
+				 struct msg_answer *a)
 {
+	clk_ms ahead_ms = 0;
+
 	for (int64_t i = 0; i < ask->nsamples; i++) {
 		const struct pos_sample *in = &ask->samples[i];
 		struct pos_sample *s;
 
+		if (in->sent_at_leader_ms - now > ahead_ms)
+			ahead_ms = in->sent_at_leader_ms - now;
 		if (!in->group[0] || in->sent_at_leader_ms > now)
 			continue;
 		s = ask_sample(c, in->group);
@@ -217,6 +233,7 @@
 		pro_on_primary_answer(c->promotion, in->group,
 				      in->sent_at_leader_ms);
 	}
+	ask_log_ahead(proxy, ahead_ms);
 	a->leader_clock = now;
 	ask_fill_samples(c, ask, a);
 }
@@ -260,7 +277,7 @@
 	ask_fill_lists(c, ask, a);
 	ask_fill_published(c, p, client, ask, now, a);
 	ask_fill_controls(c, a);
-	ask_exchange_samples(c, ask, now, a);
+	ask_exchange_samples(c, proxy, ask, now, a);
 	state_fill_newer_records(c->state, ask->view_version, a);
 	ask_fill_quota(c, proxy, ask, now, a);
 }
--- a/freshness.c
+++ b/freshness.c
@@ -1,17 +1,18 @@
 #include "freshness.h"
 
-void frs_add_sample(struct freshness_samples *f, clk_ms sent, struct pos pos)
+static void frs_add(struct freshness_samples *f,
+		    const struct freshness_sample *s)
 {
 	struct freshness_sample *last = f->n ? &f->samples[f->n - 1] : NULL;
 
-	if (pos_is_none(pos))
+	if (pos_is_none(s->pos))
 		return;
-	if (last && sent < last->sent)
+	if (last && s->sent < last->sent)
 		return;
 	/* Within the spacing the last sample is overwritten, so that it is
 	 * always the most recent position known. */
-	if (f->n > 1 && sent - f->samples[f->n - 2].sent < FRS_SPACING_MS) {
-		*last = (struct freshness_sample){.sent = sent, .pos = pos};
+	if (f->n > 1 && s->sent - f->samples[f->n - 2].sent < FRS_SPACING_MS) {
+		*last = *s;
 		return;
 	}
 	if (f->n == FRS_SAMPLES_MAX) {
@@ -19,8 +20,12 @@
 			(FRS_SAMPLES_MAX - 1) * sizeof(f->samples[0]));
 		f->n--;
 	}
-	f->samples[f->n++] =
-		(struct freshness_sample){.sent = sent, .pos = pos};
+	f->samples[f->n++] = *s;
+}
+
+void frs_add_sample(struct freshness_samples *f, clk_ms sent, struct pos pos)
+{
+	frs_add(f, &(struct freshness_sample){.sent = sent, .pos = pos});
 }
 
 void frs_add_remote_sample(struct freshness_samples *f, clk_ms sent,
@@ -28,17 +33,28 @@
 {
 	if (sent > f->newest_remote)
 		f->newest_remote = sent;
-	frs_add_sample(f, sent, pos);
+	frs_add(f, &(struct freshness_sample){
+			   .sent = sent, .pos = pos, .remote = true});
 }
 
-bool frs_required_position(const struct freshness_samples *f, clk_ms now,
-			   clk_ms max_age, struct pos *out)
+bool frs_contradicts(const struct freshness_samples *f,
+		     const struct freshness_sample *s)
 {
-	for (int i = 0; i < f->n; i++) {
-		if (f->samples[i].sent < now - max_age)
-			continue;
-		*out = f->samples[i].pos;
-		return true;
-	}
-	return false;
+	const struct freshness_sample *last =
+		f->n ? &f->samples[f->n - 1] : NULL;
+
+	if (!last || s->sent < last->sent)
+		return false;
+	if (s->remote || last->remote)
+		return s->pos.term < last->pos.term;
+	return pos_cmp(s->pos, last->pos) < 0;
+}
+
+const struct freshness_sample *frs_required_sample(
+	const struct freshness_samples *f, clk_ms now, clk_ms max_age)
+{
+	for (int i = 0; i < f->n; i++)
+		if (f->samples[i].sent >= now - max_age)
+			return &f->samples[i];
+	return NULL;
 }
--- a/freshness.h
+++ b/freshness.h
@@ -25,6 +25,7 @@
 struct freshness_sample {
 	clk_ms sent;
 	struct pos pos;
+	bool remote; /* another proxy learned it */
 };
 
 struct freshness_samples {
@@ -43,9 +44,16 @@
 void frs_add_remote_sample(struct freshness_samples *f, clk_ms sent,
 			   struct pos pos);
 
-/* Returns in out the position that a read which arrived at now must see.
- * Returns false if no recent enough position is known. */
-bool frs_required_position(const struct freshness_samples *f, clk_ms now,
-			   clk_ms max_age, struct pos *out);
+/* True if a sample can't be right together with the newest one known: it was
+ * sent later, but its position is lower. The times of samples that other
+ * proxies learned may look older than they are, so only the terms of these are
+ * compared. */
+bool frs_contradicts(const struct freshness_samples *f,
+		     const struct freshness_sample *s);
+
+/* Returns the sample with the position that a read which arrived at now must
+ * see; NULL if no recent enough position is known. */
+const struct freshness_sample *frs_required_sample(
+	const struct freshness_samples *f, clk_ms now, clk_ms max_age);
 
 #endif
--- a/front_control.c
+++ b/front_control.c
@@ -1,5 +1,6 @@
 #include "front_priv.h"
 
+#include "counter.h"
 #include "log.h"
 #include "relay.h"
 #include "settings.h"
@@ -265,10 +266,32 @@
 	}
 }
 
-void front_take_sample(struct front_server *f, const struct pos_sample *s)
+void front_check_sample(const struct front_group *g, const char *from,
+			const struct freshness_sample *s)
 {
-	struct pos pos = {.term = s->term, .number = s->number};
+	const struct freshness_sample *last;
+
+	if (!frs_contradicts(&g->fresh, s))
+		return;
+	last = &g->fresh.samples[g->fresh.n - 1];
+	cnt_add(CNT_positions_contradicted, 1);
+	log_warn("front",
+		 "event=position_contradicted group=%s from=%s pos=%lld.%lld "
+		 "known=%lld.%lld known_remote=%d sent_later_ms=%lld",
+		 g->name, from, (long long)s->pos.term,
+		 (long long)s->pos.number, (long long)last->pos.term,
+		 (long long)last->pos.number, last->remote,
+		 (long long)(s->sent - last->sent));
+}
 
-	frs_add_remote_sample(&front_find_group(f, s->group)->fresh,
-			      s->sent_at_leader_ms, pos);
+void front_take_sample(struct front_server *f, const struct pos_sample *s)
+{
+	struct front_group *g = front_find_group(f, s->group);
+	struct freshness_sample sample = {
+		.sent = s->sent_at_leader_ms,
+		.pos = {.term = s->term, .number = s->number},
+		.remote = true};
+
+	front_check_sample(g, "control", &sample);
+	frs_add_remote_sample(&g->fresh, sample.sent, sample.pos);
 }
--- a/front_priv.h
+++ b/front_priv.h
@@ -140,6 +140,15 @@
 	 * the group; 0 if it was not */
 	int64_t lease_term;
 	bool commits_writes; /* it succeeded and made writes permanent */
+	/* for the log: the sample whose position the last try had to see, and
+	 * its age when the read or its transaction came; sent is 0 if there is
+	 * none */
+	struct freshness_sample required;
+	clk_ms required_age_ms;
+	/* for the log: position in the last answer, and whether it was taken as
+	 * the primary's */
+	struct pos answer_pos;
+	bool answer_sampled;
 	/* a commit that succeeded, whose answer waits for a lease */
 	bool answer_held;
 	struct buf held_answer;
@@ -220,6 +229,11 @@
 /* front_control.c: the pointer is valid until the roster is updated. */
 struct front_group *front_find_group(struct front_server *f, const char *name);
 
+/* Logs a sample of a member's answer, or of another proxy, that can't be right
+ * together with those known. */
+void front_check_sample(const struct front_group *g, const char *from,
+			const struct freshness_sample *s);
+
 /* Asks control early because a group's first position is missing or was just
  * learned. */
 void front_ask_early(struct front_server *f, clk_ms now);
--- a/front_run.c
+++ b/front_run.c
@@ -11,6 +11,13 @@
 static void run_done(struct db_job *j, const struct db_result *r);
 static void run_try(struct front_session *s, clk_ms now);
 
+static const char *run_required_from(const struct front_run *run)
+{
+	if (!run->required.sent)
+		return "none";
+	return run->required.remote ? "control" : "own";
+}
+
 static void run_log(const struct front_session *s, const char *outcome,
 		    const char *member, enum res reason)
 {
@@ -20,12 +27,16 @@
 		"front",
 		"event=statement id=%.*s database=%s group=%s member=%s "
 		"writes=%d commits=%d txn=%d tries=%d sent=%d ms=%lld "
-		"need=%lld.%lld config=%lld outcome=%s reason=%s",
+		"need=%lld.%lld need_age=%lld need_from=%s pos=%lld.%lld "
+		"sampled=%d config=%lld outcome=%s reason=%s",
 		(int)run->stmt.id.len, run->stmt.id.p, s->database, s->group,
 		member, run->writes, run->commits, s->txn, run->tries,
 		run->sent, (long long)(clk_now() - run->received_at),
 		(long long)s->job.required_pos.term,
 		(long long)s->job.required_pos.number,
+		(long long)(run->required.sent ? run->required_age_ms : -1),
+		run_required_from(run), (long long)run->answer_pos.term,
+		(long long)run->answer_pos.number, run->answer_sampled,
 		(long long)(s->server->routes ? s->server->routes->version : 0),
 		outcome, res_name(reason));
 }
@@ -256,9 +267,14 @@
 		   (s->run.commits && s->txn_has_writes) ||
 		   (s->txn == FRONT_OPEN && !s->txn_read_only);
 
+	s->run.answer_pos = r->pos;
 	if (led && (s->run.lease_term || s->server->set->promoter_deposes)) {
+		struct freshness_sample sample = {.sent = r->sent_at,
+						  .pos = r->pos};
 		bool first = !g->fresh.n;
 
+		s->run.answer_sampled = true;
+		front_check_sample(g, s->job_member, &sample);
 		frs_add_sample(&g->fresh, r->sent_at, r->pos);
 		if (first)
 			front_ask_early(s->server, clk_now());
@@ -356,18 +372,22 @@
 
 /* Returns in need the position that a read on a replica has to wait for; false
  * if no recent enough one is known. */
-static bool run_required_position(const struct front_session *s,
-				  struct pos *need)
+static bool run_required_position(struct front_session *s, struct pos *need)
 {
 	struct front_group *g = front_find_group(s->server, s->group);
 	clk_ms since =
 		s->txn == FRONT_BEGUN ? s->txn_since : s->run.received_at;
+	const struct freshness_sample *sample;
 
 	g->pos_needed_at = clk_now();
 	if (!g->min_age_ms || s->route.max_age_ms < g->min_age_ms)
 		g->min_age_ms = s->route.max_age_ms;
-	if (!frs_required_position(&g->fresh, since, s->route.max_age_ms, need))
+	sample = frs_required_sample(&g->fresh, since, s->route.max_age_ms);
+	if (!sample)
 		return false;
+	s->run.required = *sample;
+	s->run.required_age_ms = since - sample->sent;
+	*need = sample->pos;
 	if (s->route.read_freshness == RT_READS_OWN_COMMITS)
 		*need = pos_max(*need, s->own_writes_pos);
 	return true;
@@ -393,6 +413,7 @@
 	struct db_member *m = front_primary(g);
 
 	s->job.required_pos = (struct pos){0};
+	s->run.required.sent = 0;
 	s->job.needs_lease = true;
 	s->run.primary_read = s->run.is_read;
 	s->job.begin = s->txn == FRONT_BEGUN || s->run.is_read;
@@ -521,6 +542,9 @@
 	run->hedge_denied = false;
 	run->answer_held = false;
 	run->lease_term = 0;
+	run->required.sent = 0;
+	run->answer_pos = (struct pos){0};
+	run->answer_sampled = false;
 	if (run->is_read)
 		retry_budget_deposit(&s->server->hedge_budget,
 				     FRONT_HEDGE_PERCENT);
--- a/t/unit_fresh.cc
+++ b/t/unit_fresh.cc
@@ -10,42 +10,68 @@
 TEST(Fresh, NeedsASampleSentWithinTheAge)
 {
 	struct freshness_samples f = {};
-	struct pos p;
+	const struct freshness_sample *s;
 
-	EXPECT_FALSE(frs_required_position(&f, 5000, 1000, &p));
+	EXPECT_EQ(nullptr, frs_required_sample(&f, 5000, 1000));
 	frs_add_sample(&f, 3999, {1, 10});
-	EXPECT_FALSE(frs_required_position(&f, 5000, 1000, &p));
+	EXPECT_EQ(nullptr, frs_required_sample(&f, 5000, 1000));
 	frs_add_sample(&f, 4200, {1, 12});
 	frs_add_sample(&f, 4600, {1, 15});
-	ASSERT_TRUE(frs_required_position(&f, 5000, 1000, &p));
-	EXPECT_EQ(12, p.number);
-	ASSERT_TRUE(frs_required_position(&f, 5300, 1000, &p));
-	EXPECT_EQ(15, p.number);
-	EXPECT_FALSE(frs_required_position(&f, 5601, 1000, &p));
+	s = frs_required_sample(&f, 5000, 1000);
+	ASSERT_NE(nullptr, s);
+	EXPECT_EQ(12, s->pos.number);
+	s = frs_required_sample(&f, 5300, 1000);
+	ASSERT_NE(nullptr, s);
+	EXPECT_EQ(15, s->pos.number);
+	EXPECT_EQ(nullptr, frs_required_sample(&f, 5601, 1000));
 }
 
 TEST(Fresh, KeepsTheYoungestSampleWithinTheSpacing)
 {
 	struct freshness_samples f = {};
-	struct pos p;
+	const struct freshness_sample *s;
 
 	for (int i = 0; i < 2000; i++)
 		frs_add_sample(&f, 1000 + i, {1, i});
-	ASSERT_TRUE(frs_required_position(&f, 3000, 5, &p));
-	EXPECT_EQ(1999, p.number);
-	ASSERT_TRUE(frs_required_position(&f, 3000, 1000, &p));
-	EXPECT_LE(p.number, 1000 + 2 * FRS_SPACING_MS);
+	s = frs_required_sample(&f, 3000, 5);
+	ASSERT_NE(nullptr, s);
+	EXPECT_EQ(1999, s->pos.number);
+	s = frs_required_sample(&f, 3000, 1000);
+	ASSERT_NE(nullptr, s);
+	EXPECT_LE(s->pos.number, 1000 + 2 * FRS_SPACING_MS);
 }
 
 TEST(Fresh, IgnoresLateAnswersAndMissingPositions)
 {
 	struct freshness_samples f = {};
-	struct pos p;
+	const struct freshness_sample *s;
 
 	frs_add_sample(&f, 2000, {2, 5});
 	frs_add_sample(&f, 1900, {1, 900});
 	frs_add_sample(&f, 2100, {0, 0});
-	ASSERT_TRUE(frs_required_position(&f, 2500, 1000, &p));
-	EXPECT_EQ(2, p.term);
-	EXPECT_EQ(5, p.number);
+	s = frs_required_sample(&f, 2500, 1000);
+	ASSERT_NE(nullptr, s);
+	EXPECT_EQ(2, s->pos.term);
+	EXPECT_EQ(5, s->pos.number);
+}
+
+/* Guards against logs that don't show that a position came from a member that
+ * no longer leads: it was sent later than a position of a newer term, or of the
+ * same proxy and term, that is higher. */
+TEST(Fresh, NoticesPositionsThatContradictTheNewestOne)
+{
+	struct freshness_samples f = {};
+	struct freshness_sample own = {.sent = 2000, .pos = {2, 4}};
+	struct freshness_sample remote = {
+		.sent = 2000, .pos = {2, 4}, .remote = true};
+
+	EXPECT_FALSE(frs_contradicts(&f, &own));
+	frs_add_sample(&f, 1900, {2, 5});
+	EXPECT_TRUE(frs_contradicts(&f, &own));
+	EXPECT_FALSE(frs_contradicts(&f, &remote));
+	remote.pos.term = own.pos.term = 1;
+	EXPECT_TRUE(frs_contradicts(&f, &own));
+	EXPECT_TRUE(frs_contradicts(&f, &remote));
+	own.sent = 1800;
+	EXPECT_FALSE(frs_contradicts(&f, &own));
 }
--- a/uplink_answer.c
+++ b/uplink_answer.c
@@ -42,6 +42,18 @@
 	}
 }
 
+/* Logs by how much the clocks of two leaders differ from this one's. */
+static void upl_log_clock(const struct uplink *u, const struct msg_answer *a)
+{
+	const struct upl_clock_reading *c = &u->clock_readings[0];
+
+	log_info("uplink",
+		 "event=leader_clock leader=%s ahead_ms=%lld before=%s "
+		 "before_ahead_ms=%lld",
+		 a->leader, (long long)(a->leader_clock - clk_now()),
+		 u->clock_leader, (long long)(c->leader_time - c->local_time));
+}
+
 /*
  * Passes the positions of an answer on, with local times. The leader read its
  * clock after the ASK was sent, so what happened at the leader's time t
@@ -52,8 +64,10 @@
 {
 	if (!u->cfg.on_peer_sample || !a->leader_clock)
 		return;
-	if (strcmp(u->clock_leader, a->leader) != 0)
+	if (strcmp(u->clock_leader, a->leader) != 0) {
+		upl_log_clock(u, a);
 		memset(u->clock_readings, 0, sizeof(u->clock_readings));
+	}
 	snprintf(u->clock_leader, ID_LEN, "%s", a->leader);
 	u->clock_readings[1] = u->clock_readings[0];
 	u->clock_readings[0] =
