--- /dev/null
+++ b/t/unit_uplink.cc
@@ -0,0 +1,199 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <sodium.h>
+
+#include "lib_loopback.h"
+
+extern "C" {
+#include "link.h"
+#include "settings.h"
+#include "uplink.h"
+#include "view.h"
+}
+
+/*
+ * A proxy's uplink and two control instances, played in the same loop, whose
+ * clocks differ.
+ */
+namespace
+{
+
+struct ev_loop *loop;
+
+struct Control {
+	struct settings set = {};
+	struct link_server *server = nullptr;
+	bool leads = false;
+	clk_ms clock_ahead_ms = 0; /* of the proxy's clock */
+	int answers = 0;
+	int samples = 0;
+	/* the latest time of a sample received, by the proxy's clock */
+	clk_ms newest_sample = -1;
+
+	Control(const char *id, clk_ms ahead) : clock_ahead_ms(ahead)
+	{
+		strcpy(set.id, id);
+		snprintf(set.link, ADDR_LEN, "%s",
+			 loopback::free_addr().c_str());
+	}
+
+	void start()
+	{
+		struct err e = ERR_INIT;
+		struct link_handler h = {.arg = this, .on_message = on_message};
+
+		ASSERT_EQ(RES_OK, link_listen(&server, loop, &set, "control", 1,
+					      &h, &e))
+			<< e.text;
+	}
+
+	void stop()
+	{
+		link_server_free(server);
+		server = nullptr;
+		leads = false;
+	}
+
+	static void on_message(void *arg, struct link *l, const struct msg *m)
+	{
+		if (m->type == MSG_ASK)
+			((Control *)arg)->answer(l, &m->u.ask);
+	}
+
+	void answer(struct link *l, const struct msg_ask *ask)
+	{
+		struct msg m = {};
+		struct msg_answer *a = &m.u.answer;
+
+		m.type = MSG_ANSWER;
+		a->ask_seq = ask->seq;
+		if (!leads) {
+			a->res = RES_NOT_LEADER;
+			link_send(l, &m);
+			return;
+		}
+		for (int64_t i = 0; i < ask->nsamples; i++) {
+			clk_ms at = ask->samples[i].sent_at_leader_ms -
+				    clock_ahead_ms;
+
+			samples++;
+			newest_sample = at > newest_sample ? at : newest_sample;
+		}
+		a->answer_seq = ++answers;
+		strcpy(a->leader, set.id);
+		a->lease_ms = 1000;
+		a->leader_clock = clk_now() + clock_ahead_ms;
+		link_send(l, &m);
+	}
+};
+
+} // namespace
+
+struct Uplink : testing::Test {
+	struct settings set = {};
+	struct uplink *u = nullptr;
+	struct view *view = nullptr;
+	clk_ms learned_at = 0; /* time of the sample that the proxy reports */
+
+	void SetUp() override
+	{
+		ASSERT_GE(sodium_init(), 0);
+		loop = ev_loop_new(EVFLAG_AUTO);
+		strcpy(set.id, "p1");
+		set.ask_ms = 20;
+	}
+
+	void start(std::initializer_list<Control *> controls)
+	{
+		struct uplink_config cfg = {.loop = loop, .set = &set};
+
+		for (Control *c : controls) {
+			struct settings_control *to =
+				&set.controls[set.ncontrols++];
+
+			strcpy(to->id, c->set.id);
+			strcpy(to->addr, c->set.link);
+		}
+		view = view_new(set.id, set.zone);
+		cfg.view = view;
+		cfg.arg = this;
+		cfg.on_view_changed = [](void *) {};
+		cfg.collect_suspects = [](void *, struct suspect_report *,
+					  int64_t,
+					  clk_ms) -> int64_t { return 0; };
+		cfg.collect_samples = [](void *arg, struct pos_sample *out,
+					 int64_t) -> int64_t {
+			*out = {};
+			strcpy(out->group, "g1");
+			out->term = 1;
+			out->number = 5;
+			out->sent_at_leader_ms = ((Uplink *)arg)->learned_at;
+			return 1;
+		};
+		cfg.on_peer_sample = [](void *, const struct pos_sample *) {};
+		u = uplink_new(&cfg);
+	}
+
+	bool run_until(const std::function<bool()> &done)
+	{
+		return loopback::run_until(loop, done);
+	}
+
+	void TearDown() override
+	{
+		uplink_free(u);
+		view_free(view);
+		ev_loop_destroy(loop);
+	}
+};
+
+/* Guards against positions that look younger than they are: after a change of
+ * the control leader, their times were those of the old leader's clock. */
+TEST_F(Uplink, TimesOfOneLeadersClockAreNotSentToAnother)
+{
+	Control a("a", 5300);
+	Control b("b", 5000);
+
+	a.leads = true;
+	a.start();
+	b.start();
+	start({&a, &b});
+	ASSERT_TRUE(run_until([&] { return a.answers >= 2; }));
+	learned_at = clk_now();
+	ASSERT_TRUE(run_until([&] { return a.samples > 0; }));
+	EXPECT_LE(a.newest_sample, learned_at);
+	a.stop();
+	b.leads = true;
+	ASSERT_TRUE(run_until([&] { return b.answers >= 3; }));
+	EXPECT_LE(b.newest_sample, learned_at);
+	learned_at = clk_now();
+	b.samples = 0;
+	b.newest_sample = -1;
+	ASSERT_TRUE(run_until([&] { return b.samples > 1; }))
+		<< "positions are reported again once the clock is known";
+	EXPECT_LE(b.newest_sample, learned_at);
+	b.stop();
+}
+
+/* The same where the leader started again under its id, with another clock. */
+TEST_F(Uplink, TimesOfAClockThatEndedAreNotSent)
+{
+	Control a("a", 5300);
+
+	a.leads = true;
+	a.start();
+	start({&a});
+	ASSERT_TRUE(run_until([&] { return a.answers >= 2; }));
+	learned_at = clk_now();
+	ASSERT_TRUE(run_until([&] { return a.samples > 0; }));
+	a.stop();
+	a.clock_ahead_ms = 5000;
+	a.newest_sample = -1;
+	a.start();
+	a.leads = true;
+	int before = a.answers;
+	ASSERT_TRUE(run_until([&] { return a.answers >= before + 3; }));
+	EXPECT_LE(a.newest_sample, learned_at);
+	a.stop();
+}
