front: take no position from the COMMIT of a transaction that wrote nothing

Cause: a read of limited age runs on any log that holds a position which the primary gave in answer to something sent no longer ago than the age. Each answer in an open transaction that may write counted as the primary's. A member that was deposed refuses all statements of such a transaction but one, the COMMIT of a transaction that wrote nothing. So a transaction that was open over a change of primary put the old primary's position, with a time after the change, among the samples, in place of all that the new primary acknowledged before that time; it passed to other proxies through control. A read for which it was the oldest sample within the age then ran on the old primary, which is cut off, or on a replica that far behind. The same holds for a COMMIT that is the first statement of its transaction at the member: only its BEGIN is refused there. Class of fault: an answer taken as proof that its sender leads, though a member that does not lead gives the same answer.

Change: run_proves_lead() names the answers that only a primary gives. A COMMIT counts only if the transaction wrote.

--- a/front_run.c
+++ b/front_run.c
@@ -256,6 +256,19 @@
 	       !strcmp(m->info.id, s->job_member);
 }
 
+/*
+ * True if only the primary answers such a statement with success. A member that
+ * lost the lead refuses writes, and all statements of a transaction that may
+ * write, except the COMMIT of one that wrote nothing.
+ */
+static bool run_proves_lead(const struct front_session *s)
+{
+	if (s->run.commits)
+		return s->txn_has_writes;
+	return s->run.writes || s->run.primary_read ||
+	       (s->txn == FRONT_OPEN && !s->txn_read_only);
+}
+
 /* Records the position in an answer of the primary for the group, and in that
  * of a committed write for the session. A member that was not known to be the
  * primary when the statement was sent may lack newer commits. */
@@ -263,12 +276,10 @@
 				const struct db_result *r)
 {
 	struct front_group *g = front_find_group(s->server, s->group);
-	bool led = s->run.writes || s->run.primary_read ||
-		   (s->run.commits && s->txn_has_writes) ||
-		   (s->txn == FRONT_OPEN && !s->txn_read_only);
 
 	s->run.answer_pos = r->pos;
-	if (led && (s->run.lease_term || s->server->set->promoter_deposes)) {
+	if (run_proves_lead(s) &&
+	    (s->run.lease_term || s->server->set->promoter_deposes)) {
 		struct freshness_sample sample = {.sent = r->sent_at,
 						  .pos = r->pos};
 		bool first = !g->fresh.n;
