front: a position counts as the primary's from when its lease was checked

Cause: where the promoter does not depose the old primary, only the lease shows that the member leads. A statement of an open transaction is not held back when the lease has ended, since its transaction began under it. If session values or a prepared statement had to be sent first, it left a round trip after the check, perhaps after the lease had ended and another member was promoted, and its position counted as asked for at that later time.

Change: such a position counts from the moment at which the lease held. Statements that need the lease are checked again when they are sent and keep that time.

--- a/front_priv.h
+++ b/front_priv.h
@@ -139,6 +139,7 @@
 	/* the last try was sent to the primary under a lease of this term of
 	 * the group; 0 if it was not */
 	int64_t lease_term;
+	clk_ms lease_checked_at; /* when that lease held */
 	bool commits_writes; /* it succeeded and made writes permanent */
 	/* for the log: the sample whose position the last try had to see, and
 	 * its age when the read or its transaction came; sent is 0 if there is
--- a/front_run.c
+++ b/front_run.c
@@ -238,6 +238,7 @@
 	const struct front_group *g = front_find_group(s->server, s->group);
 
 	s->run.lease_term = front_leased_primary(g, now) == m ? g->term : 0;
+	s->run.lease_checked_at = now;
 }
 
 /*
@@ -269,6 +270,20 @@
 	       (s->txn == FRONT_OPEN && !s->txn_read_only);
 }
 
+/*
+ * Since when an answer tells the primary's position. Where the promoter does
+ * not depose the old primary, only the lease shows that the member led, and
+ * only statements that need it are held back once it has ended.
+ */
+static clk_ms run_led_at(const struct front_session *s,
+			 const struct db_result *r)
+{
+	if (s->server->set->promoter_deposes || s->job.needs_lease ||
+	    r->sent_at < s->run.lease_checked_at)
+		return r->sent_at;
+	return s->run.lease_checked_at;
+}
+
 /* Records the position in an answer of the primary for the group, and in that
  * of a committed write for the session. A member that was not known to be the
  * primary when the statement was sent may lack newer commits. */
@@ -280,13 +295,13 @@
 	s->run.answer_pos = r->pos;
 	if (run_proves_lead(s) &&
 	    (s->run.lease_term || s->server->set->promoter_deposes)) {
-		struct freshness_sample sample = {.sent = r->sent_at,
+		struct freshness_sample sample = {.sent = run_led_at(s, r),
 						  .pos = r->pos};
 		bool first = !g->fresh.n;
 
 		s->run.answer_sampled = true;
 		front_check_sample(g, s->job_member, &sample);
-		frs_add_sample(&g->fresh, r->sent_at, r->pos);
+		frs_add_sample(&g->fresh, sample.sent, sample.pos);
 		if (first)
 			front_ask_early(s->server, clk_now());
 	}
