uplink: report times only to the leader whose clock they are translated to

Cause: proxies share positions through control, with times of the control leader's clock. A proxy translated them with the readings of the leader that answered last, whichever instance the ASK went to. So the first ASK to a new leader had times of the old leader's clock; where that is ahead, positions looked younger by the difference, to the new leader and to all proxies that got them from it. The same after a restart of the leader under its id, whose clock may start anew. Class of fault: a time of one clock read as that of another.

Change: a reading belongs to a control instance and is forgotten when its link goes down; an ASK to another instance carries no positions. One reading is kept in place of two: it is as good a bound for times before it as for later ones.

--- a/uplink.c
+++ b/uplink.c
@@ -158,7 +158,7 @@
 	upl_collect_demands(u, ask, now);
 	upl_collect_suspects(u, ask, now);
 	upl_collect_announces(u, ask, now);
-	upl_collect_samples(u, ask);
+	upl_collect_samples(u, control, ask);
 	if (u->cfg.append_wanted_groups)
 		u->cfg.append_wanted_groups(u->cfg.arg, &wants, now);
 	ask->wanted_groups = blob_from_buf(&wants);
@@ -211,8 +211,8 @@
 }
 
 /* Applies an answer of the leader to the ASK that was sent at ask_sent_at. */
-static void upl_apply_answer(struct uplink *u, const struct msg_answer *a,
-			     clk_ms ask_sent_at)
+static void upl_apply_answer(struct uplink *u, int control,
+			     const struct msg_answer *a, clk_ms ask_sent_at)
 {
 	int64_t lists = upl_lists_version(u);
 	bool changed;
@@ -225,7 +225,7 @@
 	if (u->cfg.quota)
 		quota_client_apply_answer(u->cfg.quota, a, ask_sent_at);
 	upl_apply_routes(u, a);
-	upl_apply_samples(u, a, ask_sent_at);
+	upl_apply_samples(u, control, a, ask_sent_at);
 	if (upl_lists_version(u) != lists) {
 		cnt_add(CNT_config_applied, 1);
 		log_info("uplink", "event=lists_taken version=%lld",
@@ -270,7 +270,7 @@
 	if (ask_leader(u->ask) != before)
 		log_info("uplink", "event=leader id=%s", uplink_leader_id(u));
 	if (accepted)
-		upl_apply_answer(u, a, ask_sent_at);
+		upl_apply_answer(u, control, a, ask_sent_at);
 	upl_apply_controls(u, a);
 	if (!accepted && a->supports_lease && ask_sent_at != CLK_NEVER)
 		upl_take_support(u, control, a, ask_sent_at);
@@ -364,6 +364,7 @@
 
 	log_info("uplink", "event=control_down id=%s index=%d", link_peer_id(l),
 		 c->index);
+	upl_forget_clock(c->uplink, c->index);
 	ask_on_link_down(c->uplink->ask, c->index, clk_now());
 	upl_set_ask_timer(c->uplink);
 }
@@ -409,6 +410,7 @@
 	u->cfg = *cfg;
 	u->live_settings = *cfg->set;
 	u->last_answer_at = -1;
+	u->clock.control = UPL_NO_CONTROL;
 	spread = XXH3_64bits(cfg->set->id, strlen(cfg->set->id));
 	u->ask = ask_new(&u->live_settings,
 			 (int)(spread % (uint64_t)cfg->set->ncontrols));
--- a/uplink_answer.c
+++ b/uplink_answer.c
@@ -11,23 +11,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The leader's time at a local time, or an earlier one; 0 if unknown. */
-static int64_t upl_leader_time(const struct uplink *u, clk_ms local)
+/* The leader's time at a local time, or an earlier one. */
+static int64_t upl_leader_time(const struct upl_clock_reading *c, clk_ms local)
 {
-	for (int i = 0; i < 2; i++) {
-		const struct upl_clock_reading *c = &u->clock_readings[i];
-
-		if (c->leader_time && local >= c->local_time)
-			return c->leader_time + (local - c->local_time);
-	}
-	return 0;
+	return c->leader_time + (local - c->local_time);
 }
 
-void upl_collect_samples(struct uplink *u, struct msg_ask *ask)
+/* Reports times only to the instance whose clock they are translated to: read
+ * as times of another clock, they would make positions look younger. */
+void upl_collect_samples(struct uplink *u, int control, struct msg_ask *ask)
 {
 	int64_t n;
 
-	if (!u->cfg.collect_samples)
+	if (!u->cfg.collect_samples || u->clock.control != control)
 		return;
 	ask->samples = calloc(UPL_MAX_SAMPLES, sizeof(*ask->samples));
 	if (!ask->samples)
@@ -36,22 +32,30 @@
 	for (int64_t i = 0; i < n; i++) {
 		struct pos_sample s = ask->samples[i];
 
-		s.sent_at_leader_ms = upl_leader_time(u, s.sent_at_leader_ms);
-		if (s.sent_at_leader_ms)
+		s.sent_at_leader_ms =
+			upl_leader_time(&u->clock, s.sent_at_leader_ms);
+		if (s.sent_at_leader_ms > 0)
 			ask->samples[ask->nsamples++] = s;
 	}
 }
 
-/* Logs by how much the clocks of two leaders differ from this one's. */
-static void upl_log_clock(const struct uplink *u, const struct msg_answer *a)
+static void upl_read_clock(struct uplink *u, int control,
+			   const struct msg_answer *a)
 {
-	const struct upl_clock_reading *c = &u->clock_readings[0];
+	clk_ms now = clk_now();
+
+	if (u->clock.control != control)
+		log_info("uplink", "event=leader_clock leader=%s ahead_ms=%lld",
+			 a->leader, (long long)(a->leader_clock - now));
+	u->clock = (struct upl_clock_reading){.control = control,
+					      .local_time = now,
+					      .leader_time = a->leader_clock};
+}
 
-	log_info("uplink",
-		 "event=leader_clock leader=%s ahead_ms=%lld before=%s "
-		 "before_ahead_ms=%lld",
-		 a->leader, (long long)(a->leader_clock - clk_now()),
-		 u->clock_leader, (long long)(c->leader_time - c->local_time));
+void upl_forget_clock(struct uplink *u, int control)
+{
+	if (u->clock.control == control)
+		u->clock.control = UPL_NO_CONTROL;
 }
 
 /*
@@ -59,19 +63,12 @@
  * clock after the ASK was sent, so what happened at the leader's time t
  * happened, by the local clock, at ask_sent_at - (clock - t) or later.
  */
-void upl_apply_samples(struct uplink *u, const struct msg_answer *a,
-		       clk_ms ask_sent_at)
+void upl_apply_samples(struct uplink *u, int control,
+		       const struct msg_answer *a, clk_ms ask_sent_at)
 {
 	if (!u->cfg.on_peer_sample || !a->leader_clock)
 		return;
-	if (strcmp(u->clock_leader, a->leader) != 0) {
-		upl_log_clock(u, a);
-		memset(u->clock_readings, 0, sizeof(u->clock_readings));
-	}
-	snprintf(u->clock_leader, ID_LEN, "%s", a->leader);
-	u->clock_readings[1] = u->clock_readings[0];
-	u->clock_readings[0] =
-		(struct upl_clock_reading){clk_now(), a->leader_clock};
+	upl_read_clock(u, control, a);
 	for (int64_t i = 0; i < a->nsamples; i++) {
 		struct pos_sample s = a->samples[i];
 
@@ -124,6 +121,7 @@
 	for (int i = 0; a && i < SETTINGS_MAX_CONTROLS; i++)
 		if (!upl_is_listed(a, u->live_settings.controls[i].id)) {
 			link_free(u->controls[i].link);
+			upl_forget_clock(u, i);
 			ask_on_link_down(u->ask, i, clk_now());
 			return i;
 		}
--- a/uplink_priv.h
+++ b/uplink_priv.h
@@ -14,6 +14,8 @@
 #include <ev.h>
 #include <uthash.h>
 
+enum { UPL_NO_CONTROL = -1 /* in place of an index of a control instance */ };
+
 /* Most entries of each list of an ASK. */
 enum {
 	UPL_MAX_SAMPLES = 1024, /* groups */
@@ -53,11 +55,13 @@
 
 /*
  * A reading of the leader's clock: at local_time it showed leader_time or a
- * later time.
+ * later time. It says nothing of the clock of another instance, nor of that of
+ * the same instance after it started again.
  */
 struct upl_clock_reading {
+	int control; /* index of the leader; UPL_NO_CONTROL if unknown */
 	clk_ms local_time;
-	int64_t leader_time; /* 0 if unknown */
+	int64_t leader_time;
 };
 
 struct uplink {
@@ -66,9 +70,7 @@
 	struct settings live_settings;
 	int64_t doc_version; /* of the published configuration held */
 
-	/* Readings from the last two answers of clock_leader, newest first. */
-	char clock_leader[ID_LEN];
-	struct upl_clock_reading clock_readings[2];
+	struct upl_clock_reading clock; /* from the last answer of a leader */
 
 	struct ask_schedule *ask;
 	struct upl_control controls[SETTINGS_MAX_CONTROLS];
@@ -85,9 +87,13 @@
 void upl_open_link(struct uplink *u, int index);
 
 /* In uplink_answer.c: */
-void upl_collect_samples(struct uplink *u, struct msg_ask *ask);
-void upl_apply_samples(struct uplink *u, const struct msg_answer *a,
-		       clk_ms ask_sent_at);
+void upl_collect_samples(struct uplink *u, int control, struct msg_ask *ask);
+void upl_apply_samples(struct uplink *u, int control,
+		       const struct msg_answer *a, clk_ms ask_sent_at);
+
+/* Forgets the reading of a control instance's clock: its link is gone, so it
+ * may be another process with another clock when it answers again. */
+void upl_forget_clock(struct uplink *u, int control);
 void upl_apply_routes(struct uplink *u, const struct msg_answer *a);
 void upl_apply_controls(struct uplink *u, const struct msg_answer *a);
 
