front: log contradicting positions only where no answer can have overtaken another

Cause: event=position_contradicted compared positions by the time their requests were sent.

Change: a sample keeps when it came in, and is compared with those sent after that. One function adds own samples and those of other proxies.

--- a/freshness.c
+++ b/freshness.c
@@ -1,10 +1,12 @@
 #include "freshness.h"
 
-static void frs_add(struct freshness_samples *f,
+void frs_add_sample(struct freshness_samples *f,
 		    const struct freshness_sample *s)
 {
 	struct freshness_sample *last = f->n ? &f->samples[f->n - 1] : NULL;
 
+	if (s->remote && s->sent > f->newest_remote)
+		f->newest_remote = s->sent;
 	if (pos_is_none(s->pos))
 		return;
 	if (last && s->sent < last->sent)
@@ -23,31 +25,14 @@
 	f->samples[f->n++] = *s;
 }
 
-void frs_add_sample(struct freshness_samples *f, clk_ms sent, struct pos pos)
-{
-	frs_add(f, &(struct freshness_sample){.sent = sent, .pos = pos});
-}
-
-void frs_add_remote_sample(struct freshness_samples *f, clk_ms sent,
-			   struct pos pos)
-{
-	if (sent > f->newest_remote)
-		f->newest_remote = sent;
-	frs_add(f, &(struct freshness_sample){
-			   .sent = sent, .pos = pos, .remote = true});
-}
-
 bool frs_contradicts(const struct freshness_samples *f,
 		     const struct freshness_sample *s)
 {
 	const struct freshness_sample *last =
 		f->n ? &f->samples[f->n - 1] : NULL;
 
-	if (!last || s->sent < last->sent)
-		return false;
-	if (s->remote || last->remote)
-		return s->pos.term < last->pos.term;
-	return pos_cmp(s->pos, last->pos) < 0;
+	return last && s->sent >= last->received &&
+	       pos_cmp(s->pos, last->pos) < 0;
 }
 
 const struct freshness_sample *frs_required_sample(
--- a/freshness.h
+++ b/freshness.h
@@ -24,6 +24,7 @@
 
 struct freshness_sample {
 	clk_ms sent;
+	clk_ms received; /* when the position became known here */
 	struct pos pos;
 	bool remote; /* another proxy learned it */
 };
@@ -36,18 +37,14 @@
 	clk_ms newest_remote;
 };
 
-/* Records that the primary was at position pos when it answered a request that
- * was sent at time sent. */
-void frs_add_sample(struct freshness_samples *f, clk_ms sent, struct pos pos);
+/* Records the position of an answer of the primary, or with "remote" one that
+ * another proxy learned. */
+void frs_add_sample(struct freshness_samples *f,
+		    const struct freshness_sample *s);
 
-/* Records a position that another proxy learned. */
-void frs_add_remote_sample(struct freshness_samples *f, clk_ms sent,
-			   struct pos pos);
-
-/* True if a sample can't be right together with the newest one known: it was
- * sent later, but its position is lower. The times of samples that other
- * proxies learned may look older than they are, so only the terms of these are
- * compared. */
+/* True if a sample was sent after the newest one known had been received, but
+ * has a lower position. Unless a promotion discarded commits in between, one of
+ * the two did not come from a primary. */
 bool frs_contradicts(const struct freshness_samples *f,
 		     const struct freshness_sample *s);
 
--- a/front_control.c
+++ b/front_control.c
@@ -277,11 +277,11 @@
 	cnt_add(CNT_positions_contradicted, 1);
 	log_warn("front",
 		 "event=position_contradicted group=%s from=%s pos=%lld.%lld "
-		 "known=%lld.%lld known_remote=%d sent_later_ms=%lld",
+		 "known=%lld.%lld known_remote=%d sent_after_ms=%lld",
 		 g->name, from, (long long)s->pos.term,
 		 (long long)s->pos.number, (long long)last->pos.term,
 		 (long long)last->pos.number, last->remote,
-		 (long long)(s->sent - last->sent));
+		 (long long)(s->sent - last->received));
 }
 
 void front_take_sample(struct front_server *f, const struct pos_sample *s)
@@ -289,9 +289,10 @@
 	struct front_group *g = front_find_group(f, s->group);
 	struct freshness_sample sample = {
 		.sent = s->sent_at_leader_ms,
+		.received = clk_now(),
 		.pos = {.term = s->term, .number = s->number},
 		.remote = true};
 
 	front_check_sample(g, "control", &sample);
-	frs_add_remote_sample(&g->fresh, sample.sent, sample.pos);
+	frs_add_sample(&g->fresh, &sample);
 }
--- a/front_run.c
+++ b/front_run.c
@@ -296,12 +296,13 @@
 	if (run_proves_lead(s) &&
 	    (s->run.lease_term || s->server->set->promoter_deposes)) {
 		struct freshness_sample sample = {.sent = run_led_at(s, r),
+						  .received = clk_now(),
 						  .pos = r->pos};
 		bool first = !g->fresh.n;
 
 		s->run.answer_sampled = true;
 		front_check_sample(g, s->job_member, &sample);
-		frs_add_sample(&g->fresh, sample.sent, sample.pos);
+		frs_add_sample(&g->fresh, &sample);
 		if (first)
 			front_ask_early(s->server, clk_now());
 	}
