t: play members that receive nothing, with logs of their own

A replica of the stand-in reported the newest term at once, and its log was always the first part of the group's. So a deposed primary that is cut off from the new one, whose position is one of the old term, could not be played, and a lagging replica passed a WAITPOS for a commit of an older term that it lacked.

The commands "deaf" and "hear" stop and resume what a member receives. Each promotion is now part of the log: a member stands in the term of its last commit or promotion, and what a promotion discards is found by comparing logs, since a deaf member may hold other commits at the same numbers. "transactions" tells how many transactions are open at a member.

--- a/t/helper/platform.c
+++ b/t/helper/platform.c
@@ -26,7 +26,12 @@
  *                        ones are refused with BUSY; 0 stands for no limit
  *   limit N              each member accepts N connections; 0 for no limit
  *   connections M        prints how many connections the member has
+ *   transactions M       prints how many of them are in a transaction
  *   lag MS               replicas apply a commit MS milliseconds later
+ *   deaf M, hear M       the member receives no commits and hears of no
+ *                        promotion of another member, so that it stays at the
+ *                        position of its own log; ends that, and rolls back
+ *                        what a promotion has discarded in the meantime
  *   lose M N             runs the next N statements, but sends no answers
  *   cut M                runs the next statement, then closes its connection
  *                        without an answer
@@ -73,6 +78,7 @@
 	PROMOTE_MS = 150,
 	DEFAULT_SLOTS = 5, /* announced if the number of slots isn't limited */
 	MAX_WAITING = 16, /* statements of a member that wait for a slot */
+	MAX_PROMOTIONS = 1000,
 	WORD_LEN = 96
 };
 
@@ -80,6 +86,13 @@
 	char item[WORD_LEN];
 	char data[WORD_LEN];
 	clk_ms at;
+	int64_t serial; /* differs between all commits */
+};
+
+/* A promotion that is part of the log. */
+struct promotion {
+	int64_t term;
+	int after; /* number of commits before it */
 };
 
 struct member {
@@ -98,6 +111,11 @@
 	bool close_on_statement;
 	int reads; /* READ statements that it ran */
 	int applied; /* commits that it has applied */
+	bool deaf;
+	int64_t deaf_term; /* of its log, while it is deaf */
+	/* Its log if it was deaf during a promotion; else NULL, and the log is
+	 * the first part of "commits". */
+	struct commit *own_log;
 	int64_t own_term; /* of a replaced primary that goes on; else 0 */
 	int64_t sequence; /* of its announcements */
 	clk_ms started_at;
@@ -140,6 +158,9 @@
 static int nall_commits;
 static int primary_index;
 static int64_t term = 1;
+/* Promotions in the log of the primary, oldest first. */
+static struct promotion promotions[MAX_PROMOTIONS] = {{.term = 1}};
+static int npromotions = 1;
 static int64_t fence;
 static bool promotion_deposes = true;
 /* Commits that replaced primaries have made. */
@@ -161,16 +182,35 @@
 	return m == &members[primary_index] || m->own_term;
 }
 
+/* Term of the last commit or promotion in the member's log. */
+static int64_t log_term_of(const struct member *m)
+{
+	int last = npromotions - 1;
+
+	if (m->deaf)
+		return m->deaf_term;
+	while (last && promotions[last].after > m->applied)
+		last--;
+	return promotions[last].term;
+}
+
 static int64_t term_of(const struct member *m)
 {
-	return m->own_term ? m->own_term : term;
+	return m->own_term ? m->own_term : log_term_of(m);
+}
+
+static const struct commit *log_of(const struct member *m)
+{
+	return m->own_log ? m->own_log : commits;
 }
 
 static const char *value_of(const struct member *m, const char *item)
 {
+	const struct commit *log = log_of(m);
+
 	for (int i = m->applied - 1; i >= 0; i--)
-		if (!strcmp(commits[i].item, item))
-			return commits[i].data;
+		if (!strcmp(log[i].item, item))
+			return log[i].data;
 	return "none";
 }
 
@@ -223,6 +263,7 @@
 	all_commits[nall_commits++] = *w;
 	commits[ncommits] = *w;
 	commits[ncommits].at = clk_now();
+	commits[ncommits].serial = nall_commits;
 	m->applied = ++ncommits;
 }
 
@@ -428,6 +469,15 @@
 	return n;
 }
 
+static int count_transactions(const struct member *m)
+{
+	int n = 0;
+
+	for (const struct conn *c = conns; c; c = c->next)
+		n += c->member == m && c->txn == 'T';
+	return n;
+}
+
 /* Returns false if the connection is refused and will be closed. */
 static bool startup(struct conn *c, char *rest)
 {
@@ -710,6 +760,69 @@
 	announce(a);
 }
 
+/* Rolls back the commits of a member that are not in the log of the primary. */
+static void roll_back(struct member *m)
+{
+	const struct commit *log = log_of(m);
+	int common = 0;
+
+	while (common < m->applied && common < ncommits &&
+	       log[common].serial == commits[common].serial)
+		common++;
+	m->applied = common;
+	free(m->own_log);
+	m->own_log = NULL;
+}
+
+static void start_deafness(struct member *m)
+{
+	if (m->deaf)
+		return;
+	m->deaf_term = log_term_of(m);
+	m->deaf = true;
+}
+
+static void end_deafness(struct member *m)
+{
+	m->deaf = false;
+	roll_back(m);
+}
+
+/* Gives each member its own log before "commits" becomes that of another
+ * primary. */
+static void separate_logs(void)
+{
+	for (int i = 0; i < nmembers; i++) {
+		struct member *m = &members[i];
+		size_t size = (size_t)m->applied * sizeof(*commits);
+
+		if (m->own_log)
+			continue;
+		m->own_log = malloc(size + 1);
+		if (!m->own_log)
+			abort();
+		memcpy(m->own_log, commits, size);
+	}
+}
+
+/* Makes the log of a member that of the group, with a promotion at its end. */
+static void lead_log(struct member *m)
+{
+	while (promotions[npromotions - 1].term > log_term_of(m))
+		npromotions--;
+	if (npromotions == MAX_PROMOTIONS)
+		abort();
+	separate_logs();
+	ncommits = m->applied;
+	memcpy(commits, m->own_log, (size_t)ncommits * sizeof(*commits));
+	promotions[npromotions++] =
+		(struct promotion){.term = ++term, .after = ncommits};
+	m->deaf_term = term;
+	for (int i = 0; i < nmembers; i++)
+		if (!members[i].deaf || &members[i] == m)
+			roll_back(&members[i]);
+}
+
 static void promote(clk_ms now)
 {
 	struct member *m = &members[promotion_index];
@@ -720,11 +833,7 @@
 	m->own_term = 0;
 	primary_index = promotion_index;
 	promotion_index = -1;
-	term++;
-	ncommits = m->applied;
-	for (int i = 0; i < nmembers; i++)
-		if (members[i].applied > ncommits)
-			members[i].applied = ncommits;
+	lead_log(m);
 	announce_now(m, now);
 }
 
@@ -743,7 +852,7 @@
 		if (slots)
 			run_statements(m, now);
 		while (m->applied < ncommits && m->running && !m->own_term &&
-		       now - commits[m->applied].at >= lag_ms)
+		       !m->deaf && now - commits[m->applied].at >= lag_ms)
 			m->applied++;
 		if (m->running && !m->unresponsive &&
 		    now - m->announced_at >= ANNOUNCE_MS)
@@ -812,6 +921,10 @@
 		m->unresponsive = true;
 	else if (m && !strcmp(verb, "speak"))
 		m->unresponsive = false;
+	else if (m && !strcmp(verb, "deaf"))
+		start_deafness(m);
+	else if (m && !strcmp(verb, "hear"))
+		end_deafness(m);
 	else if (m && !strcmp(verb, "leave"))
 		m->leaving = true;
 	else if (m && !strcmp(verb, "lose"))
@@ -845,6 +958,8 @@
 		buf_addf(out, "%" PRId64 "\n", runs);
 	else if (m && !strcmp(verb, "connections"))
 		buf_addf(out, "%d\n", count_connections(m));
+	else if (m && !strcmp(verb, "transactions"))
+		buf_addf(out, "%d\n", count_transactions(m));
 	else if (m && !strcmp(verb, "reads"))
 		buf_addf(out, "%d\n", m->reads);
 	else if (arg && !strcmp(verb, "count"))
