t: share the partition and replacement of the first primary

sys_lease had them for itself; tests of reads need them, too. promote() calls the promoter where the way to a promotion does not matter. No change of what sys_lease checks; it passes.

--- a/t/lib_platform.cc
+++ b/t/lib_platform.cc
@@ -407,6 +407,34 @@
 	relay_->command(command);
 }
 
+void Deployment::partition_first_primary(const std::vector<int> &proxies)
+{
+	for (auto &c : controls_)
+		send_relay_command("freeze " + c->name() + ">m0");
+	for (int i : proxies)
+		send_relay_command("freeze " + proxies_[i]->name() + ">m0");
+}
+
+bool Deployment::wait_until_replaced(const std::vector<int> &proxies)
+{
+	return cluster::wait_until(10000, [&] {
+		for (int i : proxies) {
+			Session s;
+
+			if (s.open(client_addrs_[i], "orders"))
+				s.query("WRITE report 1", 1000);
+		}
+		return send_platform_command("primary") != "m0";
+	});
+}
+
+int Deployment::promote(const std::string &member)
+{
+	return http(promoter_addr_, "POST", "/failover",
+		    "{\"service\":\"g1\",\"id\":\"" + member + "\"}")
+		.status;
+}
+
 void Deployment::start_process(cluster::Process &p)
 {
 	p.start([&](pid_t pid) {
--- a/t/lib_platform.h
+++ b/t/lib_platform.h
@@ -93,6 +93,17 @@
 	/* Sends a command to the relay. */
 	void send_relay_command(const std::string &command);
 
+	/* Holds back all data between m0 and control and the given proxies.
+	 * Needs the relay. */
+	void partition_first_primary(const std::vector<int> &proxies);
+
+	/* Writes through the given proxies, which then report a primary that
+	 * doesn't answer, until m0 is replaced; false after 10 s. */
+	bool wait_until_replaced(const std::vector<int> &proxies);
+
+	/* Calls the promoter as control does; returns the HTTP status. */
+	int promote(const std::string &member);
+
 	/* Starts or restarts a process and tells the relay its name. */
 	void start_process(cluster::Process &p);
 
--- a/t/sys_lease.cc
+++ b/t/sys_lease.cc
@@ -5,7 +5,6 @@
 #include <thread>
 #include <unistd.h>
 
-using cluster::wait_until;
 using platform::Deployment;
 using platform::Session;
 using platform::statement_succeeded;
@@ -29,25 +28,12 @@
 	 * reaches it. */
 	void partition_primary()
 	{
-		for (const char *from : {"c0", "c1", "c2", "p1", "p2"})
-			d.send_relay_command("freeze " + std::string(from) +
-					     ">m0");
+		d.partition_first_primary({1, 2});
 	}
 
 	bool wait_until_replaced()
 	{
-		Session a;
-		Session b;
-
-		/* Proxies report a primary that leaves statements unanswered.
-		 */
-		return wait_until(10000, [&] {
-			if (a.open(d.client_addr(1), "orders"))
-				a.query("WRITE report 1", 1000);
-			if (b.open(d.client_addr(2), "orders"))
-				b.query("WRITE report 1", 1000);
-			return d.send_platform_command("primary") != "m0";
-		});
+		return d.wait_until_replaced({1, 2});
 	}
 };
 
