--- a/t/helper/platform.c
+++ b/t/helper/platform.c
@@ -815,8 +815,9 @@
 	separate_logs();
 	ncommits = m->applied;
 	memcpy(commits, m->own_log, (size_t)ncommits * sizeof(*commits));
+	term++;
 	promotions[npromotions++] =
-		(struct promotion){.term = ++term, .after = ncommits};
+		(struct promotion){.term = term, .after = ncommits};
 	m->deaf_term = term;
 	for (int i = 0; i < nmembers; i++)
 		if (!members[i].deaf || &members[i] == m)
