t: check reads of limited age in the platform soak

Each proxy now gets reads of "catalogue" for the newest write that was acknowledged more than 1500 ms before; a write that a promotion discarded does not count. Plain transactions that only read stay open across faults at a fifth proxy without writes: a position that it takes wrongly is not replaced at once by that of a write. Members that receive nothing, and primaries that only this proxy reaches, are among the faults.

--- a/t/sys_platform_soak.cc
+++ b/t/sys_platform_soak.cc
@@ -20,6 +20,8 @@
  *   refused as not run was never committed; one of unknown outcome was
  *   committed at most once.
  *   A session reads its own last write, unless a promotion discarded it.
+ *   A read that may be ALLOWED_AGE_MS old does not miss a write that was
+ *   acknowledged longer ago, unless a promotion discarded it.
  *   The configuration that is read back is not older than the last one
  *   acknowledged.
  *   Service is restored within 7 s of the last fault.
@@ -27,8 +29,10 @@
  * Two threads inject faults at the same time, so that their faults overlap:
  * one into the control instances and their disks, the other into proxies,
  * members and the connections between them. For every odd seed, members accept
- * few connections, so that proxies run jobs for each other. No clocks are
- * changed, because the system uses the time of day for log lines only.
+ * few connections, so that proxies run jobs for each other. Transactions that
+ * only read stay open across the faults at a proxy that learns few positions.
+ * No clocks are changed, because the system uses the time of day for log lines
+ * only.
  *
  * SEED runs that one seed; SEEDS runs that many, starting at FIRST. The default
  * is the short run that CI uses, to which a seed that fails is to be added.
@@ -42,12 +46,19 @@
 constexpr int FAULT_MS = 6000; /* how long faults are injected */
 constexpr int CALLERS = 6;
 constexpr int RECOVER_MS = 7000; /* users' limit for a change of primary */
+constexpr int ALLOWED_AGE_MS = 1500; /* of reads of database "catalogue" */
+/* Time for a replacement, and for reads of the allowed age after it. */
+constexpr int ISOLATE_MS = 2500 + ALLOWED_AGE_MS;
+
+/* Seeds that have failed, which the default run adds to the first three. */
+const std::vector<uint64_t> KEPT_SEEDS = {14, 16, 20, 26, 28};
 
 enum Outcome { ACKNOWLEDGED, NOT_RUN, UNKNOWN };
 
 struct Write {
 	std::string item;
 	Outcome outcome;
+	int64_t answered_at;
 };
 
 Outcome outcome_of(const std::string &answer)
@@ -62,7 +73,9 @@
 	return UNKNOWN;
 }
 
-constexpr int PROXIES = 4;
+constexpr int PROXIES = 5;
+/* No writes go through this proxy, so that it learns few positions. */
+constexpr int QUIET_PROXY = PROXIES - 1;
 constexpr int CONNECTIONS_PER_MEMBER = 5; /* limit for odd seeds */
 /* In seeds that this divides, a replaced primary goes on. */
 constexpr int GOES_ON_EVERY = 3;
@@ -77,6 +90,8 @@
 	std::mutex lock;
 	std::vector<Write> writes;
 	std::atomic<int> stale_reads{0};
+	std::atomic<int> aged_reads{0};
+	std::atomic<int> too_old_reads{0};
 	/* Incremented around each fault of a member or its connections, since
 	 * a promotion that it causes may discard writes. */
 	std::atomic<int> possible_promotions{0};
@@ -116,7 +131,7 @@
 
 			if (!open)
 				open = s.open(
-					d.client_addr((int)(r() % PROXIES)),
+					d.client_addr((int)(r() % QUIET_PROXY)),
 					"tickets");
 			if (!open) {
 				usleep(20000);
@@ -125,7 +140,8 @@
 			std::string a = write(s, item, r() % 3 == 0);
 			{
 				std::lock_guard<std::mutex> g(lock);
-				writes.push_back({item, outcome_of(a)});
+				writes.push_back(
+					{item, outcome_of(a), now_ms()});
 				acknowledged_writes +=
 					outcome_of(a) == ACKNOWLEDGED;
 			}
@@ -145,12 +161,75 @@
 		std::string a = s.query("READ " + item);
 
 		if (a.rfind("DATAROW none", 0) == 0 &&
-		    possible_promotions == before &&
-		    d.send_platform_command("ever " + item) ==
-			    d.send_platform_command("count " + item))
+		    possible_promotions == before && is_kept(item))
 			stale_reads++;
 	}
 
+	/* Whether all promotions have kept a write. */
+	bool is_kept(const std::string &item)
+	{
+		return d.send_platform_command("ever " + item) ==
+		       d.send_platform_command("count " + item);
+	}
+
+	/* Keeps transactions of the quiet proxy that only read open across
+	 * faults. */
+	void hold_transactions(uint64_t seed)
+	{
+		std::mt19937_64 r(seed);
+		Session s;
+
+		while (!stop_callers) {
+			if (!s.open(d.client_addr(QUIET_PROXY), "orders") ||
+			    !statement_succeeded(s.query("BEGIN")) ||
+			    !statement_succeeded(s.query("READ held"))) {
+				usleep(20000);
+				continue;
+			}
+			usleep((useconds_t)(r() % 1400) * 1000);
+			s.query("COMMIT");
+		}
+	}
+
+	/* Newest write that a read of limited age must not miss; "" if there is
+	 * none. */
+	std::string newest_aged_write()
+	{
+		std::lock_guard<std::mutex> g(lock);
+		int64_t limit = now_ms() - ALLOWED_AGE_MS;
+
+		for (auto w = writes.rbegin(); w != writes.rend(); ++w)
+			if (w->outcome == ACKNOWLEDGED &&
+			    w->answered_at < limit)
+				return w->item;
+		return "";
+	}
+
+	/* Reads writes of the allowed age, and counts those that are missing.
+	 */
+	void read_aged(int proxy)
+	{
+		Session s;
+		std::string answer = "closed";
+
+		while (!stop_callers) {
+			std::string item = newest_aged_write();
+
+			usleep(5000);
+			if (answer == "closed" &&
+			    !s.open(d.client_addr(proxy), "catalogue"))
+				continue;
+			if (item.empty())
+				continue;
+			answer = s.query("READ " + item);
+			aged_reads += answer.rfind("DATAROW ", 0) == 0;
+			if (answer.rfind("DATAROW none", 0) == 0 &&
+			    is_kept(item) && !too_old_reads++)
+				printf("%s missed: %s\n", item.c_str(),
+				       answer.c_str());
+		}
+	}
+
 	/* The state of one fault injecting thread, with its own generator. */
 	struct FaultThread {
 		std::mt19937_64 rng;
@@ -259,12 +338,33 @@
 		possible_promotions++;
 	}
 
+	/* Lets the primary receive nothing, and only the quiet proxy reach it,
+	 * so that it is replaced and does not hear of it. */
+	void isolate_primary()
+	{
+		std::string m = d.send_platform_command("primary");
+
+		possible_promotions++;
+		d.send_platform_command("deaf " + m);
+		d.send_relay_command("freeze c*>" + m);
+		for (int i = 0; i < QUIET_PROXY; i++)
+			d.send_relay_command("freeze p" + std::to_string(i) +
+					     ">" + m);
+		usleep(ISOLATE_MS * 1000);
+		d.send_relay_command("heal c*>" + m);
+		for (int i = 0; i < QUIET_PROXY; i++)
+			d.send_relay_command("heal p" + std::to_string(i) +
+					     ">" + m);
+		d.send_platform_command("hear " + m);
+		possible_promotions++;
+	}
+
 	void inject_service_fault(FaultThread &r)
 	{
 		int p = r.pick(PROXIES);
 		std::string m = "m" + std::to_string(r.pick(3));
 
-		switch (r.pick(9)) {
+		switch (r.pick(13)) {
 		case 0:
 			inject_for_a_while(
 				r, [&] { d.proxy(p).kill(); },
@@ -307,6 +407,19 @@
 				r, [&] { d.send_platform_command("lag 400"); },
 				[&] { d.send_platform_command("lag 5"); });
 			break;
+		case 7:
+			possible_promotions++;
+			inject_for_a_while(
+				r,
+				[&] { d.send_platform_command("deaf " + m); },
+				[&] { d.send_platform_command("hear " + m); });
+			possible_promotions++;
+			break;
+		case 8:
+		case 9:
+		case 10:
+			isolate_primary();
+			break;
 		default:
 			inject_connection_fault(r, m);
 			break;
@@ -351,6 +464,12 @@
 		for (int i = 0; i < CALLERS; i++)
 			callers.emplace_back(
 				[this, i, n = rng()] { run_caller(i, n); });
+		/* With few connections the writes need the others. */
+		for (int i = 0; i < (soak_seed % 2 ? 1 : 3); i++)
+			callers.emplace_back(
+				[this, n = rng()] { hold_transactions(n); });
+		for (int i = 0; i < PROXIES; i++)
+			callers.emplace_back([this, i] { read_aged(i); });
 		FaultThread control{std::mt19937_64(rng())};
 		FaultThread service{std::mt19937_64(rng())};
 		int64_t end = now_ms() + FAULT_MS;
@@ -384,12 +503,13 @@
 			t.join();
 		check_writes();
 		EXPECT_EQ(0, stale_reads) << "own reads that missed a write";
+		EXPECT_EQ(0, too_old_reads) << "of " << aged_reads;
 		std::string doc = d.read_config().body;
 		EXPECT_GE(atoi(doc.c_str() + doc.find(':') + 1),
 			  acknowledged_version.load())
 			<< doc;
-		printf("%zu writes, %d acknowledged\n", writes.size(),
-		       acknowledged_writes);
+		printf("%zu writes, %d acknowledged, %d aged reads\n",
+		       writes.size(), acknowledged_writes, aged_reads.load());
 	}
 };
 
@@ -405,9 +525,14 @@
 TEST(PlatformSoak, PromisesHoldUnderRandomFaults)
 {
 	uint64_t first = number_from("SEED", number_from("FIRST", 1));
-	uint64_t seeds = getenv("SEED") ? 1 : number_from("SEEDS", 3);
-
-	for (uint64_t seed = first; seed < first + seeds; seed++) {
+	uint64_t n = getenv("SEED") ? 1 : number_from("SEEDS", 3);
+	std::vector<uint64_t> seeds;
+
+	for (uint64_t i = 0; i < n; i++)
+		seeds.push_back(first + i);
+	if (!getenv("SEED") && !getenv("SEEDS"))
+		seeds.insert(seeds.end(), KEPT_SEEDS.begin(), KEPT_SEEDS.end());
+	for (uint64_t seed : seeds) {
 		SCOPED_TRACE("SEED=" + std::to_string(seed));
 		Soak soak(seed);
 
