--- a/t/lib_promote.h
+++ b/t/lib_promote.h
@@ -63,6 +63,16 @@
 		apply(&cmd);
 	}
 
+	void remove_member(const char *id)
+	{
+		struct backend_info b = {};
+		struct buf cmd = BUF_INIT;
+
+		strcpy(b.id, id);
+		state_cmd_backend(&cmd, &b);
+		apply(&cmd);
+	}
+
 	void add_proxies(int n)
 	{
 		for (int i = 0; i < n; i++) {
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -356,3 +356,100 @@
 	EXPECT_EQ(requests["b"].type, PRO_RESUME);
 	EXPECT_EQ(requests["c"].type, PRO_RESUME);
 }
+
+/*
+ * Guards against a member that was deposed while it was cut off, and that is
+ * promoted again before it has heard of the new term: what the first promotion
+ * discarded came back, and all that was acknowledged in the new term was lost
+ * (STALE and lost commits on Threlfall: the primary cut from its replicas, then
+ * both of these silent).
+ */
+struct PromoteAgain : Promote {
+	/* "a" is cut off with commits that "b" lacks, and "b" replaces it. */
+	void replace_a_by_b()
+	{
+		run(300);
+		lose_primary(10);
+		ASSERT_EQ(calls.size(), 1u);
+		EXPECT_STREQ(calls[0].member, "b");
+		pro_on_promoter_reply(pro, calls[0].action_id, 200, now);
+		announce_member("a", false);
+		announce_member("b", true);
+		run(40);
+		ASSERT_EQ(recorded.back(), "b");
+	}
+
+	/* Control asks the new primary for its term. */
+	void tell_term()
+	{
+		if (requests.count("b"))
+			answer("b", true, 12, 2);
+	}
+
+	/* All proxies miss "b", which does not answer control; "a" answers. */
+	void lose_b()
+	{
+		run(PRO_RETRY_MS);
+		suspect(6, "b");
+		run(40);
+		answer("a", false, 20, 1);
+		suspect(6, "b");
+		run(PRO_STATUS_TIMEOUT_MS + 40);
+	}
+};
+
+TEST_F(PromoteAgain, AMemberThatMissedTheNewTermIsNotPromoted)
+{
+	replace_a_by_b();
+	tell_term();
+	lose_b();
+	EXPECT_EQ(calls.size(), 1u);
+	suspect(6, "b");
+	run(PRO_RETRY_MS + 40);
+	answer("a", false, 20, 1);
+	answer("c", false, 11, 2);
+	suspect(6, "b");
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_STREQ(calls[1].member, "c");
+}
+
+/* The term must be known to a control leader that was elected later. */
+TEST_F(PromoteAgain, ANewControlLeaderKnowsTheTerm)
+{
+	replace_a_by_b();
+	tell_term();
+	pro_start_leading(pro, 8, now);
+	lose_b();
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+/* A member that answers with the new term shows it, too, where the new primary
+ * has not told its term yet. */
+TEST_F(PromoteAgain, AnotherMembersTermShowsThatItWasMissed)
+{
+	replace_a_by_b();
+	run(PRO_RETRY_MS);
+	suspect(6, "b");
+	run(40);
+	answer("a", false, 20, 1);
+	answer("c", false, 11, 2);
+	suspect(6, "b");
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_STREQ(calls[1].member, "c");
+}
+
+/* If no member of the new term is left, its commits are lost anyway. */
+TEST_F(PromoteAgain, AMemberOfAnOlderTermIsPromotedOnceTheOthersAreGone)
+{
+	replace_a_by_b();
+	tell_term();
+	remove_member("b");
+	remove_member("c");
+	run(PRO_RETRY_MS + 40);
+	answer("a", false, 20, 1);
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_STREQ(calls[1].member, "a");
+}
