t: close what tests of positions open, and test a leader that goes on running

A reviewer who had not seen the work found: - Taking the check of the control instance out of upl_collect_samples() failed no test: the old leader was stopped, and its link's end hid the check. The test now runs both with a stopped and with a running old leader. - The members that FrontSamples plays were not freed (LeakSanitizer, exit 1).

--- a/t/lib_loopback.h
+++ b/t/lib_loopback.h
@@ -14,29 +14,37 @@
 namespace loopback
 {
 
-/* An address with a port on which nothing listened just now. */
+/* An address on which nothing listens. Its port is below those that connections
+ * get, and other processes try other ports first. */
 inline std::string free_addr()
 {
+	constexpr int FIRST = 12000;
+	constexpr int PORTS = 8000;
+	static unsigned int tried = (unsigned int)getpid() * 61;
 	struct sockaddr_in a = {};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	a.sin_family = AF_INET;
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&a, sizeof(a));
-	getsockname(fd, (struct sockaddr *)&a, &len);
-	close(fd);
+	for (bool bound = false; !bound;) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		a.sin_port = htons(FIRST + ++tried % PORTS);
+		bound = !bind(fd, (struct sockaddr *)&a, sizeof(a));
+		close(fd);
+	}
 	return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
 }
 
 /* Runs the loop until done() holds, for about 3 s at most. */
 inline bool run_until(struct ev_loop *loop, const std::function<bool()> &done)
 {
-	for (int i = 0; i < 3000 && !done(); i++) {
+	for (int i = 0; i < 3000; i++) {
+		if (done())
+			return true;
 		ev_run(loop, EVRUN_NOWAIT);
 		usleep(1000);
 	}
-	return done();
+	return false;
 }
 
 } // namespace loopback
--- a/t/unit_front_samples.cc
+++ b/t/unit_front_samples.cc
@@ -19,6 +19,9 @@
 
 constexpr int LEASE_MS = 300;
 
+struct ev_loop *loop;
+int member_conns; /* that are open */
+
 struct Member {
 	std::string id;
 	std::string addr;
@@ -110,10 +113,9 @@
 
 	net_free(c->net);
 	delete c;
+	member_conns--;
 }
 
-struct ev_loop *loop;
-
 void member_accept(void *arg, int fd)
 {
 	auto *c = new MemberConn{(Member *)arg};
@@ -121,6 +123,7 @@
 		.arg = c, .on_read = member_read, .on_close = member_closed};
 
 	c->net = net_from_accepted(loop, fd, &h);
+	member_conns++;
 }
 
 } // namespace
@@ -253,6 +256,7 @@
 	{
 		net_free(caller);
 		front_free(f);
+		EXPECT_TRUE(run_until([] { return !member_conns; }));
 		net_listener_free(m0.listener);
 		ev_loop_destroy(loop);
 	}
--- a/t/unit_relay.cc
+++ b/t/unit_relay.cc
@@ -1,41 +1,19 @@
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <ev.h>
 #include <sodium.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <functional>
 #include <string>
 #include <vector>
 
+#include "lib_loopback.h"
+
 extern "C" {
 #include "link.h"
 #include "relay.h"
 #include "settings.h"
 }
 
-namespace
-{
-
-/* Returns a loopback address with a port that was unused a moment ago. */
-std::string free_addr()
-{
-	struct sockaddr_in a = {};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_family = AF_INET;
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&a, sizeof(a));
-	getsockname(fd, (struct sockaddr *)&a, &len);
-	close(fd);
-	return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
-}
-
-} // namespace
-
 /* A proxy "p1" and its runner "p2", which the test plays. */
 struct Relay : testing::Test {
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
@@ -69,20 +47,15 @@
 
 	bool run_until(const std::function<bool()> &done)
 	{
-		for (int i = 0; i < 2000; i++) {
-			if (done())
-				return true;
-			ev_run(loop, EVRUN_NOWAIT);
-			usleep(1000);
-		}
-		return false;
+		return loopback::run_until(loop, done);
 	}
 
 	void set_identity(struct settings *s, const char *id)
 	{
 		snprintf(s->id, ID_LEN, "%s", id);
 		snprintf(s->zone, ID_LEN, "za");
-		snprintf(s->link, ADDR_LEN, "%s", free_addr().c_str());
+		snprintf(s->link, ADDR_LEN, "%s",
+			 loopback::free_addr().c_str());
 	}
 
 	void SetUp() override
--- a/t/unit_uplink.cc
+++ b/t/unit_uplink.cc
@@ -50,7 +50,8 @@
 
 	void stop()
 	{
-		link_server_free(server);
+		if (server)
+			link_server_free(server);
 		server = nullptr;
 		leads = false;
 	}
@@ -150,7 +151,10 @@
 
 /* Guards against positions that look younger than they are: after a change of
  * the control leader, their times were those of the old leader's clock. */
-TEST_F(Uplink, TimesOfOneLeadersClockAreNotSentToAnother)
+struct UplinkLeader : Uplink, testing::WithParamInterface<bool> {
+};
+
+TEST_P(UplinkLeader, TimesOfOneLeadersClockAreNotSentToAnother)
 {
 	Control a("a", 5300);
 	Control b("b", 5000);
@@ -163,7 +167,9 @@
 	learned_at = clk_now();
 	ASSERT_TRUE(run_until([&] { return a.samples > 0; }));
 	EXPECT_LE(a.newest_sample, learned_at);
-	a.stop();
+	if (GetParam())
+		a.stop();
+	a.leads = false;
 	b.leads = true;
 	ASSERT_TRUE(run_until([&] { return b.answers >= 3; }));
 	EXPECT_LE(b.newest_sample, learned_at);
@@ -173,9 +179,15 @@
 	ASSERT_TRUE(run_until([&] { return b.samples > 1; }))
 		<< "positions are reported again once the clock is known";
 	EXPECT_LE(b.newest_sample, learned_at);
+	a.stop();
 	b.stop();
 }
 
+INSTANTIATE_TEST_SUITE_P(OldLeader, UplinkLeader, testing::Bool(),
+			 [](const testing::TestParamInfo<bool> &stopped) {
+				 return stopped.param ? "Stopped" : "Runs";
+			 });
+
 /* The same where the leader started again under its id, with another clock. */
 TEST_F(Uplink, TimesOfAClockThatEndedAreNotSent)
 {
