promote: a new control leader waits for what proxies heard of a primary

Cause: "no proxy heard the primary for 1 s" was counted from the last answer that this leader was told of, which is never for a new one. One report and a status question without an answer within 400 ms were enough to replace a primary that served all other proxies.

Change: the second counts from the start of the leadership at the earliest.

Evidence: Promote.ANewControlLeaderWaitsForWhatProxiesHeard fails without it and passes with it.

--- a/promote.c
+++ b/promote.c
@@ -373,8 +373,12 @@
 
 bool pro_primary_failed(struct pro *p, struct pro_group *g, clk_ms now)
 {
-	bool unheard = g->nreports > 0 &&
-		       now - g->primary_heard_at >= PRO_NO_PROXY_ANSWER_MS;
+	/* A new leader is told only some 100 ms later what proxies heard. */
+	clk_ms heard_at = g->primary_heard_at > p->leading_since
+				  ? g->primary_heard_at
+				  : p->leading_since;
+	bool unheard =
+		g->nreports > 0 && now - heard_at >= PRO_NO_PROXY_ANSWER_MS;
 
 	return unheard || pro_many_suspect(p, g, 0, now);
 }
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -190,7 +190,7 @@
  * docs/incidents). */
 TEST_F(Promote, OneReportIsEnoughForAPrimaryThatAnswersNobody)
 {
-	run(300);
+	run(PRO_NO_PROXY_ANSWER_MS);
 	pro_on_primary_answer(pro, "orders", now - PRO_NO_PROXY_ANSWER_MS);
 	suspect(1, "a");
 	run(40);
@@ -357,6 +357,26 @@
 	EXPECT_EQ(requests["c"].type, PRO_RESUME);
 }
 
+/* Guards against a change of a primary that serves other proxies, because a new
+ * control leader has not been told yet when proxies heard it: the first reports
+ * to a new leader hold no positions. */
+TEST_F(Promote, ANewControlLeaderWaitsForWhatProxiesHeard)
+{
+	run(300);
+	pro_on_primary_answer(pro, "orders", now);
+	pro_start_leading(pro, 8, now);
+	suspect(1, "a");
+	run(40);
+	answer("b", false, 12);
+	answer("c", false, 10);
+	suspect(1, "a");
+	run(PRO_STATUS_TIMEOUT_MS + 60);
+	pro_on_primary_answer(pro, "orders", now);
+	suspect(1, "a");
+	run(100);
+	EXPECT_TRUE(calls.empty());
+}
+
 /*
  * Guards against a member that was deposed while it was cut off, and that is
  * promoted again before it has heard of the new term: what the first promotion
