uplink: tell a new leader the positions as soon as its clock is known

Change: a proxy that had positions to tell, but did not know the clock, reports again when the first answer has told it.

Evidence: Uplink.PositionsAreToldAsSoonAsTheClockIsKnown fails without it (2001 ms with an interval of 2000) and passes; 307 unit tests pass.

--- a/t/unit_uplink.cc
+++ b/t/unit_uplink.cc
@@ -188,6 +188,26 @@
 				 return stopped.param ? "Stopped" : "Runs";
 			 });
 
+/* Guards against reads that go to primaries for a whole interval between two
+ * reports, because proxies could not tell a new leader their positions before
+ * they knew its clock. */
+TEST_F(Uplink, PositionsAreToldAsSoonAsTheClockIsKnown)
+{
+	Control a("a", 5300);
+
+	set.ask_ms = 2000;
+	a.leads = true;
+	learned_at = clk_now();
+	a.start();
+	start({&a});
+	ASSERT_TRUE(run_until([&] { return a.answers == 1; }));
+	clk_ms answered_at = clk_now();
+	EXPECT_EQ(0, a.samples);
+	EXPECT_TRUE(run_until([&] { return a.samples > 0; }));
+	EXPECT_LT(clk_now() - answered_at, set.ask_ms / 2);
+	a.stop();
+}
+
 /* The same where the leader started again under its id, with another clock. */
 TEST_F(Uplink, TimesOfAClockThatEndedAreNotSent)
 {
--- a/uplink_answer.c
+++ b/uplink_answer.c
@@ -23,13 +23,14 @@
 {
 	int64_t n;
 
-	if (!u->cfg.collect_samples || u->clock.control != control)
+	if (!u->cfg.collect_samples)
 		return;
 	ask->samples = calloc(UPL_MAX_SAMPLES, sizeof(*ask->samples));
 	if (!ask->samples)
 		abort();
 	n = u->cfg.collect_samples(u->cfg.arg, ask->samples, UPL_MAX_SAMPLES);
-	for (int64_t i = 0; i < n; i++) {
+	u->samples_withheld = n && u->clock.control != control;
+	for (int64_t i = 0; i < n && !u->samples_withheld; i++) {
 		struct pos_sample s = ask->samples[i];
 
 		s.sent_at_leader_ms =
@@ -50,6 +51,8 @@
 	u->clock = (struct upl_clock_reading){.control = control,
 					      .local_time = now,
 					      .leader_time = a->leader_clock};
+	if (u->samples_withheld)
+		uplink_report_soon(u);
 }
 
 void upl_forget_clock(struct uplink *u, int control)
--- a/uplink_priv.h
+++ b/uplink_priv.h
@@ -71,6 +71,9 @@
 	int64_t doc_version; /* of the published configuration held */
 
 	struct upl_clock_reading clock; /* from the last answer of a leader */
+	/* The last ASK carried no positions, since the clock of its receiver
+	 * was unknown. */
+	bool samples_withheld;
 
 	struct ask_schedule *ask;
 	struct upl_control controls[SETTINGS_MAX_CONTROLS];
