front, control, docs: wording that a fresh reader stumbled over

run_sample_time() says what its time is good for, and is a minimum in form, too. A refused read no longer logs the position that the statement before it needed.

--- a/ctl_core.c
+++ b/ctl_core.c
@@ -225,8 +225,8 @@
 static void ctl_start_leading(struct ctl *c, clk_ms now)
 {
 	c->leading = true;
-	/* Samples from an earlier term as leader may be times of another
-	 * leader's clock. */
+	/* Those from an earlier term as leader are older than what proxies
+	 * report now. */
 	c->nsamples = 0;
 	c->leader_since_ms = raft_leader_since(c->raft);
 	c->last_answer_seq = raft_term(c->raft) << 32;
--- a/front_run.c
+++ b/front_run.c
@@ -271,17 +271,18 @@
 }
 
 /*
- * Since when an answer tells the primary's position. Where the promoter does
- * not depose the old primary, only the lease shows that the member led, and
- * only statements that need it are held back once it has ended.
+ * A time such that the position in an answer covers all commits acknowledged
+ * before it: when the statement was sent or, if only a lease showed that the
+ * member led, when that lease was checked, if that was earlier. Statements that
+ * need the lease are checked again as they are sent.
  */
-static clk_ms run_led_at(const struct front_session *s,
-			 const struct db_result *r)
+static clk_ms run_sample_time(const struct front_session *s,
+			      const struct db_result *r)
 {
-	if (s->server->set->promoter_deposes || s->job.needs_lease ||
-	    r->sent_at < s->run.lease_checked_at)
+	if (s->server->set->promoter_deposes || s->job.needs_lease)
 		return r->sent_at;
-	return s->run.lease_checked_at;
+	return r->sent_at < s->run.lease_checked_at ? r->sent_at
+						    : s->run.lease_checked_at;
 }
 
 /* Records the position in an answer of the primary for the group, and in that
@@ -295,7 +296,7 @@
 	s->run.answer_pos = r->pos;
 	if (run_proves_lead(s) &&
 	    (s->run.lease_term || s->server->set->promoter_deposes)) {
-		struct freshness_sample sample = {.sent = run_led_at(s, r),
+		struct freshness_sample sample = {.sent = run_sample_time(s, r),
 						  .received = clk_now(),
 						  .pos = r->pos};
 		bool first = !g->fresh.n;
@@ -570,6 +571,7 @@
 	run->answer_held = false;
 	run->lease_term = 0;
 	run->required.sent = 0;
+	s->job.required_pos = (struct pos){0};
 	run->answer_pos = (struct pos){0};
 	run->answer_sampled = false;
 	if (run->is_read)
