promote: judge discarded logs by the candidate's own term, and not for ever

A promoted member leads in a later term than it counted before; that bound is recorded with the change. - The log with which a term began was that of a candidate before, where the promoter had refused it (with leases); and it was compared with members whose term need not be the one before. It is kept only for the term right after the candidate's own. - Where the members of the newer term are gone, the longest log won even if a log that no promotion discarded was there. - A member of the newer term that never comes back, and that nobody takes out, left the group without a primary for good. After a minute the group goes on with what is left; a log that was kept goes first. event=rest says when only members answer whose log was discarded.

Evidence: PromoteAgain.TheNewTermNeedNotBeTold, AMemberThatMissedTheNextTerm..., AKeptLogGoesBeforeALongerOne, ADiscardedLogLeadsIfNoOtherComesBack and PromoteLeased.TheSecondCandidatesLogBeginsTheTerm failed before and pass now; the silent members of these tests fail their status question, as real ones do. 312 unit tests, sys_stale, sys_lease and sys_platform pass.

--- a/cluster.h
+++ b/cluster.h
@@ -40,8 +40,8 @@
 	 * only if it does not depose the old primary: */
 	char candidate[ID_LEN]; /* while changing: member that the promoter is
 				 * asked to promote; empty before that */
-	int64_t member_term; /* the primary's own term or an earlier one; 0 if
-			      * unknown */
+	int64_t member_term; /* the primary's own term, or the newest earlier
+			      * one known of a member; 0 if unknown */
 	char late_call[ID_LEN]; /* member for which an earlier call may still
 				 * be carried out; empty if none can */
 	int64_t member_term_start; /* commits that the log had at least when
--- a/promote.c
+++ b/promote.c
@@ -232,6 +232,7 @@
 		g->members[i].rejected_by_promoter = false;
 	g->nreports = 0;
 	g->maybe_paused = false; /* a promotion ends the pause */
+	g->only_discarded_since = 0;
 	g->uncovered_since = 0;
 	g->fencing_token = 0;
 	g->next_change_at = now + PRO_RETRY_MS;
@@ -388,7 +389,7 @@
 static void pro_decide(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	struct pro_member *primary = pro_find_member(g, g->old_primary);
-	struct pro_member *best = pro_best_candidate(p, g);
+	struct pro_member *best = pro_best_candidate(p, g, now);
 	struct pro_member *other = pro_other_primary(g);
 	bool lasting;
 
@@ -399,7 +400,7 @@
 	} else if (!best) {
 		for (int i = 0; i < g->nmembers; i++)
 			g->members[i].rejected_by_promoter = false;
-		pro_back_off(g, now, "no member can be promoted");
+		pro_back_off(g, now, pro_why_no_candidate(g));
 	} else if (pro_is_primary(primary) && (g->planned || lasting)) {
 		pro_step_down(p, g, primary, now);
 	} else if (pro_answered(primary) && pro_is_primary(primary)) {
@@ -438,7 +439,7 @@
 				     clk_ms now)
 {
 	return p->use_leases ? pro_next_candidate(p, g, now)
-			     : pro_best_candidate(p, g);
+			     : pro_best_candidate(p, g, now);
 }
 
 static void pro_tick_drain(struct pro *p, struct pro_group *g, clk_ms now)
@@ -498,7 +499,7 @@
 	}
 	/* Control has no answer either, and proxies have reported the primary
 	 * for a long time. */
-	best = pro_best_candidate(p, g);
+	best = pro_best_candidate(p, g, now);
 	if (!g->planned && best &&
 	    pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now))
 		pro_start_promotion(p, g, best, now);
@@ -580,6 +581,8 @@
 		pro_learn_term(p, g, now);
 		if (pro_needs_probe(p, g, now))
 			pro_start_probing(p, g, now);
+		else if (now >= g->next_change_at)
+			g->only_discarded_since = 0;
 		break;
 	case PRO_PROBING:
 		if (pro_awaits_replies(g, now))
--- a/promote.h
+++ b/promote.h
@@ -22,6 +22,7 @@
  *   waiting   only with leases: proxies may still use the old primary
  *   naming    only with leases: the candidate is being recorded
  *   calling   the promoter is asked to promote the member with the newest log
+ *             that is still part of the history, see below
  *   settling  the new primary has not yet announced that it leads
  *
  * Some promoters appoint the new primary and depose the old one in one step.
@@ -40,12 +41,14 @@
  *    that of the old one. Its record ends the change.
  *
  * A member that was cut off during a promotion, and has not heard of it, may
- * hold commits that this promotion discarded. It is no candidate while a member
- * of the newer term is left in the group, reachable or not: with it the
- * discarded commits would come back, and those of the newer term would be lost.
- * To know such a member, the record of a group has the term that its primary
- * counts, and how many commits the log had when that term began. Terms are
- * those of the members; control's record has a term of its own.
+ * hold commits that this promotion discarded: unless its log ends before the
+ * new term began, the discarded commits would come back with it, and those of
+ * the new term would be lost. It is promoted only if no other member is left
+ * that may have joined the new term, or if none came back for
+ * PRO_DISCARDED_LOG_WAIT_MS. To know such a member, the record of a group has
+ * the term that its primary counts, or an earlier bound, and how many commits
+ * the log had when that term began. Terms are those of the members; control's
+ * record has a term of its own.
  *
  * With synchronous replicas (pro_set_sync_replicas()), a commit is acknowledged
  * once that many replicas hold it, and the promoted member must hold every
@@ -100,6 +103,10 @@
 	/* Longer than any change of primary takes on the backend platforms. */
 	PRO_SETTLE_TIMEOUT_MS = 3000,
 	PRO_RETRY_MS = 200, /* before the next change or status request */
+	/* How long a group without a primary waits for a member whose log no
+	 * promotion has discarded; a server that starts again is back by
+	 * then. */
+	PRO_DISCARDED_LOG_WAIT_MS = 60000,
 	/* With leases: a call to the promoter that got no answer may be carried
 	 * out for so long; the platform's limit is 12 s. */
 	PRO_LATE_CALL_MS = 13000
--- a/promote_candidate.c
+++ b/promote_candidate.c
@@ -49,55 +49,74 @@
 	return true;
 }
 
-struct pro_member *pro_best_candidate(const struct pro *p, struct pro_group *g)
+static bool pro_may_be_called(const struct pro_group *g,
+			      const struct pro_member *m)
+{
+	return !m->awaiting_reply && m->reply == PRO_OK &&
+	       !m->rejected_by_promoter && strcmp(m->id, g->old_primary) != 0;
+}
+
+static bool pro_is_better(const struct pro_member *m,
+			  const struct pro_member *than)
+{
+	if (!than || m->leaving != than->leaving)
+		return !than || than->leaving;
+	return pos_cmp(m->status.received_pos, than->status.received_pos) > 0;
+}
+
+struct pro_member *pro_best_candidate(const struct pro *p, struct pro_group *g,
+				      clk_ms now)
 {
 	const struct group_info *info = state_group(p->state, g->name);
 	int64_t newest = pro_known_term(info, g);
-	bool any_log = pro_term_is_lost(g, newest);
-	struct pro_member *best = NULL;
+	struct pro_member *kept = NULL;
+	struct pro_member *discarded = NULL;
 
 	for (int i = 0; i < g->nmembers; i++) {
 		struct pro_member *m = &g->members[i];
+		struct pro_member **best =
+			pro_log_is_kept(info, m, newest) ? &kept : &discarded;
 
-		if (m->awaiting_reply || m->reply != PRO_OK ||
-		    m->rejected_by_promoter || !strcmp(m->id, g->old_primary))
-			continue;
-		if (!any_log && !pro_log_is_kept(info, m, newest))
-			continue;
-		if (!best || (best->leaving && !m->leaving) ||
-		    (best->leaving == m->leaving &&
-		     pos_cmp(m->status.received_pos,
-			     best->status.received_pos) > 0))
-			best = m;
+		if (pro_may_be_called(g, m) && pro_is_better(m, *best))
+			*best = m;
 	}
-	return best;
+	if (kept || !discarded) {
+		if (kept)
+			g->only_discarded_since = 0;
+		return kept;
+	}
+	if (!g->only_discarded_since)
+		g->only_discarded_since = now;
+	if (pro_term_is_lost(g, newest) ||
+	    now - g->only_discarded_since >= PRO_DISCARDED_LOG_WAIT_MS)
+		return discarded;
+	return NULL;
 }
 
-/* How many commits the log had at least when the member began to lead; 0 if
- * unknown. */
-static int64_t pro_term_start(const struct group_info *info,
-			      const struct pro_group *g, const char *member)
+const char *pro_why_no_candidate(const struct pro_group *g)
 {
-	if ((g->phase == PRO_CALLING || g->phase == PRO_SETTLING) &&
-	    !strcmp(g->target, member))
-		return g->target_held;
-	if (info && !strcmp(info->primary, member))
-		return info->member_term_start;
-	return 0;
+	return g->only_discarded_since
+		       ? "only members answer whose log was discarded"
+		       : "no member can be promoted";
 }
 
 void pro_fill_member_term(const struct pro *p, const struct pro_group *g,
 			  int64_t member_term, struct pro_action *a)
 {
 	const struct group_info *info = state_group(p->state, g->name);
-
-	a->member_term = member_term;
-	a->member_term_start = pro_term_start(info, g, a->member);
-	if (member_term || !info)
-		return;
-	/* It is later than that of the primary before. */
-	a->member_term = info->member_term;
-	if (info->member_term && info->member_term_start < a->member_term_start)
+	int64_t known = info ? info->member_term : 0;
+	bool called = (g->phase == PRO_CALLING || g->phase == PRO_SETTLING) &&
+		      !strcmp(g->target, a->member);
+
+	a->member_term = member_term ? member_term : known;
+	/* A promoted member leads in a later term than it counted before. */
+	if (called && !member_term && g->target_term >= known)
+		a->member_term = g->target_term + 1;
+	/* Of other terms it is unknown with which log they began. */
+	if (called && a->member_term == g->target_term + 1)
+		a->member_term_start = g->target_held;
+	else if (info && !strcmp(info->primary, a->member) &&
+		 a->member_term == known)
 		a->member_term_start = info->member_term_start;
 }
 
--- a/promote_change.c
+++ b/promote_change.c
@@ -17,6 +17,7 @@
 			(p->term << PRO_TOKEN_BITS) + ++p->last_token_number;
 		/* Any of the calls may be the one that is carried out. */
 		g->target_held = m->status.received_pos.number;
+		g->target_term = m->status.term;
 	}
 	a->promoter_token = g->fencing_token;
 	g->call_number = a->action_id;
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -126,7 +126,7 @@
 	struct pro_member *m;
 
 	pro_note_earlier_calls(p, g);
-	m = now >= g->late_call_until ? pro_best_candidate(p, g)
+	m = now >= g->late_call_until ? pro_best_candidate(p, g, now)
 				      : pro_find_member(g, g->called_member);
 	if (!m || m->awaiting_reply || m->reply != PRO_OK ||
 	    !strcmp(m->id, g->old_primary))
@@ -146,6 +146,8 @@
 void pro_name_candidate(struct pro *p, struct pro_group *g,
 			struct pro_member *m, clk_ms now)
 {
+	if (strcmp(g->target, m->id) != 0)
+		g->fencing_token = 0;
 	memcpy(g->target, m->id, ID_LEN);
 	pro_record_change(p, g, m->id, now);
 	pro_set_phase(g, PRO_NAMING, now);
@@ -207,7 +209,7 @@
 		g->drain_position = primary->status.received_pos;
 		pro_set_phase(g, PRO_DRAINING, now);
 	} else if (!best) {
-		pro_back_off(g, now, "no member can be promoted");
+		pro_back_off(g, now, pro_why_no_candidate(g));
 	} else if (!g->sync_replicas) {
 		pro_name_candidate(p, g, best, now);
 	} else if (pro_has_all_commits(g)) {
@@ -297,7 +299,7 @@
 	} else if (!best) {
 		for (int i = 0; i < g->nmembers; i++)
 			g->members[i].rejected_by_promoter = false;
-		pro_back_off(g, now, "no member can be promoted");
+		pro_back_off(g, now, pro_why_no_candidate(g));
 	} else if (!named && pro_is_primary(primary) &&
 		   pro_step_down_counts(g, now)) {
 		pro_step_down(p, g, primary, now);
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -62,6 +62,10 @@
 	char old_primary[ID_LEN]; /* primary when the change started */
 	char target[ID_LEN]; /* member to promote */
 	int64_t target_held; /* commits that it held before the first call */
+	int64_t target_term; /* its own term then */
+	/* since when a change finds only members whose log was discarded; 0
+	 * while it finds others, or none is needed */
+	clk_ms only_discarded_since;
 	clk_ms recorded_at; /* when a primary was last proposed */
 	/* Term of control's record of the primary whose own term is known. */
 	int64_t confirmed_term;
@@ -128,8 +132,11 @@
 /* promote_candidate.c */
 
 /* The reachable member with the newest log of which no promotion has discarded
- * anything. Members that leave are chosen only if there is no other. */
-struct pro_member *pro_best_candidate(const struct pro *p, struct pro_group *g);
+ * anything; members that leave only if there is no other. See promote.h for
+ * when others are taken. */
+struct pro_member *pro_best_candidate(const struct pro *p, struct pro_group *g,
+				      clk_ms now);
+const char *pro_why_no_candidate(const struct pro_group *g);
 
 /* Fills in what a record of a primary tells of its own term; member_term is 0
  * if that is not known yet. */
--- a/t/lib_promote.h
+++ b/t/lib_promote.h
@@ -175,6 +175,19 @@
 		run(PRO_STATUS_TIMEOUT_MS + 60);
 	}
 
+	/* The member's status question fails, as when it is silent. */
+	void fail(const char *id)
+	{
+		struct pro_status s = {.reply = PRO_FAILED};
+
+		ASSERT_TRUE(requests.count(id)) << id << " was not asked";
+		int64_t number = requests[id].action_id;
+		requests.erase(id);
+		pro_on_status(pro, number, &s, now);
+		take_actions();
+	}
+
+	/* Its position is 1.held, whatever its term. */
 	void answer(const char *id, bool primary, int64_t held,
 		    int64_t term = 1)
 	{
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -413,23 +413,37 @@
 		suspect(6, "b");
 		run(40);
 		answer("a", false, 20, 1);
+		fail("b");
+		fail("c");
 		suspect(6, "b");
 		run(PRO_STATUS_TIMEOUT_MS + 40);
 	}
 };
 
+/* A promoted member leads in a later term than it had, told or not. */
+TEST_F(PromoteAgain, TheNewTermNeedNotBeTold)
+{
+	replace_a_by_b();
+	lose_b();
+	EXPECT_EQ(calls.size(), 1u);
+}
+
 TEST_F(PromoteAgain, AMemberThatMissedTheNewTermIsNotPromoted)
 {
 	replace_a_by_b();
 	tell_term();
 	lose_b();
 	EXPECT_EQ(calls.size(), 1u);
-	suspect(6, "b");
-	run(PRO_RETRY_MS + 40);
-	answer("a", false, 20, 1);
-	answer("c", false, 11, 2);
-	suspect(6, "b");
-	run(PRO_STATUS_TIMEOUT_MS + 40);
+	for (int i = 0; i < 100 && calls.size() < 2; i++) {
+		suspect(6, "b");
+		run(20);
+		if (requests.count("a"))
+			answer("a", false, 20, 1);
+		if (requests.count("b"))
+			fail("b");
+		if (requests.count("c"))
+			answer("c", false, 11, 2);
+	}
 	ASSERT_EQ(calls.size(), 2u);
 	EXPECT_STREQ(calls[1].member, "c");
 }
@@ -471,6 +485,32 @@
 	EXPECT_EQ(calls.size(), 2u);
 }
 
+/* The same for the second term that a member did not hear of. */
+TEST_F(PromoteAgain, AMemberThatMissedTheNextTermIsNotPromoted)
+{
+	replace_a_by_b();
+	tell_term();
+	run(PRO_RETRY_MS);
+	suspect(6, "b");
+	run(40);
+	answer("c", false, 11, 2);
+	suspect(6, "b");
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	ASSERT_EQ(calls.size(), 2u);
+	pro_on_promoter_reply(pro, calls[1].action_id, 200, now);
+	announce_member("b", false);
+	announce_member("c", true);
+	run(40);
+	ASSERT_EQ(recorded.back(), "c");
+	run(PRO_RETRY_MS);
+	suspect(6, "c");
+	run(40);
+	answer("b", false, 15, 2);
+	suspect(6, "c");
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	EXPECT_EQ(calls.size(), 2u);
+}
+
 /* A member that answers with the new term shows it, too, where the new primary
  * has not told its term yet. */
 TEST_F(PromoteAgain, AnotherMembersTermShowsThatItWasMissed)
@@ -504,6 +544,43 @@
 	EXPECT_STREQ(calls[1].member, "c");
 }
 
+/* If the members of the new term are gone, a log that was kept goes before one
+ * that holds more. */
+TEST_F(PromoteAgain, AKeptLogGoesBeforeALongerOne)
+{
+	replace_a_by_b();
+	tell_term();
+	remove_member("b");
+	run(PRO_RETRY_MS + 40);
+	answer("a", false, 20, 1);
+	answer("c", false, 10, 1);
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_STREQ(calls[1].member, "c");
+}
+
+/* Guards against a group without a primary for good, because the members of the
+ * new term never come back and nobody takes them out. */
+TEST_F(PromoteAgain, ADiscardedLogLeadsIfNoOtherComesBack)
+{
+	replace_a_by_b();
+	tell_term();
+	clk_ms since = now;
+	while (now < since + 2 * PRO_DISCARDED_LOG_WAIT_MS &&
+	       calls.size() < 2) {
+		suspect(6, "b");
+		run(200);
+		if (requests.count("a"))
+			answer("a", false, 20, 1);
+		for (const char *id : {"b", "c"})
+			if (requests.count(id))
+				fail(id);
+	}
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_STREQ(calls[1].member, "a");
+	EXPECT_GE(now - since, PRO_DISCARDED_LOG_WAIT_MS);
+}
+
 /* If no member of the new term is left, its commits are lost anyway. */
 TEST_F(PromoteAgain, AMemberOfAnOlderTermIsPromotedOnceTheOthersAreGone)
 {
--- a/t/unit_promote_lease.cc
+++ b/t/unit_promote_lease.cc
@@ -273,3 +273,30 @@
 	EXPECT_STREQ(state_group(state, "orders")->late_call, "");
 	EXPECT_EQ(recorded.back(), "b");
 }
+
+/* Guards against a member that is promoted with a discarded log: the log that a
+ * term began with was that of a candidate which the promoter had refused. */
+TEST_F(PromoteLeased, TheSecondCandidatesLogBeginsTheTerm)
+{
+	size_t answered = 0; /* calls */
+	bool c_leads = false;
+
+	for (int i = 0; i < 300 && recorded.size() < 2; i++) {
+		suspect(6, "a");
+		run(20);
+		grant_leases(6);
+		if (requests.count("b") && calls.empty())
+			answer("b", false, 12);
+		if (requests.count("c"))
+			answer("c", c_leads, 10, c_leads ? 2 : 1);
+		if (calls.size() == answered)
+			continue;
+		answered = calls.size();
+		c_leads = !strcmp(calls.back().member, "c");
+		pro_on_promoter_reply(pro, calls.back().action_id,
+				      c_leads ? 200 : 409, now);
+		take_actions();
+	}
+	ASSERT_EQ(recorded.back(), "c");
+	EXPECT_EQ(10, state_group(state, "orders")->member_term_start);
+}
