--- a/t/unit_failover.cc
+++ b/t/unit_failover.cc
@@ -8,6 +8,7 @@
 extern "C" {
 #include "failover.h"
 #include "rng.h"
+#include "token.h"
 }
 
 /* Simulates a group of three members that replicate, a replicated control state
@@ -479,6 +480,43 @@
 	EXPECT_NE(first, f.group()->primary);
 }
 
+/* Guards against a session that silently misses its own write, because a log
+ * without it, whose end a change of primary has discarded, leads again. */
+TEST(Fo, TokenIsLostWhenADiscardedLogLeads)
+{
+	Failover f;
+	auto &m1 = f.member("m1"), &m2 = f.member("m2"), &m3 = f.member("m3");
+	auto contained = [&](int64_t term, int64_t position) {
+		return tok_contained(f.group()->term_starts,
+				     f.group()->nterm_starts, term, position,
+				     f.group()->term);
+	};
+
+	f.start();
+	ASSERT_EQ(&m1, f.primary());
+	ASSERT_TRUE(f.step_until(2000, [&] {
+		return m2.st.received_pos == m1.st.received_pos &&
+		       m3.st.received_pos == m1.st.received_pos;
+	}));
+	/* m1 goes on alone; m2 leads, and no replica gets its writes. */
+	int64_t start = m2.st.received_pos;
+	m1.disconnected = m2.replication_cut = true;
+	ASSERT_TRUE(f.step_until(5000, [&] { return f.primary_settled(1); }));
+	ASSERT_EQ(&m2, f.primary());
+	int64_t term = f.group()->term;
+	ASSERT_TRUE(f.step_until(
+		300, [&] { return m2.st.received_pos >= start + 6; }));
+	int64_t own = m2.st.received_pos;
+	ASSERT_LT(own, m1.st.received_pos);
+	m2.up = m1.disconnected = false;
+	ASSERT_TRUE(
+		f.step_until(5000, [&] { return f.primary_settled(term); }));
+	EXPECT_FALSE(contained(term, own))
+		<< f.group()->primary << " leads term " << f.group()->term
+		<< " and lacks write " << term << "." << own;
+	EXPECT_TRUE(contained(term, start)) << "all members held this position";
+}
+
 class FoSeeds : public testing::TestWithParam<int>
 {
 };
