--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -406,7 +406,26 @@
 			answer("b", true, 12, 2);
 	}
 
-	/* All proxies miss "b", which does not answer control; "a" answers. */
+	struct Answer {
+		const char *id;
+		int64_t held;
+		int64_t term;
+	};
+
+	/* All proxies miss the primary, which does not answer control. The
+	 * replicas named answer. */
+	void lose(const char *primary, const std::vector<Answer> &answers)
+	{
+		run(PRO_RETRY_MS);
+		suspect(6, primary);
+		run(40);
+		for (const Answer &a : answers)
+			answer(a.id, false, a.held, a.term);
+		suspect(6, primary);
+		run(PRO_STATUS_TIMEOUT_MS + 40);
+	}
+
+	/* Only "a" answers; the status questions to the others fail. */
 	void lose_b()
 	{
 		run(PRO_RETRY_MS);
@@ -418,6 +437,18 @@
 		suspect(6, "b");
 		run(PRO_STATUS_TIMEOUT_MS + 40);
 	}
+
+	/* "c", which has heard of the term of "b", replaces it. */
+	void replace_b_by_c()
+	{
+		lose("b", {{"c", 11, 2}});
+		ASSERT_EQ(calls.size(), 2u);
+		pro_on_promoter_reply(pro, calls[1].action_id, 200, now);
+		announce_member("b", false);
+		announce_member("c", true);
+		run(40);
+		ASSERT_EQ(recorded.back(), "c");
+	}
 };
 
 /* A promoted member leads in a later term than it had, told or not. */
@@ -463,25 +494,9 @@
 {
 	replace_a_by_b();
 	tell_term();
-	run(PRO_RETRY_MS);
-	suspect(6, "b");
-	run(40);
-	answer("c", false, 11, 2);
-	suspect(6, "b");
-	run(PRO_STATUS_TIMEOUT_MS + 40);
-	ASSERT_EQ(calls.size(), 2u);
-	pro_on_promoter_reply(pro, calls[1].action_id, 200, now);
-	announce_member("b", false);
-	announce_member("c", true);
-	run(40);
-	ASSERT_EQ(recorded.back(), "c");
+	replace_b_by_c();
 	pro_start_leading(pro, 8, now);
-	run(PRO_RETRY_MS);
-	suspect(6, "c");
-	run(40);
-	answer("a", false, 20, 1);
-	suspect(6, "c");
-	run(PRO_STATUS_TIMEOUT_MS + 40);
+	lose("c", {{"a", 20, 1}});
 	EXPECT_EQ(calls.size(), 2u);
 }
 
@@ -490,24 +505,8 @@
 {
 	replace_a_by_b();
 	tell_term();
-	run(PRO_RETRY_MS);
-	suspect(6, "b");
-	run(40);
-	answer("c", false, 11, 2);
-	suspect(6, "b");
-	run(PRO_STATUS_TIMEOUT_MS + 40);
-	ASSERT_EQ(calls.size(), 2u);
-	pro_on_promoter_reply(pro, calls[1].action_id, 200, now);
-	announce_member("b", false);
-	announce_member("c", true);
-	run(40);
-	ASSERT_EQ(recorded.back(), "c");
-	run(PRO_RETRY_MS);
-	suspect(6, "c");
-	run(40);
-	answer("b", false, 15, 2);
-	suspect(6, "c");
-	run(PRO_STATUS_TIMEOUT_MS + 40);
+	replace_b_by_c();
+	lose("c", {{"b", 15, 2}});
 	EXPECT_EQ(calls.size(), 2u);
 }
 
@@ -516,13 +515,7 @@
 TEST_F(PromoteAgain, AnotherMembersTermShowsThatItWasMissed)
 {
 	replace_a_by_b();
-	run(PRO_RETRY_MS);
-	suspect(6, "b");
-	run(40);
-	answer("a", false, 20, 1);
-	answer("c", false, 11, 2);
-	suspect(6, "b");
-	run(PRO_STATUS_TIMEOUT_MS + 40);
+	lose("b", {{"a", 20, 1}, {"c", 11, 2}});
 	ASSERT_EQ(calls.size(), 2u);
 	EXPECT_STREQ(calls[1].member, "c");
 }
@@ -533,13 +526,7 @@
 {
 	replace_a_by_b();
 	tell_term();
-	run(PRO_RETRY_MS);
-	suspect(6, "b");
-	run(40);
-	answer("a", false, 20, 1);
-	answer("c", false, 10, 1);
-	suspect(6, "b");
-	run(PRO_STATUS_TIMEOUT_MS + 40);
+	lose("b", {{"a", 20, 1}, {"c", 10, 1}});
 	ASSERT_EQ(calls.size(), 2u);
 	EXPECT_STREQ(calls[1].member, "c");
 }
