--- a/review/2/case.c
+++ b/review/2/case.c
@@ -78,7 +78,7 @@
 		fl_start_process(runner_of_da);
 		fl_record("fleet", "%s is started again", runner_of_da->name);
 	}
-	fl_sleep_until(at + 1300);
+	fl_sleep_until(at + 2000);
 	/* Other consumers begin transactions at the same primary. */
 	for (int i = 0; i < N; i++)
 		begun += begin(&new_a[i], "n", i, front, "shop-a");
