--- a/review/4/case.c
+++ b/review/4/case.c
@@ -109,11 +109,11 @@
 	fl_init("review/4/record.txt");
 	for (int i = 0; i < 7; i++)
 		fl_add_proxy(i % 3 == 0 ? "za" : i % 3 == 1 ? "zb" : "zc");
-	s = fl_add_service("db", 33, 40, WORK_MS, 0);
+	s = fl_add_service("db", 33, 5, WORK_MS, 0);
 	fl_add_member(s, "za", true);
 	fl_add_member(s, "zb", false);
 	fl_add_member(s, "zc", false);
-	fl_add_route("orders", "db", "primary", TIMEOUT_MS, 0);
+	fl_add_route("orders", "db", "read_your_writes", TIMEOUT_MS, 2500);
 	fl_start();
 	fl_sleep_until(fl_now() + 2500);
 	front = &fl.proxies[1];
--- a/review/lib/fleet.c
+++ b/review/lib/fleet.c
@@ -1250,6 +1250,26 @@
 	_exit(2);
 }
 
+/* Draws addresses and ports; false if one of the ports is in use. */
+static bool choose_ports(void)
+{
+	fl.net = 20 + rand() % 200;
+	fl.port = 20000 + rand() % 8000;
+	for (int kind = 1; kind <= 9; kind++)
+		for (int i = 0; i < 7; i++) {
+			char addr[48];
+			int fd;
+
+			snprintf(addr, sizeof(addr), "127.%d.%d.1:%d", fl.net,
+				 kind, fl.port + i);
+			fd = listen_on(addr);
+			if (fd < 0)
+				return false;
+			close(fd);
+		}
+	return true;
+}
+
 void fl_init(const char *record_path)
 {
 	started_at = mono_ms();
@@ -1264,8 +1284,9 @@
 	if (!mkdtemp(fl.tmp))
 		fl_finish(2, "no temporary folder");
 	srand((unsigned)(getpid() ^ time(NULL)));
-	fl.net = 20 + rand() % 200;
-	fl.port = 20000 + rand() % 8000;
+	for (int i = 0; !choose_ports(); i++)
+		if (i == 50)
+			fl_finish(2, "no free ports");
 	fl.provider.promote_ms = 600;
 	snprintf(provider_addr, sizeof(provider_addr), "127.%d.9.1:%d", fl.net,
 		 fl.port + 2);
