raft: replace a silent voter before a successor votes beside it

Cause: a successor became a fourth voter at once, and the voter that was gone stayed for 8 s. Three of four live voters are a majority, but a second loss leaves two. Evidence: members_changed voters=4 before the second loss, elections without a leader after it. Ruled out: a lost log, an unknown member (the successor had voted).

Change: with an odd number of voters a learner waits while a voter is silent, and takes its place once it was silent for replace_ms. That is 1 s by default now, and two election timeouts at least, so that a leader which was paused steps down first. Removing a silent voter never lowers the number of voters that may fail, so the order of the two steps is safe.

Tests: Seeds/SeededInTurn, 4 tests with 20 seeds each.

--- a/raft.c
+++ b/raft.c
@@ -11,6 +11,10 @@
 	if (!r)
 		abort();
 	r->cfg = *cfg;
+	/* A leader that was paused must step down before it counts the voters
+	 * as silent. */
+	if (r->cfg.replace_ms && r->cfg.replace_ms < 2 * cfg->election_min_ms)
+		r->cfg.replace_ms = 2 * cfg->election_min_ms;
 	/* A restarted voter may have heard from a leader just before the
 	 * restart, so it refuses votes as if it had. */
 	r->leader_heard_ms = cfg->refuse_votes_after_start
@@ -438,7 +442,7 @@
 	}
 }
 
-static bool raft_is_member(const struct raft *r, const char *id)
+bool raft_is_member(const struct raft *r, const char *id)
 {
 	for (int i = 0; i < r->log.members.n; i++)
 		if (!strcmp(r->log.members.list[i].id, id))
--- a/raft.h
+++ b/raft.h
@@ -23,6 +23,10 @@
  * each, so the majorities before and after each change overlap even if the old
  * voter still runs somewhere. Another instance may fail as soon as the second
  * change is committed.
+ *
+ * An instance with a new id becomes a voter, too. While a voter is silent it
+ * takes that one's place in the same way, so that the number of voters that may
+ * fail is never smaller than before.
  */
 
 #include "clock.h"
@@ -63,9 +67,9 @@
 	 * they heard from this one. If set, a voter also refuses votes for that
 	 * long after its restart, as it may have heard the leader before. */
 	bool refuse_votes_after_start;
-	/* A voter that has not answered for this long is removed if a learner
-	 * is ready to replace it or RAFT_MIN_VOTERS voters remain without it;
-	 * 0 disables the removal. */
+	/* A voter that has not answered for this long, and for at least two
+	 * election timeouts, is removed if a learner is ready to replace it or
+	 * RAFT_MIN_VOTERS voters remain without it; 0 disables the removal. */
 	clk_ms replace_ms;
 };
 
--- a/raft_priv.h
+++ b/raft_priv.h
@@ -72,6 +72,8 @@
 struct msg *raft_queue_message(struct raft *r, const char *to,
 			       enum msg_type type);
 struct raft_peer_state *raft_find_peer(struct raft *r, const char *id);
+/* Whether there is a voter with this id, of whatever uuid. */
+bool raft_is_member(const struct raft *r, const char *id);
 bool raft_has_quorum(const struct raft *r, enum raft_quorum_kind what,
 		     int64_t arg);
 
--- a/raft_replication.c
+++ b/raft_replication.c
@@ -268,17 +268,43 @@
 	       now - p->acked_round_ms < r->cfg.election_min_ms;
 }
 
-static bool raft_is_unresponsive(const struct raft *r,
-				 const struct raft_member *m, clk_ms now)
+/* How long a voter has not answered this leader; CLK_NEVER if nothing is known
+ * of it. */
+static clk_ms raft_silent_for(const struct raft *r, const struct raft_member *m,
+			      clk_ms now)
 {
 	if (m->uuid == r->cfg.uuid && !strcmp(m->id, r->cfg.id))
-		return false;
+		return 0;
 	for (int i = 0; i < r->npeers; i++)
 		if (r->peers[i].uuid == m->uuid &&
 		    !strcmp(r->peers[i].id, m->id))
-			return now - r->peers[i].acked_round_ms >=
-			       r->cfg.replace_ms;
-	return true;
+			return now - r->peers[i].acked_round_ms;
+	return CLK_NEVER;
+}
+
+/* True if an answer to the leader is missing for longer than a voter waits
+ * before it elects another one. */
+static bool raft_some_voter_silent(const struct raft *r, clk_ms now)
+{
+	const struct raft_members *m = &r->log.members;
+
+	for (int i = 0; i < m->n; i++)
+		if (raft_silent_for(r, &m->list[i], now) >=
+		    r->cfg.election_min_ms)
+			return true;
+	return false;
+}
+
+/*
+ * True if a learner must wait. Added to an odd number of voters, it would raise
+ * the majority by one: if one voter is gone, a second loss would then leave no
+ * majority. The silent voter must answer or be removed first.
+ */
+static bool raft_must_wait(const struct raft *r,
+			   const struct raft_peer_state *p, clk_ms now)
+{
+	return r->cfg.replace_ms && !raft_is_member(r, p->id) &&
+	       r->log.members.n % 2 && raft_some_voter_silent(r, now);
 }
 
 static bool raft_has_ready_learner(const struct raft *r, clk_ms now)
@@ -302,7 +328,7 @@
 	    (m.n <= RAFT_MIN_VOTERS && !raft_has_ready_learner(r, now)))
 		return false;
 	for (int i = 0; i < m.n; i++) {
-		if (!raft_is_unresponsive(r, &m.list[i], now))
+		if (raft_silent_for(r, &m.list[i], now) < r->cfg.replace_ms)
 			continue;
 		m.list[i] = m.list[--m.n];
 		raft_append_members(r, &m);
@@ -321,7 +347,8 @@
 	for (int i = 0; i < r->npeers; i++) {
 		struct raft_peer_state *p = &r->peers[i];
 
-		if (!raft_is_ready_learner(r, p, now))
+		if (!raft_is_ready_learner(r, p, now) ||
+		    raft_must_wait(r, p, now))
 			continue;
 		raft_promote_learner(r, p);
 		raft_replicate(r, now);
--- a/settings.c
+++ b/settings.c
@@ -76,7 +76,7 @@
 		.election_min_ms = 500,
 		.stop_ms = 5000,
 		.txn_idle_ms = 5000,
-		.replace_ms = 8000,
+		.replace_ms = SETTINGS_REPLACE_MS,
 		.promoter_deposes = true,
 	};
 }
--- a/settings.h
+++ b/settings.h
@@ -23,7 +23,8 @@
 	SETTINGS_MAX_CONTROLS = 9, /* control instances in one file */
 	SETTINGS_PATH_LEN = 256, /* bytes of a path, with the final zero */
 	SETTINGS_SECRET_LEN = 64, /* bytes of a password or "key", likewise */
-	SETTINGS_KEY_LEN = 32 /* bytes of the key that all instances share */
+	SETTINGS_KEY_LEN = 32, /* bytes of the key that all instances share */
+	SETTINGS_REPLACE_MS = 1000 /* default of replace_ms */
 };
 
 /* Which daemon reads the settings; the required keys depend on it. */
--- a/t/unit_seeded.cc
+++ b/t/unit_seeded.cc
@@ -44,7 +44,7 @@
 			s.silent_ms = 3600;
 			s.heartbeat_ms = 60;
 			s.election_min_ms = 300;
-			s.replace_ms = 8000;
+			s.replace_ms = SETTINGS_REPLACE_MS;
 		}
 		for (int i = 0; i < 3; i++)
 			start(i);
@@ -306,6 +306,107 @@
 	EXPECT_EQ(RES_OK, publish(leader(), 6));
 }
 
+/* Instances are replaced in turn, each loss as early as the platform allows:
+ * CATCHUP_MS after the successor of the last one was started. */
+struct SeededInTurn : Seeded, testing::WithParamInterface<int> {
+	static constexpr clk_ms CATCHUP_MS = 4000;
+	static constexpr clk_ms RECOVERY_MS = 4000;
+
+	SeededInTurn()
+	{
+		rng_free(rng);
+		rng = rng_new((uint64_t)GetParam());
+	}
+
+	/* The instance that the next disruption takes: with odd parameters the
+	 * leader, else a follower. */
+	int victim()
+	{
+		int lead = leader();
+
+		EXPECT_GE(lead, 0);
+		if (GetParam() % 2)
+			return lead < 0 ? 0 : lead;
+		for (int i = 0; i < INSTANCES; i++)
+			if (c[i] && !cut[i] && i != lead)
+				return i;
+		return 0;
+	}
+
+	void expect_service(int64_t version)
+	{
+		run(1000); /* a leader without a majority has stepped down */
+		ASSERT_TRUE(run_until(RECOVERY_MS - 1000, [&] {
+			return leader() >= 0 &&
+			       raft_has_leader_lease(ctl_raft(c[leader()]),
+						     now);
+		}));
+		EXPECT_EQ(RES_OK, publish(leader(), version));
+		EXPECT_EQ(RES_OK, confirm(leader()));
+	}
+};
+
+/* Guards against a control that never has a leader again: a voter is lost for
+ * good, and a second one once the successor of the first has had its time. */
+TEST_P(SeededInTurn, ASecondLossLeavesALeader)
+{
+	cut[victim()] = true;
+	run(500);
+	start(3);
+	run(CATCHUP_MS);
+	cut[victim()] = true;
+	run(500);
+	start(4);
+	expect_service(6);
+}
+
+/* The same where the second instance loses its disk. */
+TEST_P(SeededInTurn, ALostDiskAfterALossLeavesALeader)
+{
+	int wiped;
+
+	cut[victim()] = true;
+	run(200);
+	start(3);
+	run(CATCHUP_MS);
+	wiped = victim();
+	cut[wiped] = true;
+	run(1000);
+	start(wiped);
+	expect_service(6);
+}
+
+/* The same where the successor starts before the instance that it replaces
+ * leaves, and so votes beside it for a while. */
+TEST_P(SeededInTurn, ASecondLossAfterAPlannedReplacementLeavesALeader)
+{
+	start(3);
+	run(1000);
+	cut[victim()] = true;
+	run(CATCHUP_MS - 1000);
+	cut[victim()] = true;
+	expect_service(6);
+}
+
+/* Guards against a successor that dies before it votes and takes the votes
+ * that its predecessor left with it: the two that are left go on, and the next
+ * successor takes the place. */
+TEST_P(SeededInTurn, ASuccessorThatDiesEarlyLeavesALeader)
+{
+	cut[victim()] = true;
+	run(500);
+	start(3);
+	run(100);
+	cut[3] = true;
+	run(500);
+	start(4);
+	run(CATCHUP_MS);
+	cut[victim()] = true;
+	expect_service(6);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SeededInTurn, testing::Range(1, 21));
+
 /* Guards against a cluster that shrinks until the loss of one voter stops it.
  */
 TEST_F(Seeded, ThreeVotersStayThreeWhileOneIsSilent)
