relay: keep the numbers of each runner apart

Cause: each runner numbers the connections that it keeps by itself, and a proxy looked them up by the number alone. Losing a runner removed the entries of another one, and the entry that stayed led to whichever transaction got the number after the restart. The loop over the entries also went on from one that it might have freed. Ruled out: a connection that was reused without a rollback (the member had rolled it back).

Change: jobs and kept connections are in tables of their runner. A runner that went down has its tables emptied from the head.

--- a/relay.c
+++ b/relay.c
@@ -9,29 +9,21 @@
 #include <string.h>
 #include <xxhash.h>
 
-static void relay_forget_job(struct relay *r, struct relay_forwarded_job *job)
+static void relay_forget_job(struct relay_forwarded_job *job)
 {
 	job->job->relay = NULL;
 	job->runner->load--;
-	HASH_DEL(r->jobs, job);
+	HASH_DEL(job->runner->jobs, job);
 	free(job);
 }
 
-static void relay_forget_pin(struct relay *r, struct relay_pin *p)
+static void relay_forget_pin(struct relay_pin *p)
 {
 	p->runner->load--;
-	HASH_DEL(r->pins, p);
+	HASH_DEL(p->runner->pins, p);
 	free(p);
 }
 
-static struct relay_pin *relay_find_pin(struct relay *r, int64_t number)
-{
-	struct relay_pin *p;
-
-	HASH_FIND(hh, r->pins, &number, sizeof(number), p);
-	return p;
-}
-
 static void relay_end_pin(struct relay_runner *g, int64_t pin)
 {
 	struct msg m = {.type = MSG_PIN_END};
@@ -40,7 +32,7 @@
 	link_send(g->link, &m);
 }
 
-static void relay_end_job(struct relay *r, struct relay_forwarded_job *job,
+static void relay_end_job(struct relay_forwarded_job *job,
 			  struct db_result *res)
 {
 	struct db_job *j = job->job;
@@ -48,16 +40,15 @@
 
 	res->sent_at = job->sent;
 	if (job->pin && !res->pin)
-		relay_forget_pin(r, job->pin);
-	relay_forget_job(r, job);
+		relay_forget_pin(job->pin);
+	relay_forget_job(job);
 	db_record_relayed_end(m, j, res, clk_now());
 	j->done(j, res);
 }
 
 /* Returns the kept connection on which the transaction continues; NULL if it is
  * over. */
-static struct relay_pin *relay_pin(struct relay *r,
-				   struct relay_forwarded_job *job,
+static struct relay_pin *relay_pin(struct relay_forwarded_job *job,
 				   int64_t number)
 {
 	struct relay_pin *p = job->pin;
@@ -73,14 +64,13 @@
 	p->number = number;
 	p->member = job->member;
 	p->runner->load++;
-	HASH_ADD(hh, r->pins, number, sizeof(p->number), p);
+	HASH_ADD(hh, p->runner->pins, number, sizeof(p->number), p);
 	return p;
 }
 
 static void relay_handle_job_end(struct relay_runner *g,
 				 const struct msg_job_end *m)
 {
-	struct relay *r = g->relay;
 	bool known = m->status == DB_DONE || m->status == DB_REFUSED;
 	struct db_result res = {.status = known ? (enum db_status)m->status
 						: DB_LOST,
@@ -93,33 +83,37 @@
 				.txn = (char)m->txn_status_char};
 	struct relay_forwarded_job *job;
 
-	HASH_FIND(hh, r->jobs, &m->job_number, sizeof(m->job_number), job);
+	HASH_FIND(hh, g->jobs, &m->job_number, sizeof(m->job_number), job);
 	if (!job) {
 		/* The job was canceled here while it ended at the runner. */
 		if (m->kept_conn_id)
 			relay_end_pin(g, m->kept_conn_id);
 		return;
 	}
-	res.pin = relay_pin(r, job, m->kept_conn_id);
-	relay_end_job(r, job, &res);
+	res.pin = relay_pin(job, m->kept_conn_id);
+	relay_end_job(job, &res);
+}
+
+static void relay_lose_pin(struct relay_pin *p)
+{
+	void (*lost)(void *arg) = p->lost;
+	void *arg = p->arg;
+
+	relay_forget_pin(p);
+	if (lost)
+		lost(arg);
 }
 
 static void relay_handle_pin_lost(struct relay_runner *g,
 				  const struct msg_pin_lost *m)
 {
-	struct relay_pin *p = relay_find_pin(g->relay, m->kept_conn_id);
-	void (*lost)(void *arg);
-	void *arg;
+	struct relay_pin *p;
 
+	HASH_FIND(hh, g->pins, &m->kept_conn_id, sizeof(m->kept_conn_id), p);
 	/* If a job is under way, the connection was lost before the runner got
 	 * the job, and the job's result will say so. */
-	if (!p || p->busy)
-		return;
-	lost = p->lost;
-	arg = p->arg;
-	relay_forget_pin(g->relay, p);
-	if (lost)
-		lost(arg);
+	if (p && !p->busy)
+		relay_lose_pin(p);
 }
 
 static void relay_on_link_up(void *arg, struct link *l)
@@ -139,6 +133,8 @@
 {
 	struct relay_runner *g = arg;
 
+	if (!g->up)
+		return;
 	switch (m->type) {
 	case MSG_JOB_END:
 		relay_handle_job_end(g, &m->u.job_end);
@@ -153,29 +149,21 @@
 	}
 }
 
-/* Fails everything at a runner whose link is down. Its jobs count as sent: they
- * may have run and their answers may have been on the way. */
+/*
+ * Fails everything at a runner whose link is down. Its jobs count as sent: they
+ * may have run and their answers may have been on the way. The callbacks may
+ * end other work at the runner, so each round begins anew. A pin that a job
+ * used ends with the job.
+ */
 static void relay_fail_runner(struct relay_runner *g)
 {
-	struct relay *r = g->relay;
-	struct relay_forwarded_job *job;
-	struct relay_forwarded_job *next_job;
-	struct relay_pin *p;
-	struct relay_pin *next_pin;
-
-	for (job = r->jobs; job; job = next_job) {
+	while (g->jobs || g->pins) {
 		struct db_result res = {.status = DB_LOST, .sent = true};
 
-		next_job = job->hh.next;
-		if (job->runner == g)
-			relay_end_job(r, job, &res);
-	}
-	for (p = r->pins; p; p = next_pin) {
-		struct msg_pin_lost lost = {.kept_conn_id = p->number};
-
-		next_pin = p->hh.next;
-		if (p->runner == g)
-			relay_handle_pin_lost(g, &lost);
+		if (g->jobs)
+			relay_end_job(g->jobs, &res);
+		else
+			relay_lose_pin(g->pins);
 	}
 }
 
@@ -379,7 +367,7 @@
 					    .job = j,
 					    .member = m,
 					    .sent = now};
-	HASH_ADD(hh, r->jobs, number, sizeof(job->number), job);
+	HASH_ADD(hh, g->jobs, number, sizeof(job->number), job);
 	g->load++;
 	out->job_number = job->number;
 	memcpy(out->member, m->info.id, ID_LEN);
@@ -440,21 +428,20 @@
 void relay_cancel(struct db_job *j)
 {
 	struct relay_forwarded_job *job = j->relay;
-	struct relay *r = job->runner->relay;
 	struct msg m = {.type = MSG_JOB_CANCEL};
 
 	m.u.job_cancel.job_number = job->number;
 	link_send(job->runner->link, &m);
 	db_statement_ended(job->member);
 	if (job->pin)
-		relay_forget_pin(r, job->pin);
-	relay_forget_job(r, job);
+		relay_forget_pin(job->pin);
+	relay_forget_job(job);
 }
 
 void relay_release(struct relay_pin *p)
 {
 	relay_end_pin(p->runner, p->number);
-	relay_forget_pin(p->runner->relay, p);
+	relay_forget_pin(p);
 }
 
 struct db_member *relay_member_of(const struct relay_pin *p)
--- a/relay_priv.h
+++ b/relay_priv.h
@@ -22,6 +22,8 @@
 	 * any more */
 	bool in_use;
 	size_t load; /* number of jobs and kept connections */
+	struct relay_forwarded_job *jobs; /* that run there */
+	struct relay_pin *pins; /* its numbers are unique to this runner */
 };
 
 /* The proxies of one slice in one zone. */
@@ -47,7 +49,7 @@
 
 struct relay_pin {
 	struct relay_runner *runner;
-	int64_t number;
+	int64_t number; /* given by the runner */
 	struct db_member *member;
 	/* a job runs on it, and its result will say whether the connection is
 	 * still kept */
@@ -94,8 +96,6 @@
 	struct relay_runner *runners;
 	struct relay_slice_zone *slice_zones;
 	size_t nslice_zones;
-	struct relay_forwarded_job *jobs;
-	struct relay_pin *pins;
 	struct relay_client *clients;
 	struct link_server *server;
 	ev_timer tick;
--- a/t/unit_relay.cc
+++ b/t/unit_relay.cc
@@ -2,6 +2,7 @@
 
 #include <sodium.h>
 
+#include <deque>
 #include <functional>
 #include <string>
 #include <vector>
@@ -14,35 +15,117 @@
 #include "settings.h"
 }
 
-/* A proxy "p1" and its runner "p2", which the test plays. */
-struct Relay : testing::Test {
-	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct settings proxy_settings = {};
-	struct settings runner_settings = {};
-	struct db *db = nullptr;
-	struct relay *relay = nullptr;
+namespace
+{
+
+/* A runner that the test plays. */
+struct Runner {
+	struct settings settings = {};
 	struct link_server *server = nullptr;
 	struct link *proxy_link = nullptr;
-	std::vector<int64_t> job_numbers; /* of jobs that the runner received */
-	struct sctx ctx = {};
-	struct db_job job = {};
-	std::vector<struct db_result> results;
+	std::vector<struct msg_job> jobs; /* received; only numbers are valid */
 
 	static void on_up(void *arg, struct link *l)
 	{
-		((Relay *)arg)->proxy_link = l;
+		((Runner *)arg)->proxy_link = l;
 	}
 
 	static void on_message(void *arg, struct link *, const struct msg *m)
 	{
 		if (m->type == MSG_JOB)
-			((Relay *)arg)
-				->job_numbers.push_back(m->u.job.job_number);
+			((Runner *)arg)->jobs.push_back(m->u.job);
+	}
+
+	void listen(struct ev_loop *loop)
+	{
+		struct link_handler h = {};
+		struct err e = ERR_INIT;
+
+		h.arg = this;
+		h.on_up = on_up;
+		h.on_message = on_message;
+		ASSERT_EQ(RES_OK, link_listen(&server, loop, &settings, "proxy",
+					      2, &h, &e));
+	}
+
+	void stop()
+	{
+		link_server_free(server);
+		server = nullptr;
+	}
+
+	/* Sends the result of a job. */
+	void end_job(int64_t number, enum db_status status, int64_t pin)
+	{
+		struct msg m;
+		struct msg_job_end *out = &m.u.job_end;
+
+		memset(&m, 0, sizeof(m));
+		m.type = MSG_JOB_END;
+		out->job_number = number;
+		out->status = status;
+		out->sent = status == DB_DONE;
+		out->txn_status_char = pin ? 'T' : 'I';
+		out->kept_conn_id = pin;
+		for (struct blob *b : {&out->member_error_code,
+				       &out->member_error_text, &out->answer})
+			*b = {"", 0};
+		link_send(proxy_link, &m);
+	}
+
+	void lose_pin(int64_t number)
+	{
+		struct msg m = {};
+
+		m.type = MSG_PIN_LOST;
+		m.u.pin_lost.kept_conn_id = number;
+		link_send(proxy_link, &m);
+	}
+};
+
+/* A statement of a session: its job, and the transaction's connection. */
+struct Statement {
+	struct sctx ctx = {};
+	struct db_job job = {};
+	std::vector<struct db_result> results;
+	struct relay_pin *pin = nullptr;
+	int lost = 0; /* calls that said that the connection is lost */
+
+	Statement()
+	{
+		job.ctx = &ctx;
+		job.done = on_done;
+		job.arg = this;
 	}
 
 	static void on_done(struct db_job *j, const struct db_result *r)
 	{
-		((Relay *)j->arg)->results.push_back(*r);
+		((Statement *)j->arg)->results.push_back(*r);
+	}
+
+	static void on_lost(void *arg)
+	{
+		((Statement *)arg)->pin = nullptr;
+		((Statement *)arg)->lost++;
+	}
+};
+
+} // namespace
+
+/* A proxy "p1", its runner "p2" for members of its own zone, and its runner
+ * "p3" for those of another zone. */
+struct Relay : testing::Test {
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct settings proxy_settings = {};
+	Runner near, far;
+	struct db *db = nullptr;
+	struct relay *relay = nullptr;
+	std::deque<Statement> statements; /* relay_free() ends them */
+
+	Statement &statement()
+	{
+		statements.emplace_back();
+		return statements.back();
 	}
 
 	bool run_until(const std::function<bool()> &done)
@@ -50,91 +133,100 @@
 		return loopback::run_until(loop, done);
 	}
 
-	void set_identity(struct settings *s, const char *id)
+	void set_identity(struct settings *s, const char *id, const char *zone)
 	{
 		snprintf(s->id, ID_LEN, "%s", id);
-		snprintf(s->zone, ID_LEN, "za");
+		snprintf(s->zone, ID_LEN, "%s", zone);
 		snprintf(s->link, ADDR_LEN, "%s",
 			 loopback::free_addr().c_str());
 	}
 
 	void SetUp() override
 	{
-		struct link_handler h = {};
-		struct backend_info b = {};
-		struct proxy_info list[2] = {};
+		const struct settings *all[] = {&proxy_settings, &near.settings,
+						&far.settings};
+		struct backend_info b[2] = {};
+		struct proxy_info list[3] = {};
 		struct err e = ERR_INIT;
 
 		ASSERT_GE(sodium_init(), 0);
-		set_identity(&proxy_settings, "p1");
-		set_identity(&runner_settings, "p2");
+		set_identity(&proxy_settings, "p1", "za");
+		set_identity(&near.settings, "p2", "za");
+		set_identity(&far.settings, "p3", "zb");
 		db = db_new(loop);
-		snprintf(b.id, ID_LEN, "m0");
-		snprintf(b.zone, ID_LEN, "za");
-		snprintf(b.addr, ADDR_LEN, "127.0.0.1:1");
-		db_update(db, &b, 1);
-		h.arg = this;
-		h.on_up = on_up;
-		h.on_message = on_message;
-		ASSERT_EQ(RES_OK, link_listen(&server, loop, &runner_settings,
-					      "proxy", 2, &h, &e));
+		for (int i = 0; i < 2; i++) {
+			snprintf(b[i].id, ID_LEN, "m%d", i);
+			snprintf(b[i].zone, ID_LEN, i ? "zb" : "za");
+			snprintf(b[i].addr, ADDR_LEN, "127.0.0.1:1");
+		}
+		db_update(db, b, 2);
+		near.listen(loop);
+		far.listen(loop);
 		ASSERT_EQ(RES_OK,
 			  relay_new(&relay, loop, &proxy_settings, db, 1, &e));
-		for (int i = 0; i < 2; i++) {
-			const struct settings *s =
-				i ? &runner_settings : &proxy_settings;
-
-			memcpy(list[i].id, s->id, ID_LEN);
-			memcpy(list[i].zone, s->zone, ID_LEN);
-			memcpy(list[i].addr, s->link, ADDR_LEN);
+		for (int i = 0; i < 3; i++) {
+			memcpy(list[i].id, all[i]->id, ID_LEN);
+			memcpy(list[i].zone, all[i]->zone, ID_LEN);
+			memcpy(list[i].addr, all[i]->link, ADDR_LEN);
 			list[i].alive = true;
 		}
-		relay_take_proxies(relay, list, 2, 2);
-		job.ctx = &ctx;
-		job.done = on_done;
-		job.arg = this;
-		ASSERT_TRUE(run_until([&] { return proxy_link != nullptr; }));
+		relay_take_proxies(relay, list, 3, 2);
+		ASSERT_TRUE(run_until(
+			[&] { return near.proxy_link && far.proxy_link; }));
 	}
 
 	void TearDown() override
 	{
 		relay_free(relay);
-		link_server_free(server);
+		link_server_free(near.server);
+		link_server_free(far.server);
 		db_free(db);
 		ev_loop_destroy(loop);
 	}
 
-	/* Sends the runner's result of the last job that it received. */
-	void end_job(enum db_status status, int64_t pin)
+	/* Starts a job at a runner, which the member's zone and the slice
+	 * select, and waits until the runner has it. */
+	void start(Runner &runner, Statement &s)
 	{
-		struct msg m;
-		struct msg_job_end *out = &m.u.job_end;
+		bool is_near = &runner == &near;
+		size_t had = runner.jobs.size();
+		bool started = false;
 
-		memset(&m, 0, sizeof(m));
-		m.type = MSG_JOB_END;
-		out->job_number = job_numbers.back();
-		out->status = status;
-		out->sent = status == DB_DONE;
-		out->txn_status_char = pin ? 'T' : 'I';
-		out->kept_conn_id = pin;
-		for (struct blob *b : {&out->member_error_code,
-				       &out->member_error_text, &out->answer})
-			*b = {"", 0};
-		link_send(proxy_link, &m);
+		EXPECT_TRUE(run_until([&] {
+			started =
+				started ||
+				relay_start(relay,
+					    db_find(db, is_near ? "m0" : "m1"),
+					    is_near, &s.job, clk_now() + 1000,
+					    clk_now());
+			return runner.jobs.size() > had;
+		}));
 	}
 
 	/* Starts a job and ends it with a kept connection of that number. */
-	struct relay_pin *pin_connection(int64_t number)
+	void pin_connection(Runner &runner, Statement &s, int64_t number)
 	{
-		EXPECT_TRUE(run_until([&] {
-			return !job_numbers.empty() ||
-			       relay_start(relay, db_find(db, "m0"), 1, &job,
-					   clk_now() + 1000, clk_now());
-		}));
-		EXPECT_TRUE(run_until([&] { return !job_numbers.empty(); }));
-		end_job(DB_DONE, number);
-		EXPECT_TRUE(run_until([&] { return results.size() == 1; }));
-		return results.back().pin;
+		start(runner, s);
+		ASSERT_FALSE(runner.jobs.empty());
+		runner.end_job(runner.jobs.back().job_number, DB_DONE, number);
+		ASSERT_TRUE(run_until([&] { return s.results.size() == 1; }));
+		s.pin = s.results.back().pin;
+		ASSERT_NE(nullptr, s.pin);
+		relay_on_lost(s.pin, Statement::on_lost, &s);
+	}
+
+	/* Runs the transaction's next statement; returns the kept connection
+	 * that the runner was asked to use. */
+	int64_t continue_txn(Runner &runner, Statement &s)
+	{
+		size_t had = runner.jobs.size();
+
+		if (!s.pin)
+			return -1;
+		relay_continue(s.pin, &s.job, clk_now() + 1000, clk_now());
+		EXPECT_TRUE(
+			run_until([&] { return runner.jobs.size() > had; }));
+		return runner.jobs.back().kept_conn_id;
 	}
 };
 
@@ -145,35 +237,88 @@
  * fresh-c88b). */
 TEST_F(Relay, AStatementOutlivesThatItsConnectionWasLost)
 {
-	struct relay_pin *p = pin_connection(7);
-	struct msg m = {};
-
-	ASSERT_NE(nullptr, p);
-	relay_continue(p, &job, clk_now() + 1000, clk_now());
-	m.type = MSG_PIN_LOST;
-	m.u.pin_lost.kept_conn_id = 7;
-	link_send(proxy_link, &m);
-	ASSERT_TRUE(run_until([&] { return job_numbers.size() == 2; }));
-	end_job(DB_LOST, 0);
-	ASSERT_TRUE(run_until([&] { return results.size() == 2; }));
-	EXPECT_EQ(DB_LOST, results.back().status);
-	EXPECT_FALSE(results.back().sent);
-	EXPECT_EQ(nullptr, results.back().pin);
+	Statement &s = statement();
+
+	pin_connection(near, s, 7);
+	continue_txn(near, s);
+	near.lose_pin(7);
+	near.end_job(near.jobs.back().job_number, DB_LOST, 0);
+	ASSERT_TRUE(run_until([&] { return s.results.size() == 2; }));
+	EXPECT_EQ(DB_LOST, s.results.back().status);
+	EXPECT_FALSE(s.results.back().sent);
+	EXPECT_EQ(nullptr, s.results.back().pin);
 }
 
 /* If the connection is lost between two statements, the session is notified
  * immediately. */
 TEST_F(Relay, ALostConnectionIsTold)
 {
-	struct relay_pin *p = pin_connection(7);
-	struct msg m = {};
-	bool lost = false;
-
-	ASSERT_NE(nullptr, p);
-	relay_on_lost(
-		p, [](void *arg) { *(bool *)arg = true; }, &lost);
-	m.type = MSG_PIN_LOST;
-	m.u.pin_lost.kept_conn_id = 7;
-	link_send(proxy_link, &m);
-	EXPECT_TRUE(run_until([&] { return lost; }));
+	Statement &s = statement();
+
+	pin_connection(near, s, 7);
+	near.lose_pin(7);
+	EXPECT_TRUE(run_until([&] { return s.lost == 1; }));
+}
+
+/* Guards against a statement that runs in another caller's transaction. Each
+ * runner numbers the connections that it keeps by itself; when one reports a
+ * number as lost, the transaction of that number at another runner goes on. */
+TEST_F(Relay, ALostConnectionOfOneRunnerIsNoneOfAnother)
+{
+	Statement &a = statement();
+	Statement &b = statement();
+
+	pin_connection(near, a, 7);
+	pin_connection(far, b, 7);
+	near.lose_pin(7);
+	ASSERT_TRUE(run_until([&] { return a.lost + b.lost > 0; }));
+	EXPECT_EQ(1, a.lost);
+	EXPECT_EQ(0, b.lost);
+	EXPECT_EQ(7, continue_txn(far, b));
+}
+
+/* The same where the link to a runner goes down. All transactions at that
+ * runner end, and none elsewhere; the numbers of the runner are given anew
+ * after its restart. Also guards against a use after free while the ended ones
+ * are removed. */
+TEST_F(Relay, ALostRunnerEndsItsOwnTransactionsOnly)
+{
+	static constexpr int N = 6;
+	std::vector<Statement *> a, b;
+
+	for (int i = 0; i < N; i++) {
+		a.push_back(&statement());
+		b.push_back(&statement());
+		pin_connection(near, *a[i], 10 + i);
+		pin_connection(far, *b[i], 10 + N - 1 - i);
+	}
+	near.stop();
+	EXPECT_TRUE(run_until([&] {
+		int lost = 0;
+
+		for (int i = 0; i < N; i++)
+			lost += a[i]->lost + b[i]->lost;
+		return lost >= N;
+	}));
+	for (int i = 0; i < N; i++) {
+		EXPECT_EQ(1, a[i]->lost) << i;
+		EXPECT_EQ(0, b[i]->lost) << i;
+		EXPECT_EQ(10 + N - 1 - i, continue_txn(far, *b[i])) << i;
+	}
+}
+
+/* A job's result counts only if it comes from the runner that has the job. */
+TEST_F(Relay, AnotherRunnersResultIsNoneOfTheJob)
+{
+	Statement &a = statement();
+	Statement &b = statement();
+
+	start(near, a);
+	start(far, b);
+	far.end_job(near.jobs.back().job_number, DB_DONE, 0);
+	far.end_job(far.jobs.back().job_number, DB_DONE, 0);
+	ASSERT_TRUE(run_until([&] { return b.results.size() == 1; }));
+	EXPECT_TRUE(a.results.empty());
+	near.end_job(near.jobs.back().job_number, DB_DONE, 0);
+	EXPECT_TRUE(run_until([&] { return a.results.size() == 1; }));
 }
