promote: keep the called member able to lead until its call is over

Cause: a call to the promoter without an answer may be carried out for 12 s. Control gave the change up when the primary answered again, released all replicas, and forgot the call: commits counted which only the other replica held, until the late call promoted the member without them. A new control leader knew nothing of the call either. Evidence: six answers with status 0, "rest ... primary answers", "resume", and then the member leads with less. Ruled out: positions compared before all replicas were paused.

Change: with synchronous replicas the member is recorded before it is called. While the call may be carried out, only as many replicas receive as a commit needs, the called member among them, so it holds each acknowledged commit whenever it is promoted. No other member is called meanwhile. After 13 s all receive again.

--- a/promote.c
+++ b/promote.c
@@ -203,7 +203,8 @@
 }
 
 int64_t pro_propose_primary(struct pro *p, struct pro_group *g,
-			    const char *member, int64_t member_term, clk_ms now)
+			    const char *member, int64_t member_term,
+			    const char *late_call, clk_ms now)
 {
 	const struct group_info *info = state_group(p->state, g->name);
 	struct pro_action *a = pro_queue_act(p, g, PRO_RECORD_PRIMARY);
@@ -215,16 +216,22 @@
 	a->term = term + 1;
 	pro_fill_member_term(p, g, member_term, a);
 	g->recorded_at = now;
-	if (now < g->late_call_until)
-		memcpy(a->late_call, g->called_member, ID_LEN);
+	snprintf(a->late_call, ID_LEN, "%s", late_call);
 	return a->term;
 }
 
 void pro_record_primary(struct pro *p, struct pro_group *g, const char *member,
 			int64_t member_term, clk_ms now)
 {
-	int64_t term = pro_propose_primary(p, g, member, member_term, now);
+	int64_t term;
 
+	/* Calls for the member that leads change nothing. With tokens, those of
+	 * an earlier change are refused after the next. */
+	if (!p->use_leases && !strcmp(member, g->called_member))
+		g->late_call_until = 0;
+	term = pro_propose_primary(
+		p, g, member, member_term,
+		now < g->late_call_until ? g->called_member : "", now);
 	log_info("promote",
 		 "event=primary group=%s member=%s term=%lld member_term=%lld",
 		 g->name, member, (long long)term, (long long)member_term);
@@ -389,7 +396,7 @@
 static void pro_decide(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	struct pro_member *primary = pro_find_member(g, g->old_primary);
-	struct pro_member *best = pro_best_candidate(p, g, now);
+	struct pro_member *best = pro_safe_candidate(p, g, now);
 	struct pro_member *other = pro_other_primary(g);
 	bool lasting;
 
@@ -397,6 +404,10 @@
 	if (other && !(pro_is_primary(primary) &&
 		       primary->status.term >= other->status.term)) {
 		pro_record_primary(p, g, other->id, other->status.term, now);
+	} else if (pro_is_primary(primary) && !g->planned && !lasting &&
+		   pro_tracks_late_calls(p, g) &&
+		   pro_late_call_pending(g, now)) {
+		pro_hold_replicas(p, g, now);
 	} else if (!best) {
 		for (int i = 0; i < g->nmembers; i++)
 			g->members[i].rejected_by_promoter = false;
@@ -439,7 +450,7 @@
 				     clk_ms now)
 {
 	return p->use_leases ? pro_next_candidate(p, g, now)
-			     : pro_best_candidate(p, g, now);
+			     : pro_safe_candidate(p, g, now);
 }
 
 static void pro_tick_drain(struct pro *p, struct pro_group *g, clk_ms now)
@@ -576,7 +587,7 @@
 {
 	switch (g->phase) {
 	case PRO_IDLE:
-		if (p->use_leases)
+		if (pro_tracks_late_calls(p, g))
 			pro_forget_late_call(p, g, now);
 		pro_learn_term(p, g, now);
 		if (pro_needs_probe(p, g, now))
@@ -666,8 +677,10 @@
 			return;
 		}
 		m = pro_find_member(g, g->target);
-		if (!status && p->use_leases)
+		if (!status && pro_tracks_late_calls(p, g))
 			pro_note_unanswered_call(g, now);
+		else if (!p->use_leases && now >= g->late_call_until)
+			g->late_call_until = now; /* answered: none is late */
 		if (m && !status &&
 		    ++g->unanswered_calls < PRO_MAX_UNANSWERED_CALLS) {
 			pro_call_promoter(p, g, m, now);
--- a/promote.h
+++ b/promote.h
@@ -56,6 +56,13 @@
  * has all these commits. They are paused: from before their positions are
  * compared until the promotion they receive nothing more.
  *
+ * A call to the promoter that got no answer may be carried out later, when the
+ * change was given up because the old primary answers again. The member must
+ * hold each commit that is acknowledged until then, too. So the member is
+ * recorded before it is called, and while a call may be carried out, as many
+ * replicas receive as a commit needs, that member among them, and no other
+ * member is called.
+ *
  * Control records which member is the primary. A member's own announcement
  * decides only in a group without a record, since it may arrive late, after its
  * sender was deposed. If a member other than the recorded one claims to be the
@@ -107,9 +114,11 @@
 	 * promotion has discarded; a server that starts again is back by
 	 * then. */
 	PRO_DISCARDED_LOG_WAIT_MS = 60000,
-	/* With leases: a call to the promoter that got no answer may be carried
-	 * out for so long; the platform's limit is 12 s. */
-	PRO_LATE_CALL_MS = 13000
+	/* A call to the promoter that got no answer may be carried out for so
+	 * long; the platform's limit is 12 s. */
+	PRO_LATE_CALL_MS = 13000,
+	/* Between checks of a group whose replicas are held back meanwhile. */
+	PRO_HOLD_CHECK_MS = 1000
 };
 
 enum pro_action_type {
--- a/promote_candidate.c
+++ b/promote_candidate.c
@@ -93,6 +93,24 @@
 	return NULL;
 }
 
+struct pro_member *pro_safe_candidate(const struct pro *p, struct pro_group *g,
+				      clk_ms now)
+{
+	struct pro_member *best = pro_best_candidate(p, g, now);
+	struct pro_member *called;
+
+	if (!pro_tracks_late_calls(p, g))
+		return best;
+	pro_note_earlier_calls(p, g);
+	if (!pro_late_call_pending(g, now))
+		return best;
+	called = pro_find_member(g, g->called_member);
+	if (!best || !called || !pro_may_be_called(g, called) ||
+	    pos_cmp(called->status.received_pos, best->status.received_pos) < 0)
+		return NULL;
+	return called;
+}
+
 const char *pro_why_no_candidate(const struct pro_group *g)
 {
 	return g->only_discarded_since
@@ -149,8 +167,8 @@
 	g->confirmed_term = info->term;
 	if (m->status.term <= info->member_term)
 		return;
-	g->confirmed_term =
-		pro_propose_primary(p, g, m->id, m->status.term, now);
+	g->confirmed_term = pro_propose_primary(p, g, m->id, m->status.term,
+						info->late_call, now);
 	log_info("promote", "event=member_term group=%s member=%s term=%lld",
 		 g->name, m->id, (long long)m->status.term);
 }
--- a/promote_change.c
+++ b/promote_change.c
@@ -37,6 +37,8 @@
 {
 	if (p->use_leases)
 		pro_name_candidate(p, g, m, now);
+	else if (pro_tracks_late_calls(p, g))
+		pro_record_call(p, g, m, now);
 	else
 		pro_call_promoter(p, g, m, now);
 }
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -83,31 +83,6 @@
 	pro_ask_to_step_down(p, g, now);
 }
 
-/* If an earlier leader called a member, its calls may still be carried out. */
-static void pro_note_earlier_calls(const struct pro *p, struct pro_group *g)
-{
-	const struct group_info *info = pro_info(p, g);
-	const char *called = !info		  ? ""
-			     : pro_is_named(p, g) ? info->candidate
-						  : info->late_call;
-
-	if (!called[0] || g->late_call_until || !strcmp(g->target, called))
-		return;
-	memcpy(g->called_member, called, ID_LEN);
-	g->late_call_until = p->leading_since + PRO_LATE_CALL_MS;
-}
-
-void pro_forget_late_call(struct pro *p, struct pro_group *g, clk_ms now)
-{
-	const struct group_info *info = pro_info(p, g);
-
-	if (!info || info->changing_primary || !info->late_call[0])
-		return;
-	pro_note_earlier_calls(p, g);
-	if (now >= g->late_call_until && now >= g->next_change_at)
-		pro_record_primary(p, g, info->primary, info->member_term, now);
-}
-
 /* True if the member leads, or believes so, for another reason than that this
  * change named it. It steps down first: another member may have been promoted
  * since, and its lead could be taken for that of the call. */
@@ -137,12 +112,6 @@
 	return NULL;
 }
 
-void pro_note_unanswered_call(struct pro_group *g, clk_ms now)
-{
-	memcpy(g->called_member, g->target, ID_LEN);
-	g->late_call_until = now + PRO_LATE_CALL_MS;
-}
-
 void pro_name_candidate(struct pro *p, struct pro_group *g,
 			struct pro_member *m, clk_ms now)
 {
@@ -157,9 +126,11 @@
 {
 	const struct group_info *info = pro_info(p, g);
 	struct pro_member *m = pro_find_member(g, g->target);
+	bool named = p->use_leases ? info && info->changing_primary &&
+					     !strcmp(info->candidate, g->target)
+				   : pro_call_is_recorded(p, g);
 
-	if (info && info->changing_primary && m &&
-	    !strcmp(info->candidate, g->target))
+	if (m && named)
 		pro_call_promoter(p, g, m, now);
 	else if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
 		pro_back_off(g, now, "the candidate was not recorded");
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -1,8 +1,14 @@
 #ifndef PROMOTE_PRIV_H
 #define PROMOTE_PRIV_H
 
-/* What promote.c and promote_change.c share. promote.c watches the groups and
- * decides on changes, promote_change.c carries out the steps of a change. */
+/*
+ * What the files of promote.h share:
+ *   promote.c            watches the groups and decides on changes
+ *   promote_change.c     the steps of a change
+ *   promote_candidate.c  which member is promoted
+ *   promote_late.c       calls that may still be carried out
+ *   promote_lease.c      changes where proxies hold leases
+ */
 
 #include "lease.h"
 #include "promote.h"
@@ -77,11 +83,13 @@
 	int64_t sync_replicas; /* replicas that must hold a commit */
 	bool maybe_paused; /* some replicas may be paused */
 
+	/* Kept where pro_tracks_late_calls(): */
+	char called_member[ID_LEN]; /* of the last call without an answer */
+	clk_ms late_call_until; /* when that call is not carried out any more */
+
 	/* With leases: */
 	clk_ms uncovered_since; /* when this leader saw the record of the
 				 * change; 0 before */
-	char called_member[ID_LEN]; /* of the last call without an answer */
-	clk_ms late_call_until; /* when that call is not carried out any more */
 };
 
 struct pro {
@@ -108,11 +116,12 @@
 			struct pro_member *m, clk_ms now);
 void pro_load_members(struct pro *p, struct pro_group *g);
 
-/* Proposes the record of a primary; returns its term. pro_record_primary() also
- * ends the change. */
+/* Proposes the record of a primary; returns its term. late_call is the member
+ * for which a call may still be carried out, or empty. pro_record_primary()
+ * also ends the change. */
 int64_t pro_propose_primary(struct pro *p, struct pro_group *g,
 			    const char *member, int64_t member_term,
-			    clk_ms now);
+			    const char *late_call, clk_ms now);
 void pro_record_primary(struct pro *p, struct pro_group *g, const char *member,
 			int64_t member_term, clk_ms now);
 bool pro_is_primary(const struct pro_member *m);
@@ -136,6 +145,11 @@
  * when others are taken. */
 struct pro_member *pro_best_candidate(const struct pro *p, struct pro_group *g,
 				      clk_ms now);
+
+/* The member to promote without leases: the best one, or the one for which an
+ * earlier call may still be carried out. NULL if none can be promoted now. */
+struct pro_member *pro_safe_candidate(const struct pro *p, struct pro_group *g,
+				      clk_ms now);
 const char *pro_why_no_candidate(const struct pro_group *g);
 
 /* Fills in what a record of a primary tells of its own term; member_term is 0
@@ -166,19 +180,44 @@
 		      enum pro_action_type type, int64_t term, clk_ms now);
 int64_t pro_newest_term(const struct pro_group *g);
 
+/* promote_late.c */
+
+/* True if it matters whether a call to the promoter is carried out late: with
+ * leases, or where the promoted member must hold all acknowledged commits. */
+bool pro_tracks_late_calls(const struct pro *p, const struct pro_group *g);
+void pro_note_unanswered_call(struct pro_group *g, clk_ms now);
+
+/* If an earlier leader called a member, its calls may still be carried out. */
+void pro_note_earlier_calls(const struct pro *p, struct pro_group *g);
+
+/* True if a call for another member than the primary of the change may still be
+ * carried out. */
+bool pro_late_call_pending(const struct pro_group *g, clk_ms now);
+
+/* Records that no call can be carried out any more, once that is true. */
+void pro_forget_late_call(struct pro *p, struct pro_group *g, clk_ms now);
+
+/* Without leases: records the member to call before it is called, so that a
+ * later leader knows of the call. */
+void pro_record_call(struct pro *p, struct pro_group *g, struct pro_member *m,
+		     clk_ms now);
+bool pro_call_is_recorded(const struct pro *p, const struct pro_group *g);
+
+/* Lets only so many replicas receive that each acknowledged commit is held by
+ * the member for which a call may still be carried out. */
+void pro_hold_replicas(struct pro *p, struct pro_group *g, clk_ms now);
+
 /* promote_lease.c */
 void pro_begin_change(struct pro *p, struct pro_group *g, clk_ms now);
 void pro_name_candidate(struct pro *p, struct pro_group *g,
 			struct pro_member *m, clk_ms now);
-void pro_note_unanswered_call(struct pro_group *g, clk_ms now);
+
 /* The member to promote: the best one, or the one that must be called again
  * since an earlier call for it may still be carried out. NULL if none can be
  * promoted now; one that believes that it leads is asked to step down first. */
 struct pro_member *pro_next_candidate(struct pro *p, struct pro_group *g,
 				      clk_ms now);
 
-/* Records that no call can be carried out any more, once that is true. */
-void pro_forget_late_call(struct pro *p, struct pro_group *g, clk_ms now);
 void pro_tick_waiting(struct pro *p, struct pro_group *g, clk_ms now);
 void pro_tick_naming(struct pro *p, struct pro_group *g, clk_ms now);
 
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -304,6 +304,26 @@
 		run(300);
 		requests.clear();
 	}
+
+	/* The next questions find that "a" leads, until the replicas are told
+	 * what to do. */
+	void leave_primary_answering()
+	{
+		requests.clear();
+		for (int i = 0; i < 200 && !requests.count("c"); i++) {
+			run(20);
+			for (const char *id : {"a", "b", "c"})
+				if (requests.count(id) &&
+				    requests[id].type == PRO_GET_STATUS)
+					answer(id, id[0] == 'a', 14);
+		}
+	}
+
+	void expect_only_b_receives()
+	{
+		EXPECT_EQ(PRO_RESUME, requests["b"].type);
+		EXPECT_EQ(PRO_PAUSE, requests["c"].type);
+	}
 };
 
 /* Guards against the loss of an acknowledged commit that only the unresponsive
@@ -357,6 +377,124 @@
 	EXPECT_EQ(requests["c"].type, PRO_RESUME);
 }
 
+/* A call for "b" got no answer, and "a" leads again. Its commits are
+ * acknowledged by whichever replica receives them. */
+struct PromoteLate : PromoteSync {
+	void SetUp() override
+	{
+		PromoteSync::SetUp();
+		call_without_answer();
+		leave_primary_answering();
+	}
+
+	/* "b" is called as often as a change calls, without an answer. */
+	void call_without_answer()
+	{
+		lose_primary(10, 12);
+		answer("b", false, 14);
+		answer("c", false, 12);
+		run(100);
+		for (int i = 1; i <= PRO_MAX_UNANSWERED_CALLS; i++) {
+			ASSERT_EQ((size_t)i, calls.size());
+			EXPECT_STREQ("b", calls.back().member);
+			pro_on_promoter_reply(pro, calls.back().action_id, 0,
+					      now);
+			take_actions();
+		}
+	}
+};
+
+/* Guards against the loss of acknowledged commits by a call that was given up
+ * and is carried out late: the member called for must hold each commit that is
+ * acknowledged until then, so no other replica may receive one in its place. */
+TEST_F(PromoteLate, OnlyTheMemberThatWasCalledForReceives)
+{
+	expect_only_b_receives();
+	for (clk_ms end = now + PRO_LATE_CALL_MS - 4000; now < end;) {
+		leave_primary_answering();
+		expect_only_b_receives();
+	}
+	EXPECT_EQ((size_t)PRO_MAX_UNANSWERED_CALLS, calls.size());
+}
+
+/* Guards against replicas that stay paused once the call can't be carried out
+ * any more. */
+TEST_F(PromoteLate, AllReceiveOnceTheCallIsOver)
+{
+	run(PRO_LATE_CALL_MS);
+	leave_primary_answering();
+	EXPECT_EQ(PRO_RESUME, requests["b"].type);
+	EXPECT_EQ(PRO_RESUME, requests["c"].type);
+	requests.clear();
+	run(3000);
+	EXPECT_TRUE(requests.empty());
+}
+
+/* The same where another control instance leads now: it knows of the call from
+ * the record that was made before it. */
+TEST_F(PromoteLate, ANewLeaderKnowsOfTheCall)
+{
+	pro_start_leading(pro, 8, now);
+	for (int i = 0; i < 3; i++) {
+		leave_primary_answering();
+		expect_only_b_receives();
+	}
+	run(PRO_LATE_CALL_MS);
+	leave_primary_answering();
+	EXPECT_EQ(PRO_RESUME, requests["c"].type);
+}
+
+/* The same where the leader changed while its first call was under way. */
+TEST_F(PromoteSync, ANewLeaderKnowsOfACallUnderWay)
+{
+	lose_primary(10, 12);
+	answer("b", false, 14);
+	answer("c", false, 12);
+	run(100);
+	ASSERT_EQ(1u, calls.size());
+	pro_start_leading(pro, 8, now);
+	leave_primary_answering();
+	expect_only_b_receives();
+}
+
+/* Guards against a second member that is called while the call for the first
+ * may be carried out: no single replica could then hold all commits. The other
+ * one, which holds more, is called once that is over. */
+TEST_F(PromoteLate, NoOtherMemberIsCalledForMeanwhile)
+{
+	clk_ms over = now + PRO_LATE_CALL_MS;
+	size_t before = calls.size();
+
+	requests.clear();
+	while (now < over + 4000 && calls.size() == before) {
+		suspect(6, "a");
+		run(100);
+		for (const char *id : {"b", "c"})
+			if (requests.count(id))
+				answer(id, false, id[0] == 'b' ? 16 : 18);
+	}
+	ASSERT_EQ(before + 1, calls.size());
+	EXPECT_GE(now, over - 4000); /* the calls were made before the test */
+	EXPECT_STREQ("c", calls.back().member);
+	EXPECT_GT(calls.back().promoter_token, calls[0].promoter_token);
+}
+
+/* A late call that is carried out ends the wait. */
+TEST_F(PromoteLate, TheMemberIsRecordedWhenItLeads)
+{
+	announce_member("a", false);
+	announce_member("b", true);
+	for (int i = 0; i < 100 && recorded.back() != "b"; i++) {
+		run(20);
+		for (const char *id : {"a", "b", "c"})
+			if (requests.count(id) &&
+			    requests[id].type == PRO_GET_STATUS)
+				answer(id, id[0] == 'b', 15, 2);
+	}
+	EXPECT_EQ("b", recorded.back());
+	EXPECT_STREQ("", state_group(state, "orders")->late_call);
+}
+
 /* Guards against a change of a primary that serves other proxies, because a new
  * control leader has not been told yet when proxies heard it: the first reports
  * to a new leader hold no positions. */
