promote: call again if the result of a call was dropped

Seen by callers: none so far; found while looking for what control gives up while an order may still be carried out.

Cause: the result of a call that comes while the leader can't act for the cluster (its lease has lapsed for a moment) is dropped, and the change then waited for ever: only another leader, or the member's own announcement, ended it.

Change: a call without any result after twice its time-out counts as unanswered.

Tests: Promote.ACallWhoseResultIsDroppedIsMadeAgain failed before.

--- a/promote.c
+++ b/promote.c
@@ -621,7 +621,9 @@
 		break;
 	case PRO_CALLING:
 		/* An earlier call may have been carried out only now. */
-		pro_check_target(p, g, now);
+		if (!pro_check_target(p, g, now) &&
+		    now - g->phase_since >= PRO_CALL_DROPPED_MS)
+			pro_on_promoter_reply(p, g->call_number, 0, now);
 		break;
 	case PRO_SETTLING:
 		pro_tick_settle(p, g, now);
--- a/promote.h
+++ b/promote.h
@@ -102,6 +102,9 @@
 	PRO_UNRESPONSIVE_PROBE_MS = 2000,
 	PRO_CALL_TIMEOUT_MS =
 		500, /* timeout; the promoter answers in about 10 ms */
+	/* A call without any result by then: the result came while this leader
+	 * could not act for the cluster, and was dropped. */
+	PRO_CALL_DROPPED_MS = 2 * PRO_CALL_TIMEOUT_MS,
 	/* Calls without an answer, before members are asked again. */
 	PRO_MAX_UNANSWERED_CALLS = 6,
 	PRO_DRAIN_TIMEOUT_MS =
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -120,6 +120,23 @@
 	EXPECT_GT(calls.back().promoter_token, before);
 }
 
+/* Guards against a change that never ends: the result of a call comes while
+ * this instance can't act, and is dropped. */
+TEST_F(Promote, ACallWhoseResultIsDroppedIsMadeAgain)
+{
+	run(300);
+	lose_primary(10);
+	ASSERT_EQ(1u, calls.size());
+	run(2 * PRO_CALL_TIMEOUT_MS + 40);
+	ASSERT_EQ(2u, calls.size());
+	EXPECT_EQ(calls[0].promoter_token, calls[1].promoter_token);
+	pro_on_promoter_reply(pro, calls[0].action_id, 409, now);
+	pro_on_promoter_reply(pro, calls[1].action_id, 200, now);
+	announce_member("b", true);
+	run(40);
+	EXPECT_EQ("b", recorded.back());
+}
+
 /* The first call is carried out late, while a retry waits for its answer. */
 TEST_F(Promote, TakesAPromotionThatComesLate)
 {
