promote: tell replicas to receive again until they confirm it

Cause: the order to receive again was sent once and its result ignored. A replica that missed it stayed paused until its restart, and commits would wait for ever once the other replica failed.

Change: a group counts as paused until all replicas have confirmed the order; it is repeated each second.

Test: PromoteSync.AnOrderToReceiveIsRepeatedUntilItIsConfirmed failed before. PromoteLate.AllReceiveOnceTheCallIsOver answers the orders now.

--- a/promote.c
+++ b/promote.c
@@ -417,6 +417,8 @@
 	} else if (pro_answered(primary) && pro_is_primary(primary)) {
 		pro_resume(p, g, now);
 		pro_back_off(g, now, "primary answers");
+		if (g->maybe_paused)
+			g->next_change_at = now + PRO_HOLD_CHECK_MS;
 	} else if (pro_answered(primary) && primary->reply == PRO_BUSY) {
 		pro_back_off(g, now, "primary is busy");
 	} else if (!primary || pro_answered(primary) || g->planned ||
@@ -655,6 +657,8 @@
 			m->awaiting_reply = false;
 			m->reply = s->reply;
 			m->status = *s;
+			if (m->request_type == PRO_RESUME)
+				pro_on_resumed(g);
 			pro_tick_group(p, g, now);
 			return;
 		}
--- a/promote.h
+++ b/promote.h
@@ -120,7 +120,8 @@
 	/* A call to the promoter that got no answer may be carried out for so
 	 * long; the platform's limit is 12 s. */
 	PRO_LATE_CALL_MS = 13000,
-	/* Between checks of a group whose replicas are held back meanwhile. */
+	/* Between checks of a group whose primary works and whose replicas are
+	 * held back, or have not confirmed that they receive again. */
 	PRO_HOLD_CHECK_MS = 1000
 };
 
--- a/promote_change.c
+++ b/promote_change.c
@@ -51,8 +51,6 @@
 	memcpy(a->member, m->id, ID_LEN);
 	memcpy(a->addr, m->addr, ADDR_LEN);
 	a->term = term;
-	if (type == PRO_RESUME)
-		return;
 	m->request_number = a->action_id;
 	m->request_type = type;
 	m->awaiting_reply = true;
@@ -74,7 +72,6 @@
 {
 	if (!g->maybe_paused)
 		return;
-	g->maybe_paused = false;
 	for (int i = 0; i < g->nmembers; i++)
 		if (strcmp(g->members[i].id, g->old_primary) != 0)
 			pro_send_command(p, g, &g->members[i], PRO_RESUME, 0,
@@ -82,6 +79,19 @@
 	log_info("promote", "event=resume group=%s", g->name);
 }
 
+void pro_on_resumed(struct pro_group *g)
+{
+	for (int i = 0; i < g->nmembers; i++) {
+		const struct pro_member *m = &g->members[i];
+
+		if (strcmp(m->id, g->old_primary) != 0 &&
+		    (m->request_type != PRO_RESUME || m->awaiting_reply ||
+		     m->reply != PRO_OK))
+			return;
+	}
+	g->maybe_paused = false;
+}
+
 int64_t pro_newest_term(const struct pro_group *g)
 {
 	int64_t term = 0;
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -260,13 +260,18 @@
 				   now);
 	} else if (!named && pro_is_primary(primary) && !g->planned &&
 		   !lasting) {
-		pro_resume(p, g, now);
+		bool paused = g->maybe_paused;
+
 		/* No member was called, so it still leads. */
 		if (changing)
 			pro_record_primary(p, g, primary->id,
 					   primary->status.term, now);
 		else
 			pro_back_off(g, now, "primary answers");
+		g->maybe_paused = paused;
+		pro_resume(p, g, now);
+		if (paused)
+			g->next_change_at = now + PRO_HOLD_CHECK_MS;
 	} else if (!best) {
 		for (int i = 0; i < g->nmembers; i++)
 			g->members[i].rejected_by_promoter = false;
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -165,7 +165,10 @@
 bool pro_has_all_commits(const struct pro_group *g);
 void pro_step_down(struct pro *p, struct pro_group *g, struct pro_member *m,
 		   clk_ms now);
+/* Tells all replicas to receive again. The group counts as paused, and they are
+ * told again, until pro_on_resumed() finds that all have confirmed it. */
 void pro_resume(struct pro *p, struct pro_group *g, clk_ms now);
+void pro_on_resumed(struct pro_group *g);
 void pro_pause(struct pro *p, struct pro_group *g, clk_ms now);
 
 /* Has the member promoted: calls the promoter, with leases after the member was
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -394,6 +394,27 @@
 	EXPECT_EQ(requests["c"].type, PRO_RESUME);
 }
 
+/* Guards against a replica that stays paused because the order to receive again
+ * was lost: commits would wait for ever once the other replica fails. */
+TEST_F(PromoteSync, AnOrderToReceiveIsRepeatedUntilItIsConfirmed)
+{
+	lose_primary(10, 12);
+	answer("b", false, 14);
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	leave_primary_answering();
+	ASSERT_EQ(PRO_RESUME, requests["c"].type);
+	answer("b", false, 14);
+	fail("c");
+	leave_primary_answering();
+	ASSERT_EQ(PRO_RESUME, requests["b"].type);
+	ASSERT_EQ(PRO_RESUME, requests["c"].type);
+	answer("b", false, 14);
+	answer("c", false, 14);
+	requests.clear();
+	run(3000);
+	EXPECT_TRUE(requests.empty());
+}
+
 /* A call for "b" got no answer, and "a" leads again. Its commits are
  * acknowledged by whichever replica receives them. */
 struct PromoteLate : PromoteSync {
@@ -442,6 +463,8 @@
 	leave_primary_answering();
 	EXPECT_EQ(PRO_RESUME, requests["b"].type);
 	EXPECT_EQ(PRO_RESUME, requests["c"].type);
+	answer("b", false, 14);
+	answer("c", false, 14);
 	requests.clear();
 	run(3000);
 	EXPECT_TRUE(requests.empty());
