front, relay: answer each statement that a stopping proxy has taken

Cause: nothing refused statements of open transactions before the sessions were closed, and front_close_rest() closed those with a statement under way. Evidence: event=closed_at_stop running=1. Ruled out: the member broke off, a time limit (the statements waited under 200 ms of 1,000). A runner kept the transactions of other proxies until its end, and a COMMIT that was certainly not sent was reported as of unknown outcome.

Change: half of stop_ms after SIGTERM transactions end, those for other proxies, too; their next statement is refused with ABORTED, which is true. A statement under way gets its member's answer until 0.3 s before the end, and then an answer of this proxy. No connection is accepted from then on.

--- a/entry.c
+++ b/entry.c
@@ -20,8 +20,11 @@
 	ENTRY_STOP_CHECK_MS = 20,
 	/* interval between checks whether this instance is cut off */
 	ENTRY_CUT_OFF_CHECK_MS = 100,
-	/* end of stop_ms, reserved for closing the remaining sessions */
-	ENTRY_STOP_RESERVE_MS = 900
+	/* transactions may go on for stop_ms divided by this */
+	ENTRY_STOP_TXN_PART = 2,
+	/* end of stop_ms, reserved for the answers to statements that are still
+	 * under way, and for closing the remaining sessions */
+	ENTRY_STOP_RESERVE_MS = 300
 };
 
 struct entry {
@@ -36,6 +39,7 @@
 	ev_timer stop_timer;
 	clk_ms stop_began; /* 0 while running */
 	bool draining;
+	bool txns_ended;
 	bool closing;
 	bool was_ready;
 	bool listening;
@@ -315,6 +319,12 @@
 			 front_count(p->fronts));
 		front_drain(p->fronts, true);
 	}
+	if (!p->txns_ended && age >= p->set->stop_ms / ENTRY_STOP_TXN_PART) {
+		p->txns_ended = true;
+		log_info("entry", "event=transactions_end sessions=%zu",
+			 front_count(p->fronts));
+		front_end_transactions(p->fronts);
+	}
 	if (!p->closing && age >= p->set->stop_ms - ENTRY_STOP_RESERVE_MS) {
 		p->closing = true;
 		front_close_rest(p->fronts);
--- a/front.c
+++ b/front.c
@@ -203,12 +203,33 @@
 	f->refuse_without_lease = refuse;
 }
 
+void front_end_transactions(struct front_server *f)
+{
+	f->refuse_statements = true;
+	for (struct front_session *s = f->sessions; s; s = s->next) {
+		if (s->run.active ||
+		    (s->txn != FRONT_OPEN && s->txn != FRONT_BEGUN))
+			continue;
+		log_info("front",
+			 "event=txn_ended_at_stop database=%s group=%s",
+			 s->database, s->group);
+		front_release_kept(s);
+		s->txn = FRONT_FAILED;
+		s->txn_failure = RES_STOPPING;
+	}
+	relay_end_kept(f->relay);
+}
+
 void front_close_rest(struct front_server *f)
 {
 	struct front_session *next;
 
+	net_listener_free(f->listener);
+	f->listener = NULL;
 	for (struct front_session *s = f->sessions; s; s = next) {
 		next = s->next;
+		if (s->run.active)
+			front_run_expire(s);
 		if (!s->closing) {
 			log_info("front",
 				 "event=closed_at_stop database=%s txn=%d "
--- a/front.h
+++ b/front.h
@@ -96,7 +96,15 @@
  * none: it will not be renewed soon, and another proxy can run them. */
 void front_refuse_without_lease(struct front_server *f, bool refuse);
 
-/* Closes the remaining sessions, including those in a transaction. */
+/*
+ * Ends all transactions, also those run for other proxies, and refuses all
+ * further statements. A statement that is under way still gets its member's
+ * answer. The caller of an ended transaction is told with its next statement.
+ */
+void front_end_transactions(struct front_server *f);
+
+/* Answers the statements that are still under way, whose outcome may be
+ * unknown, and closes all sessions. */
 void front_close_rest(struct front_server *f);
 struct hist;
 /* Latency of statements that succeeded. */
--- a/front_priv.h
+++ b/front_priv.h
@@ -211,6 +211,7 @@
 	size_t ngroups;
 	ev_timer tick;
 	bool draining;
+	bool refuse_statements; /* see front_end_transactions() */
 	bool refuse_waiting;
 	bool refuse_without_lease;
 	void (*on_urgent)(void *arg);
@@ -249,6 +250,9 @@
 void front_run_tick(struct front_session *s, clk_ms now);
 void front_run_abort(struct front_session *s);
 
+/* Gives up the statement under way and answers it. */
+void front_run_expire(struct front_session *s);
+
 /* front_send.c: runs a job here or by a proxy of the member's zone. */
 int front_slice(const struct front_server *f, const char *group);
 int front_count_slices(const struct front_server *f, int largest_zone);
--- a/front_run.c
+++ b/front_run.c
@@ -134,7 +134,8 @@
 				   RES_UNREACHABLE);
 		return;
 	}
-	run_refuse(s, run_lost_reason(s), member);
+	run_refuse(s, r->sent ? run_lost_reason(s) : RES_PRIMARY_CHANGED,
+		   member);
 }
 
 /* Lets a transaction continue after a statement of it found no free slot. */
@@ -592,9 +593,7 @@
 	run_try(s, now);
 }
 
-/* Gives up a statement whose deadline has passed, or which can't be served
- * here. */
-static void run_expire(struct front_session *s)
+void front_run_expire(struct front_session *s)
 {
 	enum res r = s->run.reason;
 
@@ -660,7 +659,7 @@
 	if (!run->active)
 		return;
 	if (now >= run->deadline || run_is_hopeless(s)) {
-		run_expire(s);
+		front_run_expire(s);
 	} else if (run->answer_held) {
 		run_check_held_answer(s, now);
 	} else if (!s->job_runs) {
--- a/front_session.c
+++ b/front_session.c
@@ -102,10 +102,13 @@
  * were committed. */
 static void front_commit_failed(struct front_session *s, const struct stmt *st)
 {
+	enum res r = s->txn_failure == RES_STOPPING ? RES_STOPPING
+						    : RES_PRIMARY_CHANGED;
+
 	front_release_kept(s);
 	s->txn = FRONT_NONE;
 	s->txn_failure = RES_OK;
-	front_reject(s, st, RES_PRIMARY_CHANGED);
+	front_reject(s, st, r);
 }
 
 static void front_run(struct front_session *s, const struct stmt *st,
@@ -158,8 +161,44 @@
 		front_run(s, st, false, NULL);
 }
 
+/* Whether the statement is for a member, or begins a transaction. */
+static bool front_needs_member(const struct stmt *st)
+{
+	switch (st->kind) {
+	case STMT_READ:
+	case STMT_WRITE:
+	case STMT_EXECUTE:
+	case STMT_BEGIN:
+	case STMT_BEGIN_READ:
+	case STMT_COMMIT:
+		return true;
+	case STMT_ROLLBACK:
+	case STMT_SET:
+	case STMT_PREPARE:
+	case STMT_DEALLOCATE:
+	case STMT_MALFORMED:
+		break;
+	}
+	return false;
+}
+
+/* Refuses a statement because this instance stops, and ends its transaction. */
+static void front_refuse_at_stop(struct front_session *s, const struct stmt *st)
+{
+	if (s->txn != FRONT_NONE) {
+		front_release_kept(s);
+		s->txn = st->kind == STMT_COMMIT ? FRONT_NONE : FRONT_FAILED;
+	}
+	front_reject(s, st, RES_STOPPING);
+}
+
 static void front_statement(struct front_session *s, const struct stmt *st)
 {
+	if (s->server->refuse_statements && s->txn != FRONT_FAILED &&
+	    front_needs_member(st)) {
+		front_refuse_at_stop(s, st);
+		return;
+	}
 	if (s->txn == FRONT_FAILED && st->kind != STMT_COMMIT &&
 	    st->kind != STMT_ROLLBACK) {
 		enum res r = s->txn_failure ? s->txn_failure : RES_BAD_SQL;
--- a/relay.h
+++ b/relay.h
@@ -76,6 +76,10 @@
  * it. */
 void relay_on_lost(struct relay_pin *p, void (*lost)(void *arg), void *arg);
 
+/* Ends the transactions that run here for other proxies, each after the
+ * statement that is under way. Their proxies are told that it is lost. */
+void relay_end_kept(struct relay *r);
+
 /* Number of jobs and transactions that run here for other proxies. */
 size_t relay_load(const struct relay *r);
 
--- a/relay_priv.h
+++ b/relay_priv.h
@@ -85,6 +85,7 @@
 	int64_t number;
 	struct relay_client *client;
 	struct db_conn *conn;
+	bool busy; /* a job runs on it */
 	UT_hash_handle hh;
 };
 
@@ -103,6 +104,7 @@
 	int64_t last_number;
 	/* number of jobs and kept connections here for other proxies */
 	size_t remote_work;
+	bool ends_kept; /* see relay_end_kept() */
 };
 
 /* Messages hold blobs, jobs hold spans; neither owns its bytes. */
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -26,6 +26,15 @@
 	free(k);
 }
 
+static struct relay_kept_conn *serve_find_kept(struct relay_client *c,
+					       int64_t number)
+{
+	struct relay_kept_conn *k;
+
+	HASH_FIND(hh, c->kept, &number, sizeof(number), k);
+	return k;
+}
+
 /* Called when a kept connection failed between two jobs. */
 static void serve_lost(void *arg)
 {
@@ -60,10 +69,18 @@
 		HASH_ADD(hh, c->kept, number, sizeof(k->number), k);
 	}
 	k->conn = conn;
+	k->busy = false;
 	db_on_lost(conn, serve_lost, k);
 	return k->number;
 }
 
+/* Rolls back the transaction of a kept connection that no job uses. */
+static void serve_end_kept(struct relay_kept_conn *k)
+{
+	db_roll_back_kept(k->conn);
+	serve_lost(k);
+}
+
 static void serve_done(struct db_job *j, const struct db_result *r)
 {
 	struct relay_served_job *run = j->arg;
@@ -82,6 +99,8 @@
 	end->txn_status_char = r->txn;
 	end->kept_conn_id = serve_keep_conn(run, r->conn);
 	link_send(run->client->link, &m);
+	if (end->kept_conn_id && run->client->relay->ends_kept)
+		serve_end_kept(serve_find_kept(run->client, end->kept_conn_id));
 	serve_forget_run(run);
 }
 
@@ -142,12 +161,13 @@
 	c->relay->remote_work++;
 	serve_copy_job(run, m);
 	if (m->kept_conn_id) {
-		HASH_FIND(hh, c->kept, &m->kept_conn_id,
-			  sizeof(m->kept_conn_id), run->kept);
-		if (run->kept)
+		run->kept = serve_find_kept(c, m->kept_conn_id);
+		if (run->kept) {
+			run->kept->busy = true;
 			db_continue(run->kept->conn, &run->job, now);
-		else
+		} else {
 			serve_done(&run->job, &gone);
+		}
 	} else if (member && member->in_roster) {
 		db_start(member, &run->job, now);
 	} else {
@@ -182,9 +202,8 @@
 
 static void serve_end_pin(struct relay_client *c, const struct msg_pin_end *m)
 {
-	struct relay_kept_conn *k;
+	struct relay_kept_conn *k = serve_find_kept(c, m->kept_conn_id);
 
-	HASH_FIND(hh, c->kept, &m->kept_conn_id, sizeof(m->kept_conn_id), k);
 	if (!k)
 		return;
 	db_roll_back_kept(k->conn);
@@ -274,6 +293,20 @@
 	}
 }
 
+void relay_end_kept(struct relay *r)
+{
+	r->ends_kept = true;
+	for (struct relay_client *c = r->clients; c; c = c->next) {
+		struct relay_kept_conn *next;
+
+		for (struct relay_kept_conn *k = c->kept; k; k = next) {
+			next = k->hh.next;
+			if (!k->busy)
+				serve_end_kept(k);
+		}
+	}
+}
+
 enum res relay_serve(struct relay *r, struct err *e)
 {
 	struct link_handler h = {.arg = r,
--- a/t/sys_platform.cc
+++ b/t/sys_platform.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <mutex>
@@ -385,6 +386,90 @@
 	EXPECT_TRUE(d.wait_until_serving(1, 1000));
 }
 
+/* Guards against a stop that breaks off statements which the proxy has taken.
+ * Transactions may go on for half of stop_ms (6000). From then on each
+ * statement is refused, so that none is under way when the connections are
+ * closed. */
+TEST_F(Platform, AStopAnswersEachStatementThatItTakes)
+{
+	static constexpr int SESSIONS = 6;
+	std::vector<std::thread> threads;
+	std::atomic<int> begun{0};
+	std::mutex mu;
+	std::vector<std::string> last; /* answers that ended transactions */
+	std::vector<long> ms; /* when they came, since SIGTERM */
+	std::chrono::steady_clock::time_point stopped;
+	std::atomic<bool> stopping{false};
+
+	for (int i = 0; i < SESSIONS; i++)
+		threads.emplace_back([&, i] {
+			std::string item = "rest" + std::to_string(i);
+			Session s;
+			std::string a;
+
+			s.open(d.client_addr(0), "orders");
+			s.query("BEGIN");
+			a = s.query("WRITE " + item + " 1");
+			begun += statement_succeeded(a);
+			while (!stopping)
+				usleep(1000);
+			while (statement_succeeded(a))
+				a = s.query("READ " + item);
+			std::lock_guard<std::mutex> lock(mu);
+			ms.push_back(std::chrono::duration_cast<
+					     std::chrono::milliseconds>(
+					     std::chrono::steady_clock::now() -
+					     stopped)
+					     .count());
+			last.push_back(a);
+			a = s.query(i % 2 ? "ROLLBACK" : "COMMIT");
+			EXPECT_EQ(0u,
+				  a.rfind(i % 2 ? "COMPLETE" : "ERROR ABORTED",
+					  0))
+				<< a;
+			EXPECT_TRUE(s.wait_until_closed(3000));
+		});
+	ASSERT_TRUE(wait_until(3000, [&] { return begun == SESSIONS; }));
+	stopped = std::chrono::steady_clock::now();
+	d.proxy(0).send_sigterm();
+	stopping = true;
+	for (std::thread &t : threads)
+		t.join();
+	for (int i = 0; i < SESSIONS; i++) {
+		EXPECT_EQ(0u, last[i].rfind("ERROR ABORTED", 0)) << last[i];
+		EXPECT_GE(ms[i], 2900);
+		EXPECT_EQ("0", d.send_platform_command("ever rest" +
+						       std::to_string(i)));
+	}
+	EXPECT_EQ(0, d.proxy(0).wait(4000));
+}
+
+/* The same for a statement whose member does not answer until the end. Its
+ * caller is told that the outcome is unknown. */
+TEST_F(Platform, AStopAnswersAStatementThatWaitsForItsMember)
+{
+	Session s;
+
+	ASSERT_EQ(200, d
+			       .publish_config(d.config_document(
+				       2, ",{\"name\":\"r-long\",\"host\":"
+					  "\"long\",\"path_prefix\":\"/\","
+					  "\"kind\":\"primary\",\"timeout_ms\":"
+					  "20000,\"slo_ms\":200,\"priority\":1,"
+					  "\"service\":\"g1\","
+					  "\"max_attempts\":2}"))
+			       .status);
+	ASSERT_TRUE(wait_until(
+		3000, [&] { return s.open(d.client_addr(0), "long"); }));
+	ASSERT_TRUE(statement_succeeded(s.query("BEGIN")));
+	ASSERT_TRUE(statement_succeeded(s.query("WRITE wait 1")));
+	d.send_platform_command("mute m0");
+	d.proxy(0).send_sigterm();
+	std::string a = s.query("COMMIT", 7000);
+	EXPECT_EQ(0u, a.rfind("ERROR INDOUBT", 0)) << a;
+	EXPECT_EQ(0, d.proxy(0).wait(2000));
+}
+
 /* Guards against a proxy that stays in the balancer's rotation while it reaches
  * neither a majority of control nor a primary. It detects this 700 ms after
  * both became unresponsive, because links receive a heartbeat only every 250
--- a/t/sys_relay.cc
+++ b/t/sys_relay.cc
@@ -136,6 +136,41 @@
 	})) << "not used again";
 }
 
+/* Guards against a runner whose stop leaves the outcome of other proxies'
+ * transactions unknown: in the second half of stop_ms (6000) it has ended them,
+ * and their callers are told so. */
+TEST_F(Relay, AStopEndsTheTransactionsOfOtherProxies)
+{
+	Session idle;
+	Session busy;
+	std::string a;
+
+	for (Session *s : {&idle, &busy}) {
+		ASSERT_TRUE(s->open(d.client_addr(1), "orders"));
+		ASSERT_TRUE(statement_succeeded(s->query("BEGIN")));
+		ASSERT_TRUE(statement_succeeded(s->query("WRITE early 1")));
+	}
+	int64_t stopped = cluster::now_ms();
+	d.proxy(0).send_sigterm();
+	for (int i = 0; i < 14; i++) {
+		usleep(200000);
+		EXPECT_TRUE(statement_succeeded(busy.query("READ early"))) << i;
+		if (i % 5 == 4) {
+			EXPECT_TRUE(
+				statement_succeeded(idle.query("READ early")));
+		}
+	}
+	do
+		a = busy.query("READ early");
+	while (statement_succeeded(a));
+	EXPECT_EQ(0u, a.rfind("ERROR ABORTED", 0)) << a;
+	EXPECT_LT(cluster::now_ms() - stopped, 4500);
+	a = idle.query("COMMIT");
+	EXPECT_EQ(0u, a.rfind("ERROR ABORTED", 0)) << a;
+	EXPECT_EQ("0", d.send_platform_command("ever early"));
+	EXPECT_EQ(0, d.proxy(0).wait(4000));
+}
+
 /* A write that an unresponsive runner may have sent to the member is reported
  * as of unknown outcome; while the runner is unresponsive, other statements
  * don't use it. */
