proxy, caller, exec: answer each statement that a stopping proxy has taken

Seen by callers: transactions went on until stop_ms, then the connections were closed with statements under way and without a message; transactions of other proxies got "outcome unknown", COMMITs among them.

Cause: only callers without a transaction were closed during the stop, and the process ended at stop_ms whatever was under way.

Change: after half of stop_ms idle transactions end with FATAL 57P01, others after the statement under way, and those of other proxies are rolled back, so that their next statement is refused as not run. 0.3 s before the end what is left under way is answered with FATAL 08007, or 08006 for reads.

--- a/caller.c
+++ b/caller.c
@@ -101,6 +101,15 @@
 	pgw_put_parameter_status(caller_out(c), "marjoramlatch.session", text);
 }
 
+/* Rolls back the transaction of a caller without a request in flight because
+ * this instance stops. */
+static void caller_end_transaction(struct caller *c)
+{
+	caller_release_pin(c);
+	caller_fatal(c, RES_STOPPING, res_text(RES_STOPPING));
+	net_flush(c->conn);
+}
+
 void caller_send_ready(struct caller *c)
 {
 	if (c->phase == CALLER_CLOSING)
@@ -108,18 +117,31 @@
 	pgw_put_ready_for_query(caller_out(c), caller_txn_status(c));
 	if (c->callers->stopping && c->txn_state == 'I')
 		caller_fatal(c, RES_STOPPING, res_text(RES_STOPPING));
+	else if (c->callers->transactions_over)
+		caller_end_transaction(c);
 }
 
-static void caller_free(struct caller *c)
+/* Gives up the request in flight, if there is one. */
+static void caller_abandon_request(struct caller *c)
 {
-	struct callers *callers = c->callers;
+	const struct callers_config *cfg = &c->callers->cfg;
 
 	if (c->engine_request)
-		req_abandon(callers->cfg.request_engine, c->engine_request);
+		req_abandon(cfg->request_engine, c->engine_request);
 	if (c->admin_query)
-		adm_abandon(callers->cfg.admin_database, c->admin_query);
-	caller_release_pin(c);
+		adm_abandon(cfg->admin_database, c->admin_query);
+	c->engine_request = 0;
+	c->admin_query = 0;
 	caller_request_free(c->in_flight);
+	c->in_flight = NULL;
+}
+
+static void caller_free(struct caller *c)
+{
+	struct callers *callers = c->callers;
+
+	caller_abandon_request(c);
+	caller_release_pin(c);
 	caller_extended_state_free(c);
 	ses_free(&c->session);
 	if (c->pid)
@@ -407,3 +429,27 @@
 		net_flush(c->conn);
 	}
 }
+
+void callers_end_transactions(struct callers *callers)
+{
+	callers->transactions_over = true;
+	for (struct caller *c = callers->list; c; c = c->next)
+		if (!caller_busy(c) && c->txn_state != 'I')
+			caller_end_transaction(c);
+}
+
+void callers_end_requests(struct callers *callers)
+{
+	for (struct caller *c = callers->list; c; c = c->next) {
+		bool read =
+			c->in_flight && (c->in_flight->kind == RUN_READ ||
+					 c->in_flight->kind == RUN_DESCRIBE);
+		enum res res = read ? RES_READ_FAILED : RES_UNKNOWN;
+
+		if (!caller_busy(c))
+			continue;
+		caller_abandon_request(c);
+		caller_fatal(c, res, res_text(res));
+		net_flush(c->conn);
+	}
+}
--- a/caller.h
+++ b/caller.h
@@ -50,6 +50,14 @@
  * others when their request or transaction has ended. */
 void callers_start_stop(struct callers *callers);
 
+/* During a stop: closes callers with an open transaction, which is rolled back,
+ * with SQLSTATE 57P01; those with a request in flight after its answer. */
+void callers_end_transactions(struct callers *callers);
+
+/* During a stop: gives up the requests in flight, tells their callers that the
+ * outcome is unknown, and closes them. */
+void callers_end_requests(struct callers *callers);
+
 size_t callers_count(const struct callers *callers);
 
 /* Number of callers with a request in flight or an open transaction. */
--- a/caller_priv.h
+++ b/caller_priv.h
@@ -153,6 +153,7 @@
 	size_t count;
 	int32_t last_pid; /* assigned most recently */
 	bool stopping;
+	bool transactions_over; /* see callers_end_transactions() */
 	ev_timer timeout_check;
 };
 
--- a/entry.c
+++ b/entry.c
@@ -19,12 +19,7 @@
 enum {
 	ENTRY_STOP_CHECK_MS = 20,
 	/* interval between checks whether this instance is cut off */
-	ENTRY_CUT_OFF_CHECK_MS = 100,
-	/* transactions may go on for stop_ms divided by this */
-	ENTRY_STOP_TXN_PART = 2,
-	/* end of stop_ms, reserved for the answers to statements that are still
-	 * under way, and for closing the remaining sessions */
-	ENTRY_STOP_RESERVE_MS = 300
+	ENTRY_CUT_OFF_CHECK_MS = 100
 };
 
 struct entry {
@@ -319,13 +314,13 @@
 			 front_count(p->fronts));
 		front_drain(p->fronts, true);
 	}
-	if (!p->txns_ended && age >= p->set->stop_ms / ENTRY_STOP_TXN_PART) {
+	if (!p->txns_ended && age >= p->set->stop_ms / SETTINGS_STOP_TXN_PART) {
 		p->txns_ended = true;
 		log_info("entry", "event=transactions_end sessions=%zu",
 			 front_count(p->fronts));
 		front_end_transactions(p->fronts);
 	}
-	if (!p->closing && age >= p->set->stop_ms - ENTRY_STOP_RESERVE_MS) {
+	if (!p->closing && age >= p->set->stop_ms - SETTINGS_STOP_RESERVE_MS) {
 		p->closing = true;
 		front_close_rest(p->fronts);
 	}
--- a/exec.c
+++ b/exec.c
@@ -403,3 +403,14 @@
 {
 	return HASH_COUNT(x->pins);
 }
+
+void exec_close_idle_remote_pins(struct exec *x)
+{
+	struct exec_pin *p, *next;
+
+	for (p = x->pins; p; p = next) {
+		next = p->hh.next;
+		if (p->origin_link && !p->running_req)
+			exec_pin_close(p);
+	}
+}
--- a/exec.h
+++ b/exec.h
@@ -125,6 +125,10 @@
  */
 size_t exec_count_pins(const struct exec *x);
 
+/* Closes the pinned connections of callers of other proxies on which nothing
+ * runs, which rolls their transactions back. */
+void exec_close_idle_remote_pins(struct exec *x);
+
 /* Data for SHOW BACKENDS; fn is called once for each owned backend. */
 struct exec_backend_stats {
 	const char *id;
--- a/proxy.c
+++ b/proxy.c
@@ -44,6 +44,8 @@
 	struct net_listener *listener;
 	ev_timer stop_timer;
 	clk_ms stop_started_at; /* 0 if no stop was requested */
+	bool transactions_ended; /* see proxy_end_work() */
+	bool requests_ended;
 	/* During a stop: since when nothing runs and the stop is reported to
 	 * control (or control is unreachable); 0 if that is not so. */
 	clk_ms idle_since;
@@ -256,6 +258,23 @@
 	return !self || !self->alive || age < 0 || age > p->set->lease_ms;
 }
 
+/* Ends transactions in the second half of stop_ms, and shortly before its end
+ * the requests in flight, so that each caller gets an answer. */
+static void proxy_end_work(struct proxy *p, clk_ms age)
+{
+	if (age < p->set->stop_ms / SETTINGS_STOP_TXN_PART)
+		return;
+	if (!p->transactions_ended)
+		callers_end_transactions(p->callers);
+	p->transactions_ended = true;
+	exec_close_idle_remote_pins(p->exec);
+	if (age < p->set->stop_ms - SETTINGS_STOP_RESERVE_MS)
+		return;
+	if (!p->requests_ended)
+		callers_end_requests(p->callers);
+	p->requests_ended = true;
+}
+
 /*
  * Leaves the event loop when nothing has run for as long as it takes the other
  * proxies to learn of the stop. Until then they may still send requests for
@@ -268,6 +287,7 @@
 	clk_ms min_idle_ms = p->set->ask_ms + PROXY_STOP_EXTRA_WAIT_MS;
 
 	(void)events;
+	proxy_end_work(p, now - p->stop_started_at);
 	if (!proxy_is_idle(p) || !proxy_stop_is_announced(p, now))
 		p->idle_since = 0;
 	else if (!p->idle_since)
--- a/settings.h
+++ b/settings.h
@@ -24,7 +24,12 @@
 	SETTINGS_PATH_LEN = 256, /* bytes of a path, with the final zero */
 	SETTINGS_SECRET_LEN = 64, /* bytes of a password or "key", likewise */
 	SETTINGS_KEY_LEN = 32, /* bytes of the key that all instances share */
-	SETTINGS_REPLACE_MS = 1000 /* default of replace_ms */
+	SETTINGS_REPLACE_MS = 1000, /* default of replace_ms */
+	/* How a proxy divides stop_ms: transactions may go on for stop_ms
+	 * divided by the first, and the end is reserved for the answers to
+	 * requests that are still under way then. */
+	SETTINGS_STOP_TXN_PART = 2,
+	SETTINGS_STOP_RESERVE_MS = 300
 };
 
 /* Which daemon reads the settings; the required keys depend on it. */
--- a/t/sys_proxy.cc
+++ b/t/sys_proxy.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 using namespace cluster;
 
 namespace
@@ -112,6 +114,92 @@
 	EXPECT_EQ("4", r.value());
 }
 
+namespace
+{
+
+struct StopResult {
+	std::string sqlstate; /* of the first error */
+	std::string notice; /* messages that came between two statements */
+	int64_t ms = 0; /* when it came, since SIGTERM */
+};
+
+void add_notice(void *arg, const char *text)
+{
+	*(std::string *)arg += text;
+}
+
+/* Repeats a statement until it fails. */
+StopResult run_until_refused(Caller &x, const char *sql, int64_t stopped)
+{
+	StopResult s;
+	Result r;
+
+	PQsetNoticeProcessor(x.raw(), add_notice, &s.notice);
+	do
+		r = x.exec(sql);
+	while (r.ok);
+	s.sqlstate = r.sqlstate;
+	s.ms = now_ms() - stopped;
+	return s;
+}
+
+} // namespace
+
+/* Guards against a stop of a proxy that cuts off statements which it has taken.
+ * Transactions may go on for half of stop_ms (5000), also those that it runs
+ * for another proxy. Then their callers are told, and none has an unknown
+ * outcome. A statement that does not end in time is answered, too. */
+TEST(SysProxy, AStopAnswersEachTransaction)
+{
+	Cluster c(two_proxies(1));
+
+	ASSERT_TRUE(c.start());
+	std::string primary =
+		c.admin("p1").exec("SHOW GROUPS").value("primary");
+	std::string owner;
+	for (const auto &row : c.admin("p1").exec("SHOW BACKENDS").rows)
+		if (row[0] == primary)
+			owner = row[9];
+	ASSERT_TRUE(owner == "p1" || owner == "p2") << owner;
+	Caller own = c.customer(owner, "orders");
+	Caller slow = c.customer(owner, "orders");
+	Caller remote = c.customer(owner == "p1" ? "p2" : "p1", "orders");
+	StopResult own_end, remote_end;
+	Result slow_end;
+
+	ASSERT_TRUE(own.exec("CREATE TABLE t (a int)").ok);
+	for (Caller *x : {&own, &slow, &remote}) {
+		ASSERT_TRUE(x->exec("BEGIN").ok);
+		ASSERT_TRUE(x->exec("SELECT 1").ok);
+	}
+	int64_t stopped = now_ms();
+	c.process(owner).terminate();
+	std::thread slow_thread([&] {
+		slow_end = slow.exec(
+			"INSERT INTO t VALUES (1) /* cost_us=9000000 */");
+	});
+	std::thread remote_thread([&] {
+		remote_end = run_until_refused(remote, "SELECT 2", stopped);
+	});
+	own_end = run_until_refused(own, "SELECT 2", stopped);
+	remote_thread.join();
+	slow_thread.join();
+	EXPECT_NE(std::string::npos,
+		  (own_end.sqlstate + own_end.notice)
+			  .find(own_end.sqlstate == "57P01" ? "57P01"
+							    : "stopping"))
+		<< own_end.sqlstate << " " << own_end.notice;
+	EXPECT_NE("08007", remote_end.sqlstate);
+	EXPECT_NE("", remote_end.sqlstate);
+	for (const StopResult *s : {&own_end, &remote_end}) {
+		EXPECT_GE(s->ms, 2400);
+		EXPECT_LE(s->ms, 4000);
+	}
+	EXPECT_EQ("ROLLBACK", remote.exec("COMMIT").statement_tag);
+	EXPECT_EQ("08007", slow_end.sqlstate) << slow_end.message;
+	EXPECT_EQ(0, c.process(owner).wait(3000));
+}
+
 /* Guards against accepted lists that a proxy receives late or never. */
 TEST(SysProxy, NewListsAreInForceEverywhere)
 {
