control, document: let no odd announcement take a member out of use

Seen: one entry of another writer with the largest start time or sequence number that is accepted takes the member of its id out of use for good; as the primary's it has a healthy primary replaced. No process ended.

Cause: announcements are ordered by numbers that they carry, and nothing checked whether these can be true; all of the member's own counted as late.

Change: numbers that no member can have are refused. Otherwise the member that goes on counts: three announcements in a row that count as late, over the time in which a member becomes silent, while nothing newer comes. Within one start neither service nor address changes.

--- a/admin.c
+++ b/admin.c
@@ -354,7 +354,7 @@
 			"'<zone>' <incarnation> <slots> <connections>");
 		return 0;
 	}
-	if (settings_check_addr(b.addr, "ANNOUNCE", &e) != RES_OK) {
+	if (settings_check_peer_addr(b.addr, "ANNOUNCE", &e) != RES_OK) {
 		adm_answer_error(sink, e.code, e.text);
 		return 0;
 	}
--- a/control_api.c
+++ b/control_api.c
@@ -136,6 +136,8 @@
 		capi_answer(a, q);
 	else if (r == RES_NOT_LEADER)
 		capi_redirect(a, q);
+	else if (r == RES_BAD_LIST)
+		capi_answer_status(a, q->number, 400);
 	else
 		capi_answer_status(a, q->number, 503);
 	free(q);
@@ -188,13 +190,14 @@
 	struct capi_request *request;
 
 	if (doc_parse_announcement(&n, id, q->body, q->body_len, &e) ||
-	    settings_check_addr(n.info.addr, "addr", &e)) {
+	    settings_check_peer_addr(n.info.addr, "addr", &e)) {
 		capi_refuse(a, q, 400, e.text);
 		return;
 	}
 	request = capi_add_request(a, q, CALL_PUT_BACKEND);
 	snprintf(request->subject, ID_LEN, "%s", id);
-	ctl_announce(a->ctl, q->request_number, &n.info, n.sequence, clk_now());
+	ctl_announce(a->ctl, q->request_number, &n.info, n.sequence, clk_wall(),
+		     clk_now());
 }
 
 static void capi_on_request(void *arg, const struct http_request *q)
--- a/ctl_core.h
+++ b/ctl_core.h
@@ -51,6 +51,12 @@
 	 * entries. */
 	CTL_COMPACT_ENTRIES = 2000,
 	CTL_COMPACT_BYTES = 4 << 20,
+	/* Most by which the clocks of a backend and of this instance differ. An
+	 * announcement that can't be true even so is refused. */
+	CTL_CLOCK_TOLERANCE_MS = 24 * 3600 * 1000,
+	/* Announcements in a row that show that a backend goes on, although a
+	 * newer one that was taken for its own says otherwise. */
+	CTL_OUTLIVE_ANNOUNCEMENTS = 3,
 	/* Lists are sent in one frame with other fields, so they must be
 	 * smaller than a frame. */
 	CTL_MAX_LISTS_BYTES = 3 << 20
@@ -140,10 +146,15 @@
  * configuration is read. */
 void ctl_confirm_leadership(struct ctl *c, int64_t ticket, clk_ms now);
 
-/* A backend's announcement with its sequence number. One that is older than
- * what is known is answered with RES_OK and ignored. */
+/*
+ * A backend's announcement with its sequence number, and the wall-clock time.
+ * One that can't be true is refused with RES_BAD_LIST. One that is older than
+ * what is known is answered with RES_OK and ignored, unless the backend goes on
+ * announcing itself while nothing newer comes: what was taken for newer was not
+ * its own.
+ */
 void ctl_announce(struct ctl *c, int64_t ticket, const struct backend_info *b,
-		  int64_t sequence, clk_ms now);
+		  int64_t sequence, clk_ms wall, clk_ms now);
 
 /* A backend has left; its record is removed. */
 void ctl_remove_backend(struct ctl *c, int64_t ticket, const char *backend,
--- a/ctl_priv.h
+++ b/ctl_priv.h
@@ -37,6 +37,14 @@
 	int64_t proposed_index; /* log index of that proposal */
 	int64_t newest_sequence; /* of the announcements of incarnation */
 	int64_t incarnation;
+	clk_ms accepted_ms; /* last announcement that did not count as late */
+	bool left; /* it has left since then */
+	/* The last announcements, if they counted as late and are of one
+	 * incarnation. */
+	int64_t late_incarnation;
+	int64_t late_sequence;
+	int late_count;
+	clk_ms late_since_ms;
 };
 
 /* The backend that started last at an address. */
@@ -147,20 +155,23 @@
 				   const struct msg_ask *ask, clk_ms now);
 
 /* Returns the index of the entry that records the backend; 0 if it is recorded
- * already. */
+ * already. If goes_on is set, a record that it is leaving is revoked. */
 int64_t ctl_update_backend(struct ctl *c, const struct backend_info *b,
-			   clk_ms now);
+			   bool goes_on, clk_ms now);
 
 /* Proposes to remove a recorded backend; returns the index of the entry. */
 int64_t ctl_propose_removal(struct ctl *c, const char *id, clk_ms now);
 struct ctl_backend *ctl_find_or_add_backend(struct ctl *c, const char *id,
 					    clk_ms now);
 
-/* Records which backend announced an address. */
+/* Records which backend announced an address; if several did, the one that
+ * started last. ctl_assign_addr() records it even so. */
 void ctl_record_addr(struct ctl *c, const struct backend_info *b);
+void ctl_assign_addr(struct ctl *c, const struct backend_info *b);
 
-/* True if another backend announced the same address and started later. */
-bool ctl_is_replaced(const struct ctl *c, const struct backend_info *b);
+/* The id of another backend that announced the same address and started later;
+ * NULL if there is none. */
+const char *ctl_replaced_by(const struct ctl *c, const struct backend_info *b);
 
 /* Queues CTL_ANSWER_REQUEST for the tickets whose result is known. */
 void ctl_finish_tickets(struct ctl *c, clk_ms now);
--- a/ctl_proxy.c
+++ b/ctl_proxy.c
@@ -77,7 +77,8 @@
 			     const struct msg_ask *ask, clk_ms now)
 {
 	for (int64_t i = 0; i < ask->nbackend_announcements; i++)
-		ctl_update_backend(c, &ask->backend_announcements[i], now);
+		ctl_update_backend(c, &ask->backend_announcements[i], false,
+				   now);
 	for (int64_t i = 0;
 	     i < ask->nsuspects && c->settings->controls_from_seeds; i++)
 		pro_on_suspicion(c->promotion, ask->suspects[i].group,
--- a/ctl_registry.c
+++ b/ctl_registry.c
@@ -24,6 +24,7 @@
 struct ctl_backend *ctl_find_or_add_backend(struct ctl *c, const char *id,
 					    clk_ms now)
 {
+	const struct backend_info *have = state_backend(c->state, id);
 	struct ctl_backend *b =
 		id_array_find(c->backends, c->nbackends, sizeof(*b), id);
 
@@ -32,10 +33,13 @@
 	b = id_array_insert((void **)&c->backends, &c->nbackends, sizeof(*b),
 			    id);
 	b->last_heard_ms = now;
+	b->accepted_ms = now;
+	if (have)
+		b->incarnation = have->incarnation;
 	return b;
 }
 
-void ctl_record_addr(struct ctl *c, const struct backend_info *b)
+void ctl_assign_addr(struct ctl *c, const struct backend_info *b)
 {
 	struct ctl_addr *a;
 
@@ -47,19 +51,27 @@
 		memcpy(a->addr, b->addr, ADDR_LEN);
 		HASH_ADD_STR(c->newest_at_addr, addr, a);
 	}
-	if (b->incarnation < a->incarnation)
-		return;
 	memcpy(a->id, b->id, ID_LEN);
 	a->incarnation = b->incarnation;
 }
 
-bool ctl_is_replaced(const struct ctl *c, const struct backend_info *b)
+void ctl_record_addr(struct ctl *c, const struct backend_info *b)
+{
+	const struct ctl_addr *a;
+
+	HASH_FIND_STR(c->newest_at_addr, b->addr, a);
+	if (!a || b->incarnation >= a->incarnation)
+		ctl_assign_addr(c, b);
+}
+
+const char *ctl_replaced_by(const struct ctl *c, const struct backend_info *b)
 {
 	const struct ctl_addr *a;
 
 	HASH_FIND_STR(c->newest_at_addr, b->addr, a);
-	return a && a->incarnation > b->incarnation &&
-	       strcmp(a->id, b->id) != 0;
+	return a && a->incarnation > b->incarnation && strcmp(a->id, b->id) != 0
+		       ? a->id
+		       : NULL;
 }
 
 static void ctl_free_addrs(struct ctl *c)
@@ -170,7 +182,7 @@
 }
 
 int64_t ctl_update_backend(struct ctl *c, const struct backend_info *info,
-			   clk_ms now)
+			   bool goes_on, clk_ms now)
 {
 	const struct backend_info *have = state_backend(c->state, info->id);
 	struct backend_info want = *info;
@@ -184,7 +196,8 @@
 	want.version = 0;
 	/* An announcement that was sent before the backend announced its
 	 * leaving does not undo that; one after a restart does. */
-	if (have && have->leaving && have->incarnation == info->incarnation)
+	if (have && have->leaving && !goes_on &&
+	    have->incarnation == info->incarnation)
 		want.leaving = true;
 	if (!have)
 		cnt_add(CNT_backends_announced, 1);
--- a/ctl_requests.c
+++ b/ctl_requests.c
@@ -67,42 +67,135 @@
 	raft_start_leader_check(c->raft, now);
 }
 
-/* True if a newer announcement of this backend is known, or another backend
- * that started later at the same address. */
-static bool announce_is_late(const struct ctl *c,
-			     const struct ctl_backend *known,
-			     const struct backend_info *b, int64_t sequence)
+/* True unless the announcement holds numbers that no backend can have, or moves
+ * a known backend to a group that no configuration names. */
+static bool announce_is_possible(const struct ctl *c,
+				 const struct backend_info *b, int64_t sequence,
+				 clk_ms wall)
 {
-	if (known->incarnation > b->incarnation ||
-	    (known->incarnation == b->incarnation &&
-	     known->newest_sequence >= sequence))
-		return true;
-	return ctl_is_replaced(c, b);
+	const struct backend_info *have = state_backend(c->state, b->id);
+	clk_ms age = wall - b->incarnation;
+
+	if (age < -CTL_CLOCK_TOLERANCE_MS)
+		return false;
+	/* A backend announces itself at most once in a millisecond. */
+	if (sequence > (age > 0 ? age : 0) + CTL_CLOCK_TOLERANCE_MS)
+		return false;
+	return !have || !c->routes || !strcmp(have->group, b->group) ||
+	       rt_find_group(c->routes, b->group);
 }
 
-void ctl_announce(struct ctl *c, int64_t ticket, const struct backend_info *b,
-		  int64_t sequence, clk_ms now)
+/* True if a newer announcement of this backend is known. One of the same
+ * incarnation with another group or address is not its own. */
+static bool announce_is_old(const struct ctl *c,
+			    const struct ctl_backend *known,
+			    const struct backend_info *b, int64_t sequence)
 {
 	const struct backend_info *have = state_backend(c->state, b->id);
-	struct ctl_backend *known;
+
+	if (known->incarnation != b->incarnation)
+		return known->incarnation > b->incarnation;
+	return known->newest_sequence >= sequence ||
+	       (b->incarnation && have && have->incarnation == b->incarnation &&
+		(strcmp(have->group, b->group) != 0 ||
+		 strcmp(have->addr, b->addr) != 0));
+}
+
+/*
+ * Takes note of an announcement that counts as late. Returns true if the
+ * backend has gone on announcing itself for as long as its rival, the writer of
+ * the newer announcement, has been silent: then that one was not its own. What
+ * a partition held back comes all at once.
+ */
+static bool announce_outlives(const struct ctl *c, struct ctl_backend *known,
+			      const struct ctl_backend *rival,
+			      const struct backend_info *b, int64_t sequence,
+			      clk_ms now)
+{
+	clk_ms silent = c->settings->silent_ms;
+
+	if (!known->late_count || known->late_incarnation != b->incarnation ||
+	    sequence <= known->late_sequence) {
+		known->late_count = 0;
+		known->late_since_ms = now;
+	}
+	known->late_incarnation = b->incarnation;
+	known->late_sequence = sequence;
+	known->late_count++;
+	return !known->left && known->late_count >= CTL_OUTLIVE_ANNOUNCEMENTS &&
+	       now - known->late_since_ms >= silent &&
+	       now - rival->accepted_ms >= silent;
+}
+
+static void announce_accept(struct ctl *c, struct ctl_backend *known,
+			    const struct backend_info *b, int64_t sequence,
+			    clk_ms now)
+{
+	known->incarnation = b->incarnation;
+	known->newest_sequence = sequence;
+	known->accepted_ms = now;
+	known->left = false;
+	known->late_count = 0;
+	ctl_record_addr(c, b);
+}
+
+/* Returns whether the announcement counts; otherwise it is late. goes_on is set
+ * if it counts although a newer one was accepted before. */
+static bool announce_counts(struct ctl *c, const struct backend_info *b,
+			    int64_t sequence, bool *goes_on, clk_ms now)
+{
+	struct ctl_backend *known = ctl_find_or_add_backend(c, b->id, now);
+	struct ctl_backend *rival = known;
+	bool late = announce_is_old(c, known, b, sequence);
+	const char *replaced_by = late ? NULL : ctl_replaced_by(c, b);
+
+	if (replaced_by) {
+		rival = ctl_find_or_add_backend(c, replaced_by, now);
+		/* Adding the rival may have moved the array. */
+		known = ctl_find_or_add_backend(c, b->id, now);
+		late = true;
+	}
+	*goes_on = late && announce_outlives(c, known, rival, b, sequence, now);
+	if (late && !*goes_on)
+		return false;
+	if (*goes_on) {
+		log_warn("control",
+			 "event=announcement_outlived id=%s incarnation=%lld "
+			 "sequence=%lld rival=%s",
+			 b->id, (long long)b->incarnation, (long long)sequence,
+			 rival->id);
+		ctl_assign_addr(c, b);
+	}
+	announce_accept(c, known, b, sequence, now);
+	return true;
+}
+
+void ctl_announce(struct ctl *c, int64_t ticket, const struct backend_info *b,
+		  int64_t sequence, clk_ms wall, clk_ms now)
+{
+	bool goes_on;
 	int64_t index;
 
 	if (!ticket_check_leader(c, ticket))
 		return;
-	known = ctl_find_or_add_backend(c, b->id, now);
-	if (have && have->incarnation > known->incarnation)
-		known->incarnation = have->incarnation;
-	if (announce_is_late(c, known, b, sequence)) {
+	if (!announce_is_possible(c, b, sequence, wall)) {
+		cnt_add(CNT_bad_input, 1);
+		log_warn("control",
+			 "event=announcement_refused id=%s group=%s "
+			 "incarnation=%lld sequence=%lld",
+			 b->id, b->group, (long long)b->incarnation,
+			 (long long)sequence);
+		ticket_done(c, ticket, RES_BAD_LIST);
+		return;
+	}
+	if (!announce_counts(c, b, sequence, &goes_on, now)) {
 		log_info("control",
 			 "event=announcement_late id=%s sequence=%lld", b->id,
 			 (long long)sequence);
 		ticket_done(c, ticket, RES_OK);
 		return;
 	}
-	known->incarnation = b->incarnation;
-	known->newest_sequence = sequence;
-	ctl_record_addr(c, b);
-	index = ctl_update_backend(c, b, now);
+	index = ctl_update_backend(c, b, goes_on, now);
 	if (index)
 		ticket_wait(c, ticket, index, now);
 	else
@@ -119,6 +212,7 @@
 		ticket_done(c, ticket, RES_OK);
 		return;
 	}
+	ctl_find_or_add_backend(c, backend, now)->left = true;
 	ticket_wait(c, ticket, ctl_propose_removal(c, backend, now), now);
 }
 
--- a/settings.c
+++ b/settings.c
@@ -42,6 +42,21 @@
 		       key, addr);
 }
 
+enum res settings_check_peer_addr(const char *addr, const char *key,
+				  struct err *e)
+{
+	static const char any[] = "0.0.0.0:";
+
+	if (settings_check_addr(addr, key, e))
+		return RES_BAD_LIST;
+	if (strtol(strrchr(addr, ':') + 1, NULL, 10) > 0 &&
+	    strncmp(addr, any, strlen(any)) != 0)
+		return RES_OK;
+	return err_set(e, RES_BAD_LIST,
+		       "%s: found \"%s\", expected an address to connect to",
+		       key, addr);
+}
+
 static enum res settings_parse_addr(const struct js_node *n, const char *key,
 				    char *out, struct err *e)
 {
--- a/settings.h
+++ b/settings.h
@@ -133,4 +133,8 @@
  * key stands at the start of the error's text. */
 enum res settings_check_addr(const char *addr, const char *key, struct err *e);
 
+/* The same for an address to connect to: not port 0, nor 0.0.0.0. */
+enum res settings_check_peer_addr(const char *addr, const char *key,
+				  struct err *e);
+
 #endif
--- a/t/sys_platform.cc
+++ b/t/sys_platform.cc
@@ -197,6 +197,78 @@
 	EXPECT_EQ(d.config_document(1), d.read_config().body);
 }
 
+/* Guards against odd entries of another writer among the announcements of the
+ * members: processes that end, and members that are out of use, or a primary
+ * that is replaced, because an entry is taken for their own. */
+TEST_F(Platform, OddAnnouncementsChangeNothing)
+{
+	std::string logs =
+		d.control(0).log() + d.control(1).log() + d.control(2).log();
+	size_t at = logs.find("event=backend id=m0 ");
+	ASSERT_NE(std::string::npos, at);
+	at = logs.find("incarnation=", at);
+	std::string born = logs.substr(at + strlen("incarnation="), 13);
+	std::string addr = logs.substr(logs.find("event=backend id=m0 "));
+	addr = addr.substr(addr.find("addr=") + 5);
+	addr = addr.substr(0, addr.find(' '));
+	auto entry = [&](const std::string &where, const std::string &start,
+			 const std::string &seq,
+			 const std::string &state = "ready",
+			 const std::string &version = "\"v1\"") {
+		return "{\"service\":\"g1\",\"addr\":\"" + where +
+		       "\",\"zone\":\"za\",\"version\":" + version +
+		       ",\"slots\":2,\"state\":\"" + state +
+		       "\",\"cold_left_ms\":0,\"db_role\":\"replica\","
+		       "\"born\":" +
+		       start + ",\"seq\":" + seq + "}";
+	};
+	std::string deep = std::string(100000, '[') + std::string(100000, ']');
+	std::vector<std::string> entries = {
+		entry(addr, "9223372036854775806", "1"),
+		entry(addr, "9223372036854775806", "1", "draining"),
+		entry(addr, born, "9223372036854775806"),
+		entry(addr, born, "9223372036854775806", "draining"),
+		entry(addr, "99999999999999999999999", "1e400"),
+		entry(addr, born, "1e400"),
+		entry(addr, born, "9000000000", "ready", deep),
+		entry(addr, born, "9000000000", "ready", "{\"a\":{}}"),
+		deep,
+		"\xff\xfe{",
+	};
+	for (const char *port : {":70000", ":-1", ":0", "", ":80x"})
+		entries.push_back(entry("127.0.0.1" + std::string(port), born,
+					"9000000"));
+	Session s;
+	int64_t end = now_ms() + 6000;
+
+	ASSERT_TRUE(s.open(d.client_addr(0), "orders"));
+	for (const std::string &body : entries)
+		for (int i = 0; i < 3; i++)
+			for (const char *id : {"m0", "m1", "i-new"}) {
+				int status = http(d.control_api_addr(i), "PUT",
+						  "/marjoramlatch/instances/" +
+							  std::string(id),
+						  body)
+						     .status;
+				EXPECT_NE(200, status) << body.substr(0, 200);
+			}
+	while (now_ms() < end) {
+		std::string a = s.query("WRITE odd 1");
+
+		ASSERT_TRUE(statement_succeeded(a)) << a;
+		ASSERT_TRUE(statement_succeeded(s.query("READ odd")));
+		usleep(20000);
+	}
+	EXPECT_EQ("m0", d.send_platform_command("primary"));
+	for (int i = 0; i < 3; i++) {
+		EXPECT_TRUE(d.control(i).running());
+		EXPECT_EQ(std::string::npos,
+			  d.control(i).log().find("event=backend_silent"));
+	}
+	for (int i = 0; i < 2; i++)
+		EXPECT_TRUE(d.proxy(i).running());
+}
+
 /* The highest version is in force. Older and repeated versions are acknowledged
  * but change nothing. The configuration is kept when all control instances are
  * killed. */
--- a/t/sys_proxy.cc
+++ b/t/sys_proxy.cc
@@ -200,6 +200,49 @@
 	EXPECT_EQ(0, c.process(owner).wait(3000));
 }
 
+/* Guards against an announcement of another writer under the name of a backend
+ * that takes it out of use, or ends a process. What is well formed is overtaken
+ * by the backend's next announcement. */
+TEST(SysProxy, OddAnnouncementsChangeNothing)
+{
+	Cluster c(two_proxies(1));
+
+	ASSERT_TRUE(c.start());
+	Result groups = c.admin("p1").exec("SHOW GROUPS");
+	std::string primary = groups.value("primary");
+	Caller x = c.customer("p1", "orders");
+	Caller writer;
+
+	writer.connect(c.addr("p1"), "backend", BACKEND_PASSWORD,
+		       "marjoramlatch");
+	ASSERT_TRUE(x.exec("CREATE TABLE t (a int)").ok);
+	std::string name = "ANNOUNCE 'orders' '" + primary + "' ";
+	for (const char *rest :
+	     {"'127.0.0.1:0' 'za' 1 4 100", "'127.0.0.1:70000' 'za' 1 4 100",
+	      "'127.0.0.1:-1' 'za' 1 4 100", "'127.0.0.1' 'za' 1 4 100",
+	      "'127.0.0.1:1' 'za' 99999999999999999999999 4 100",
+	      "'127.0.0.1:1' 'za' 1e400 4 100", "'127.0.0.1:1' 'za' 1 0 100",
+	      "'127.0.0.1:1' 'za' 1 4 1000000000"})
+		EXPECT_FALSE(writer.exec(name + rest).ok) << rest;
+	EXPECT_FALSE(writer.exec(name + std::string(100000, '(')).ok);
+	EXPECT_TRUE(writer.exec(name + "'" + c.listen_addr_of(primary) +
+				"' 'za' 9223372036854775807 4 100")
+			    .ok);
+	int64_t odd = now_ms();
+	while (now_ms() < odd + 4000) {
+		/* Connections are made anew for another incarnation. */
+		bool ok = x.exec("INSERT INTO t VALUES (1)").ok;
+
+		if (now_ms() > odd + 2000) {
+			ASSERT_TRUE(ok);
+		}
+		usleep(20000);
+	}
+	EXPECT_EQ(primary, c.admin("p1").exec("SHOW GROUPS").value("primary"));
+	for (const char *p : {"p1", "p2", "c1"})
+		EXPECT_TRUE(c.process(p).running()) << p;
+}
+
 /* Guards against accepted lists that a proxy receives late or never. */
 TEST(SysProxy, NewListsAreInForceEverywhere)
 {
--- a/t/unit_document.cc
+++ b/t/unit_document.cc
@@ -95,6 +95,14 @@
 	"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"born\":12,"
 	"\"cold_left_ms\":0,\"db_role\":\"replica\",\"seq\":4}";
 
+static bool announcement_accepted(const std::string &text)
+{
+	struct announcement a;
+	struct err e = {};
+
+	return !doc_parse_announcement(&a, "i-1", text.data(), text.size(), &e);
+}
+
 TEST(Document, DecodesAnAnnouncement)
 {
 	struct announcement a;
@@ -132,6 +140,48 @@
 	}
 }
 
+/* Guards against an entry that another writer left and that takes the place of
+ * a member's own, or ends the process that reads it. */
+TEST(Document, RefusesOddAnnouncements)
+{
+	std::string nested;
+
+	for (int depth : {33, 1000, 100000})
+		for (const char *key : {"\"version\":", "\"extra\":"}) {
+			nested = key + std::string((size_t)depth, '[') +
+				 std::string((size_t)depth, ']');
+			std::string s = valid_announcement;
+			s.replace(s.find("\"version\":\"v1\""),
+				  strlen("\"version\":\"v1\""), nested);
+			EXPECT_FALSE(announcement_accepted(s)) << depth;
+		}
+	const std::pair<const char *, std::vector<const char *>> odd[] = {
+		{"\"born\":12",
+		 {"\"born\":1e400", "\"born\":-1", "\"born\":1.5",
+		  "\"born\":99999999999999999999999",
+		  "\"born\":9223372036854775807", "\"born\":{}",
+		  "\"born\":\"12\"", "\"born\":null"}},
+		{"\"seq\":4",
+		 {"\"seq\":1e400", "\"seq\":-1", "\"seq\":[]",
+		  "\"seq\":99999999999999999999999", "\"x\":4"}},
+		{"\"slots\":2",
+		 {"\"slots\":0", "\"slots\":1000000", "\"slots\":-2",
+		  "\"slots\":\"2\"", "\"x\":2"}},
+		{"\"zone\":\"z\"", {"\"zone\":1", "\"x\":1"}},
+		{"\"version\":\"v1\"", {"\"version\":{}", "\"version\":1"}},
+		{"\"cold_left_ms\":0",
+		 {"\"cold_left_ms\":\"0\"", "\"cold_left_ms\":[]",
+		  "\"cold_left_ms\":1e400"}},
+	};
+	for (const auto &[part, values] : odd)
+		for (const char *value : values) {
+			std::string s = valid_announcement;
+
+			s.replace(s.find(part), strlen(part), value);
+			EXPECT_FALSE(announcement_accepted(s)) << s;
+		}
+}
+
 static enum call call_for(const char *method, const char *path, char *id)
 {
 	struct http_request q = {};
--- a/t/unit_seeded.cc
+++ b/t/unit_seeded.cc
@@ -496,19 +496,24 @@
 }
 
 struct Announced : Seeded {
+	/* Wall-clock time when now is 0. */
+	static constexpr clk_ms WALL = 1000000;
+	static constexpr clk_ms HEARTBEAT_MS = 1200;
+
 	enum res announce(const char *id, int64_t incarnation, int64_t seq,
-			  bool leaving = false, const char *addr = "10.0.0.5:1")
+			  bool leaving = false, const char *addr = "10.0.0.5:1",
+			  const char *group = "g1")
 	{
 		struct backend_info b = {};
 		int64_t t = ++last_ticket;
 		int i = leader();
 
 		strcpy(b.id, id);
-		strcpy(b.group, "g1");
+		strcpy(b.group, group);
 		strcpy(b.addr, addr);
 		b.incarnation = incarnation;
 		b.leaving = leaving;
-		ctl_announce(c[i], t, &b, seq, now);
+		ctl_announce(c[i], t, &b, seq, WALL + now, now);
 		handle_actions(i);
 		run_until(1000, [&] { return results.count(t); });
 		return results.count(t) ? results[t] : RES_IN_PROGRESS;
@@ -536,7 +541,7 @@
 		snprintf(b.addr, ADDR_LEN, "10.0.1.%d:1", n);
 		b.incarnation = 1;
 		b.announced_primary = true;
-		ctl_announce(c[i], ++last_ticket, &b, 1, now);
+		ctl_announce(c[i], ++last_ticket, &b, 1, WALL, now);
 	}
 	handle_actions(i);
 	EXPECT_LE(queue.size(), 8u) << "announcements";
@@ -608,3 +613,149 @@
 	ASSERT_NE(nullptr, record("m1"));
 	EXPECT_TRUE(record("m1")->leaving);
 }
+
+/* A member "m1" that announces itself every HEARTBEAT_MS, and entries of
+ * another writer that look like its own. */
+struct OddEntries : Announced {
+	int64_t sequence = 0;
+
+	void SetUp() override
+	{
+		Announced::SetUp();
+		EXPECT_EQ(RES_OK, announce("m1", 10, ++sequence));
+		go_on(2 * HEARTBEAT_MS);
+	}
+
+	/* The member's own announcements for some time. */
+	void go_on(clk_ms ms, int64_t born = 10)
+	{
+		for (clk_ms end = now + ms; now < end;) {
+			run(HEARTBEAT_MS);
+			EXPECT_EQ(RES_OK, announce("m1", born, ++sequence));
+		}
+	}
+
+	/* Longer than it takes until the writer of an entry counts as silent,
+	 * and three announcements. */
+	clk_ms healing_ms()
+	{
+		return instance_settings[0].silent_ms + 3 * HEARTBEAT_MS;
+	}
+
+	void expect_in_use()
+	{
+		ASSERT_NE(nullptr, record("m1"));
+		EXPECT_EQ(10, record("m1")->incarnation);
+		EXPECT_STREQ("10.0.0.5:1", record("m1")->addr);
+		EXPECT_STREQ("g1", record("m1")->group);
+		EXPECT_FALSE(record("m1")->leaving);
+		EXPECT_FALSE(record("m1")->announcements_stopped);
+	}
+};
+
+/* Guards against a member that is out of use for good after one entry with a
+ * number that no member can have: all its own announcements counted as late. */
+TEST_F(OddEntries, ANumberThatCannotBeIsRefused)
+{
+	EXPECT_EQ(RES_BAD_LIST, announce("m1", INT64_MAX - 1, 1));
+	EXPECT_EQ(RES_BAD_LIST, announce("m1", 10, INT64_MAX - 1, true));
+	EXPECT_EQ(RES_BAD_LIST, announce("m1", 0, INT64_MAX - 1, true));
+	EXPECT_EQ(RES_BAD_LIST, announce("m2", INT64_MAX - 1, 1));
+	expect_in_use();
+	EXPECT_EQ(nullptr, record("m2"));
+	EXPECT_EQ(RES_OK, announce("m1", 10, ++sequence, true));
+	EXPECT_TRUE(record("m1")->leaving) << "its own still count";
+}
+
+/* A member changes neither its service nor its address while it runs, and no
+ * member belongs to a service that no configuration names. */
+TEST_F(OddEntries, AnotherServiceOrAddressDoesNotCount)
+{
+	ASSERT_EQ(RES_OK, publish(leader(), 3));
+	announce("m1", 10, sequence + 1, false, "10.0.0.6:1");
+	expect_in_use();
+	announce("m1", 10, sequence + 1, false, "10.0.0.5:1", "g0");
+	expect_in_use();
+	EXPECT_EQ(RES_BAD_LIST,
+		  announce("m1", 20, 1, false, "10.0.0.5:1", "g9"));
+	expect_in_use();
+}
+
+/* Guards against the same by numbers that a member could have: a later start
+ * than that of the member, which goes on. */
+TEST_F(OddEntries, AMemberOutlivesALaterStart)
+{
+	EXPECT_EQ(RES_OK, announce("m1", 500, 1, false, "10.0.0.6:1"));
+	go_on(healing_ms());
+	expect_in_use();
+	go_on(3 * HEARTBEAT_MS);
+	expect_in_use();
+	EXPECT_EQ(RES_OK, announce("m1", 10, ++sequence, true));
+	EXPECT_TRUE(record("m1")->leaving);
+}
+
+/* The same by a higher sequence number, which says that it leaves. */
+TEST_F(OddEntries, AMemberOutlivesAHigherSequence)
+{
+	EXPECT_EQ(RES_OK, announce("m1", 10, 1000, true));
+	go_on(healing_ms());
+	expect_in_use();
+}
+
+/* The same by another member that claims its address. */
+TEST_F(OddEntries, AMemberOutlivesAnotherAtItsAddress)
+{
+	EXPECT_EQ(RES_OK, announce("m2", 500, 1));
+	go_on(healing_ms());
+	expect_in_use();
+	EXPECT_TRUE(record("m2")->announcements_stopped);
+}
+
+/* The same where the leader changes meanwhile, which keeps only records. */
+TEST_F(OddEntries, ANewLeaderLetsTheMemberOutliveIt)
+{
+	EXPECT_EQ(RES_OK, announce("m1", 500, 1, false, "10.0.0.6:1"));
+	cut[leader()] = true;
+	ASSERT_TRUE(run_until(5000, [&] { return leader() >= 0; }));
+	run(200);
+	go_on(healing_ms());
+	expect_in_use();
+}
+
+/* Guards against late announcements of an earlier start that take the place of
+ * the member that goes on, or of one that has left. */
+TEST_F(OddEntries, LateAnnouncementsOfAnEarlierStartStayLate)
+{
+	int64_t late = sequence;
+
+	for (int i = 1; i <= 5; i++) {
+		EXPECT_EQ(RES_OK, announce("m1", 20, i));
+		run(HEARTBEAT_MS / 2);
+		EXPECT_EQ(RES_OK, announce("m1", 10, late + i));
+		run(HEARTBEAT_MS / 2);
+		EXPECT_EQ(20, record("m1")->incarnation);
+	}
+	ctl_remove_backend(c[leader()], ++last_ticket, "m1", now);
+	handle_actions(leader());
+	run(200);
+	ASSERT_EQ(nullptr, record("m1"));
+	for (int i = 6; i <= 12; i++) {
+		announce("m1", 10, late + i);
+		run(HEARTBEAT_MS);
+		EXPECT_EQ(nullptr, record("m1"));
+	}
+}
+
+/* Guards against a member that is revived by what a partition held back: these
+ * arrive at once. */
+TEST_F(OddEntries, HeldBackAnnouncementsStayLate)
+{
+	int64_t late = sequence;
+
+	EXPECT_EQ(RES_OK, announce("m1", 20, 1, true));
+	run(2 * instance_settings[0].silent_ms);
+	for (int i = 1; i <= 6; i++)
+		announce("m1", 10, late + i);
+	EXPECT_EQ(20, record("m1")->incarnation);
+	EXPECT_TRUE(record("m1")->leaving);
+}
--- a/t/unit_settings.cc
+++ b/t/unit_settings.cc
@@ -175,4 +175,13 @@
 		EXPECT_EQ(RES_BAD_LIST, settings_check_addr(bad, "k", &e))
 			<< bad;
 	EXPECT_EQ(RES_OK, settings_check_addr("127.0.0.1:0", "k", &e));
+	EXPECT_EQ(RES_OK, settings_check_peer_addr("127.0.0.1:1", "k", &e));
+	/* Nothing listens on port 0, so a backend server can't be there. */
+	for (const char *addr :
+	     {"127.0.0.1:0", "127.0.0.1:00", "127.0.0.1",
+	      "127.0.0.1:", "127.0.0.1:70000", "127.0.0.1:-1",
+	      "127.0.0.1:99999999999999999999", "127.0.0.1:1e3", "0.0.0.0:80",
+	      "256.0.0.1:80"})
+		EXPECT_EQ(RES_BAD_LIST, settings_check_peer_addr(addr, "k", &e))
+			<< addr;
 }
