--- a/ctl_priv.h
+++ b/ctl_priv.h
@@ -3,9 +3,10 @@
 
 /*
  * Internals of struct ctl, shared by ctl_core.c (events and actions),
- * ctl_answer_ask.c (answers to proxies, operators' lists), ctl_query.c
- * (operators' queries), ctl_registry.c (the registry of proxies and backends),
- * ctl_requests.c (requests from outside) and ctl_bootstrap.c (bootstrap).
+ * ctl_proxy.c (answers to proxies, operators' lists), ctl_query.c (operators'
+ * queries), ctl_registry.c (the registry of proxies and backends),
+ * ctl_requests.c (requests from outside), ctl_announce.c (which announcements
+ * of backends count) and ctl_bootstrap.c (bootstrap).
  */
 
 #include "ctl_core.h"
@@ -154,6 +155,20 @@
 				   const char *id, const char *zone,
 				   const struct msg_ask *ask, clk_ms now);
 
+/* True unless the announcement holds numbers that no backend can have, or moves
+ * a known backend to a group that no configuration names. */
+bool ctl_announcement_possible(const struct ctl *c,
+			       const struct backend_info *b, int64_t sequence,
+			       clk_ms wall);
+
+/*
+ * Takes note of an announcement. Returns whether it counts; otherwise it is
+ * late. goes_on is set if it counts although a newer one was accepted before,
+ * because that one was not the backend's own.
+ */
+bool ctl_announcement_counts(struct ctl *c, const struct backend_info *b,
+			     int64_t sequence, bool *goes_on, clk_ms now);
+
 /* Returns the index of the entry that records the backend; 0 if it is recorded
  * already. If goes_on is set, a record that it is leaving is revoked. */
 int64_t ctl_update_backend(struct ctl *c, const struct backend_info *b,
