--- a/t/sys_proxy.cc
+++ b/t/sys_proxy.cc
@@ -23,6 +23,18 @@
 	return spec;
 }
 
+/* The proxy that runs the statements of the group's primary. */
+std::string owner_of_primary(Cluster &c)
+{
+	std::string primary =
+		c.admin("p1").exec("SHOW GROUPS").value("primary");
+
+	for (const auto &row : c.admin("p1").exec("SHOW BACKENDS").rows)
+		if (row[0] == primary)
+			return row[9];
+	return "";
+}
+
 /* Guards against a proxy that keeps sending its requests to a frozen
  * control leader, so that its lease stays expired for longer than an
  * election takes. */
@@ -90,12 +102,7 @@
 	Cluster c(two_proxies(1));
 
 	ASSERT_TRUE(c.start());
-	std::string primary =
-		c.admin("p1").exec("SHOW GROUPS").value("primary");
-	std::string owner;
-	for (const auto &row : c.admin("p1").exec("SHOW BACKENDS").rows)
-		if (row[0] == primary)
-			owner = row[9];
+	std::string owner = owner_of_primary(c);
 	ASSERT_TRUE(owner == "p1" || owner == "p2") << owner;
 	Caller a = c.customer(owner == "p1" ? "p2" : "p1", "orders");
 	ASSERT_TRUE(a.exec("CREATE TABLE t (a int)").ok);
@@ -154,12 +161,7 @@
 	Cluster c(two_proxies(1));
 
 	ASSERT_TRUE(c.start());
-	std::string primary =
-		c.admin("p1").exec("SHOW GROUPS").value("primary");
-	std::string owner;
-	for (const auto &row : c.admin("p1").exec("SHOW BACKENDS").rows)
-		if (row[0] == primary)
-			owner = row[9];
+	std::string owner = owner_of_primary(c);
 	ASSERT_TRUE(owner == "p1" || owner == "p2") << owner;
 	Caller own = c.customer(owner, "orders");
 	Caller slow = c.customer(owner, "orders");
