promote: late calls for the primary itself, and late orders to pause

Cause: a copy of the call that made a member primary may come after that member was asked to step down; it leads again, its replicas receive again, and the successor that was chosen before lacks what it acknowledges. And an order to pause may reach a replica after the promotion that ends the pause.

Change: while any call may be carried out, a primary is not asked to step down; its replicas are paused and the change goes on from there. After each change the replicas are told to receive until they confirm it.

The fixture of PromoteSync answers the orders, which it left unanswered before.

--- a/promote.c
+++ b/promote.c
@@ -223,22 +223,19 @@
 void pro_record_primary(struct pro *p, struct pro_group *g, const char *member,
 			int64_t member_term, clk_ms now)
 {
-	int64_t term;
-
-	/* Calls for the member that leads change nothing. With tokens, those of
-	 * an earlier change are refused after the next. */
-	if (!p->use_leases && !strcmp(member, g->called_member))
-		g->late_call_until = 0;
-	term = pro_propose_primary(
+	int64_t term = pro_propose_primary(
 		p, g, member, member_term,
 		now < g->late_call_until ? g->called_member : "", now);
+
 	log_info("promote",
 		 "event=primary group=%s member=%s term=%lld member_term=%lld",
 		 g->name, member, (long long)term, (long long)member_term);
 	for (int i = 0; i < g->nmembers; i++)
 		g->members[i].rejected_by_promoter = false;
 	g->nreports = 0;
-	g->maybe_paused = false; /* a promotion ends the pause */
+	/* A promotion ends the pause, but an order to pause may still be on its
+	 * way. */
+	g->maybe_paused = g->sync_replicas > 0;
 	g->only_discarded_since = 0;
 	g->uncovered_since = 0;
 	g->fencing_token = 0;
@@ -412,8 +409,11 @@
 		for (int i = 0; i < g->nmembers; i++)
 			g->members[i].rejected_by_promoter = false;
 		pro_back_off(g, now, pro_why_no_candidate(g));
-	} else if (pro_is_primary(primary) && (g->planned || lasting)) {
+	} else if (pro_is_primary(primary) && (g->planned || lasting) &&
+		   !pro_late_call_matters(p, g, now)) {
 		pro_step_down(p, g, primary, now);
+	} else if (pro_is_primary(primary) && (g->planned || lasting)) {
+		pro_start_promotion(p, g, best, now);
 	} else if (pro_answered(primary) && pro_is_primary(primary)) {
 		pro_resume(p, g, now);
 		pro_back_off(g, now, "primary answers");
@@ -658,7 +658,7 @@
 			m->reply = s->reply;
 			m->status = *s;
 			if (m->request_type == PRO_RESUME)
-				pro_on_resumed(g);
+				pro_on_resumed(g, now);
 			pro_tick_group(p, g, now);
 			return;
 		}
--- a/promote_change.c
+++ b/promote_change.c
@@ -79,7 +79,7 @@
 	log_info("promote", "event=resume group=%s", g->name);
 }
 
-void pro_on_resumed(struct pro_group *g)
+void pro_on_resumed(struct pro_group *g, clk_ms now)
 {
 	for (int i = 0; i < g->nmembers; i++) {
 		const struct pro_member *m = &g->members[i];
@@ -90,6 +90,7 @@
 			return;
 	}
 	g->maybe_paused = false;
+	g->next_change_at = now;
 }
 
 int64_t pro_newest_term(const struct pro_group *g)
--- a/promote_late.c
+++ b/promote_late.c
@@ -39,6 +39,13 @@
 	       strcmp(g->called_member, g->old_primary) != 0;
 }
 
+bool pro_late_call_matters(const struct pro *p, const struct pro_group *g,
+			   clk_ms now)
+{
+	return !p->use_leases && pro_tracks_late_calls(p, g) &&
+	       now < g->late_call_until;
+}
+
 void pro_forget_late_call(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	const struct group_info *info = state_group(p->state, g->name);
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -168,7 +168,7 @@
 /* Tells all replicas to receive again. The group counts as paused, and they are
  * told again, until pro_on_resumed() finds that all have confirmed it. */
 void pro_resume(struct pro *p, struct pro_group *g, clk_ms now);
-void pro_on_resumed(struct pro_group *g);
+void pro_on_resumed(struct pro_group *g, clk_ms now);
 void pro_pause(struct pro *p, struct pro_group *g, clk_ms now);
 
 /* Has the member promoted: calls the promoter, with leases after the member was
@@ -197,6 +197,12 @@
  * carried out. */
 bool pro_late_call_pending(const struct pro_group *g, clk_ms now);
 
+/* Without leases: true if some call may still be carried out and commits could
+ * be lost by it. Even one for the primary could make it lead again after it has
+ * stepped down. */
+bool pro_late_call_matters(const struct pro *p, const struct pro_group *g,
+			   clk_ms now);
+
 /* Records that no call can be carried out any more, once that is true. */
 void pro_forget_late_call(struct pro *p, struct pro_group *g, clk_ms now);
 
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -314,12 +314,13 @@
 	 * replicas end up receiving. */
 	void answer_first_requests()
 	{
-		run(300);
-		for (const char *id : {"a", "b", "c"})
-			if (requests.count(id))
-				answer(id, id[0] == 'a', 10);
-		run(300);
-		requests.clear();
+		for (int i = 0; i < 10; i++) {
+			run(100);
+			for (const char *id : {"a", "b", "c"})
+				if (requests.count(id))
+					answer(id, id[0] == 'a', 10);
+		}
+		EXPECT_TRUE(requests.empty());
 	}
 
 	/* The next questions find that "a" leads, until the replicas are told
@@ -532,7 +533,34 @@
 				answer(id, id[0] == 'b', 15, 2);
 	}
 	EXPECT_EQ("b", recorded.back());
+	/* Until the other calls are over, it is not asked to step down: one of
+	 * them could make it lead again beside its successor. */
+	EXPECT_STREQ("b", state_group(state, "orders")->late_call);
+	requests.clear();
+	bool paused = false;
+	auto asked = [&](const char *id, enum pro_action_type type) {
+		return requests.count(id) && requests[id].type == type;
+	};
+	for (clk_ms end = now + PRO_LASTING_REPORTS_MS + 2000; now < end;) {
+		suspect(2, "b");
+		run(100);
+		EXPECT_FALSE(asked("b", PRO_STEP_DOWN));
+		paused |= asked("a", PRO_PAUSE) && asked("c", PRO_PAUSE);
+		for (const char *id : {"a", "b", "c"})
+			if (asked(id, PRO_GET_STATUS))
+				answer(id, id[0] == 'b', 15, 2);
+	}
+	EXPECT_TRUE(paused) << "replaced without a step down";
+}
+
+/* The record of the call goes once none can come any more. */
+TEST_F(PromoteLate, TheCallIsForgotten)
+{
+	run(PRO_LATE_CALL_MS + 100);
+	leave_primary_answering();
+	run(400);
 	EXPECT_STREQ("", state_group(state, "orders")->late_call);
+	EXPECT_STREQ("a", state_group(state, "orders")->primary);
 }
 
 /* Guards against a change of a primary that serves other proxies, because a new
