route_table, msg, settings: fields for tenants, rate limits and pacing

The fields that the parts of docs/tenants-and-load.md share: tenants and hashed API keys in the routing table, the tenant and the end of its key's validity in jobs, two result codes, and the settings. Nothing sets them yet, so nothing changes for the deployments in service.

--- a/db.h
+++ b/db.h
@@ -148,6 +148,14 @@
 				    reached */
 	int64_t priority; /* 0 is the most urgent */
 	clk_ms objective_ms; /* latency objective; 0 for none */
+	/* Name under which the member is told who is calling; empty where
+	 * there are no tenants. */
+	char tenant[ID_LEN];
+	/* Until when the caller's API key may be used; 0 without a limit. */
+	clk_ms authorized_until;
+	/* When the answer must be there, or the job is of no use; 0 if unknown.
+	 */
+	clk_ms deadline;
 	void (*done)(struct db_job *j, const struct db_result *r);
 	void *arg;
 
--- a/front_run.c
+++ b/front_run.c
@@ -588,6 +588,7 @@
 	s->job.arguments = run->stmt.value;
 	s->job.priority = s->route.priority;
 	s->job.objective_ms = s->route.objective_ms;
+	s->job.deadline = run->deadline;
 	s->job.done = run_done;
 	s->job.arg = s;
 	run_try(s, now);
--- a/json.c
+++ b/json.c
@@ -451,6 +451,26 @@
 	return js_value_error(n, key, v, e, expected);
 }
 
+enum res js_get_number(const struct js_node *n, const char *key, double *out,
+		       double min, double max, struct err *e)
+{
+	struct json_object *v;
+	char expected[96];
+
+	if (!json_object_object_get_ex(n->obj, key, &v))
+		return RES_OK;
+	if ((json_object_is_type(v, json_type_int) ||
+	     json_object_is_type(v, json_type_double)) &&
+	    json_object_get_double(v) >= min &&
+	    json_object_get_double(v) <= max) {
+		*out = json_object_get_double(v);
+		return RES_OK;
+	}
+	snprintf(expected, sizeof(expected), "a number from %g to %g", min,
+		 max);
+	return js_value_error(n, key, v, e, expected);
+}
+
 enum res js_get_bool(const struct js_node *n, const char *key, bool *out,
 		     struct err *e)
 {
--- a/json.h
+++ b/json.h
@@ -66,6 +66,10 @@
 /* An integer from min to max; unit is appended to the bounds in errors. */
 enum res js_get_int(const struct js_node *n, const char *key, int64_t *out,
 		    int64_t min, int64_t max, const char *unit, struct err *e);
+
+/* An integer or a fraction from min to max. */
+enum res js_get_number(const struct js_node *n, const char *key, double *out,
+		       double min, double max, struct err *e);
 enum res js_get_bool(const struct js_node *n, const char *key, bool *out,
 		     struct err *e);
 
--- a/msg.c
+++ b/msg.c
@@ -296,16 +296,28 @@
 	INT(rt_database, max_age_ms),
 	INT(rt_database, statement_timeout_ms),
 	INT(rt_database, priority),
-	INT(rt_database, objective_ms)};
+	INT(rt_database, objective_ms),
+	BOOL(rt_database, is_public)};
+
+static const struct msg_field tenant_fields[] = {
+	STR(rt_tenant, name), INT(rt_tenant, rate_milli),
+	INT(rt_tenant, burst_milli), INT(rt_tenant, priority)};
+
+static const struct msg_field api_key_fields[] = {STR(rt_api_key, hash),
+						  INT(rt_api_key, tenant)};
 
 static const struct msg_field limits_fields[] = {STR(rt_group, name),
 						 INT(rt_group, max_connections),
 						 INT(rt_group, sync_replicas)};
 
 static const struct msg_field routes_fields[] = {
-	INT(msg_routes, version), INT(msg_routes, txn_idle_ms),
+	INT(msg_routes, version),
+	INT(msg_routes, txn_idle_ms),
 	LIST(msg_routes, databases, rt_database, database_fields),
-	LIST(msg_routes, groups, rt_group, limits_fields)};
+	LIST(msg_routes, groups, rt_group, limits_fields),
+	BOOL(msg_routes, has_tenants),
+	LIST(msg_routes, tenants, rt_tenant, tenant_fields),
+	LIST(msg_routes, api_keys, rt_api_key, api_key_fields)};
 
 static const struct msg_field value_fields[] = {BLOB(session_setting, name),
 						BLOB(session_setting, value)};
@@ -329,7 +341,9 @@
 	BLOB(msg_job, prepared_text),
 	BLOB(msg_job, arguments),
 	LIST(msg_job, session_settings, session_setting, value_fields),
-	BOOL(msg_job, needs_lease)};
+	BOOL(msg_job, needs_lease),
+	STR(msg_job, tenant),
+	INT(msg_job, authorized_ms)};
 
 static const struct msg_field job_end_fields[] = {
 	INT(msg_job_end, job_number),
--- a/msg.h
+++ b/msg.h
@@ -494,6 +494,11 @@
 	int64_t ndatabases;
 	struct rt_group *groups;
 	int64_t ngroups;
+	bool has_tenants;
+	struct rt_tenant *tenants;
+	int64_t ntenants;
+	struct rt_api_key *api_keys;
+	int64_t napi_keys;
 };
 
 /* A setting of a session. */
@@ -529,6 +534,10 @@
 	struct session_setting *session_settings; /* settings of the session */
 	int64_t nsession_settings;
 	bool needs_lease; /* see struct db_job */
+	char tenant[ID_LEN]; /* see struct db_job; empty if there is none */
+	int64_t authorized_ms; /* how much longer the tenant's API key may be
+				* used; 0 without a limit, negative if it may
+				* not */
 };
 
 /* Result of a job; see struct db_result. */
--- a/relay.c
+++ b/relay.c
@@ -350,6 +350,12 @@
 	}
 }
 
+/* Milliseconds until a time; negative if it has come. */
+static int64_t relay_ms_left(clk_ms until, clk_ms now)
+{
+	return until > now ? until - now : -1;
+}
+
 static void relay_send(struct relay_runner *g, struct relay_pin *p,
 		       struct db_member *m, struct db_job *j, clk_ms limit,
 		       clk_ms now)
@@ -381,6 +387,10 @@
 	out->priority = j->priority;
 	out->objective_ms = j->objective_ms;
 	out->send_timeout_ms = limit - now - RELAY_RETURN_MARGIN_MS;
+	memcpy(out->tenant, j->tenant, ID_LEN);
+	out->authorized_ms = j->authorized_until
+				     ? relay_ms_left(j->authorized_until, now)
+				     : 0;
 	out->job_request_id = relay_blob(j->id);
 	out->text = relay_blob(j->text);
 	out->prepared = j->prepared;
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -106,7 +106,7 @@
 
 /* Copies what the job needs until it ends. */
 static void serve_copy_job(struct relay_served_job *run,
-			   const struct msg_job *m)
+			   const struct msg_job *m, clk_ms now)
 {
 	struct db_job *j = &run->job;
 	struct span shape = relay_span(&m->prepared_text);
@@ -141,6 +141,10 @@
 		(struct pos){.term = m->min_term, .number = m->min_position};
 	j->priority = m->priority;
 	j->objective_ms = m->objective_ms;
+	j->deadline = run->limit;
+	memcpy(j->tenant, m->tenant, ID_LEN);
+	if (m->authorized_ms)
+		j->authorized_until = now + m->authorized_ms;
 	j->done = serve_done;
 	j->arg = run;
 }
@@ -159,7 +163,7 @@
 	run->limit = now + m->send_timeout_ms;
 	HASH_ADD(hh, c->runs, number, sizeof(run->number), run);
 	c->relay->remote_work++;
-	serve_copy_job(run, m);
+	serve_copy_job(run, m, now);
 	if (m->kept_conn_id) {
 		run->kept = serve_find_kept(c, m->kept_conn_id);
 		if (run->kept) {
--- a/result.h
+++ b/result.h
@@ -47,6 +47,8 @@
 	X(LEAVING, 41, "57P03", NOT_RUN, "backend server is leaving") \
 	X(PRIMARY_CHANGED, 42, "57P03", NOT_RUN, "transaction's primary was replaced") \
 	X(TXN_IDLE, 43, "25P03", NOT_RUN, "transaction was idle for too long") \
+	X(KEY_UNCONFIRMED, 44, "57P03", NOT_RUN, "API key can't be confirmed") \
+	X(RATE_LIMIT, 45, "53400", NOT_RUN, "rate limit of the customer reached") \
 	X(UNKNOWN, 50, "08007", MAYBE, "outcome unknown") \
 	X(NOT_DURABLE, 51, "08007", MAYBE, "majority did not confirm in time") \
 	X(CANCELED, 52, "57014", MAYBE, "canceled") \
--- a/route_table.h
+++ b/route_table.h
@@ -3,8 +3,9 @@
 
 /*
  * Routing table of the line protocol, made from the published configuration:
- * the databases that callers may name, the group that serves each database, and
- * the limits of databases and groups. A table does not change after it was
+ * the databases that callers may name, the group that serves each database, the
+ * limits of databases and groups, and the tenants with the hashes of their API
+ * keys. A table does not change after it was
  * filled in and sorted, and is shared by reference count.
  *
  * Names begin with rt_, for routing table.
@@ -15,13 +16,17 @@
 #include "cluster.h"
 #include "error.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 
 struct blob;
 
 enum {
 	RT_DATABASE_NAME_LEN =
-		64 /* bytes of a database name, with the final zero */
+		64, /* bytes of a database name, with the final zero */
+	RT_KEY_HASH_LEN = 16, /* bytes of the hash of an API key */
+	RT_KEY_HASH_HEX = 2 * RT_KEY_HASH_LEN + 1,
+	RT_NO_RATE = -1 /* rate of a tenant without a limit */
 };
 
 /* How old the data that a read sees may be. */
@@ -40,6 +45,21 @@
 	clk_ms statement_timeout_ms; /* timeout of one statement */
 	clk_ms objective_ms; /* latency objective of an operation, 0 for none */
 	int64_t priority; /* 0 is the most urgent */
+	bool is_public; /* callers need no API key */
+};
+
+/* A tenant: who the callers with certain API keys act for. */
+struct rt_tenant {
+	char name[ID_LEN];
+	int64_t rate_milli; /* operations in 1,000 s; RT_NO_RATE: no limit */
+	int64_t burst_milli; /* thousandths of an operation */
+	int64_t priority; /* 0 is the most urgent */
+};
+
+/* Keyed hash of an API key. */
+struct rt_api_key {
+	char hash[RT_KEY_HASH_HEX]; /* hexadecimal, with the final zero */
+	int64_t tenant; /* index in route_table.tenants */
 };
 
 struct rt_group {
@@ -57,6 +77,12 @@
 	struct rt_group *groups; /* sorted by name */
 	int64_t ngroups;
 	clk_ms txn_idle_ms; /* how long a caller may idle in a transaction */
+	/* Callers need an API key, except for public databases. */
+	bool has_tenants;
+	struct rt_tenant *tenants; /* sorted by name */
+	int64_t ntenants;
+	struct rt_api_key *api_keys; /* sorted by hash */
+	int64_t napi_keys;
 };
 
 /* Returns an empty table with one reference. */
@@ -64,7 +90,8 @@
 struct route_table *rt_ref(struct route_table *r);
 void rt_unref(struct route_table *r);
 
-/* Sorts databases and groups for the lookups; call once they are filled in. */
+/* Sorts databases, groups, tenants and API keys for the lookups; call once they
+ * are filled in. */
 void rt_sort(struct route_table *r);
 
 /*
@@ -82,5 +109,11 @@
 					   const char *name);
 const struct rt_group *rt_find_group(const struct route_table *r,
 				     const char *name);
+const struct rt_tenant *rt_find_tenant(const struct route_table *r,
+				       const char *name);
+
+/* The tenant that holds the API key with a hash (RT_KEY_HASH_HEX), or NULL. */
+const struct rt_tenant *rt_find_key(const struct route_table *r,
+				    const char *hash);
 
 #endif
--- a/settings.c
+++ b/settings.c
@@ -14,7 +14,9 @@
 	SETTINGS_MIN_KEY_LEN = 16, /* bytes of the shared secret */
 	SETTINGS_MIN_SECRET_LEN = 8, /* bytes of a password */
 	SETTINGS_MAX_DURATION_MS = 600000,
-	SETTINGS_MAX_CALLERS = 1000000
+	SETTINGS_MAX_CALLERS = 1000000,
+	SETTINGS_MAX_RATE_EXCESS = 10, /* times the limit */
+	SETTINGS_MAX_RATE_SLACK = 1000000
 };
 
 enum res settings_check_addr(const char *addr, const char *key, struct err *e)
@@ -133,6 +135,11 @@
 				       "key",
 				       "replace_ms",
 				       "promoter_deposes",
+				       "key_lease_ms",
+				       "rate_window_ms",
+				       "rate_excess",
+				       "rate_slack",
+				       "pacing",
 				       NULL};
 
 /* Protocol that decides which keys are required. An unknown one counts as
@@ -337,6 +344,8 @@
 		{"stop_ms", &s->stop_ms, 0},
 		{"txn_idle_ms", &s->txn_idle_ms, 100},
 		{"replace_ms", &s->replace_ms, 0},
+		{"key_lease_ms", &s->key_lease_ms, 0},
+		{"rate_window_ms", &s->rate_window_ms, 0},
 	};
 
 	for (size_t i = 0; i < sizeof(times) / sizeof(times[0]); i++)
@@ -361,6 +370,11 @@
 	    js_get_bool(n, "bootstrap", &s->bootstrap, e) ||
 	    js_get_bool(n, "promoter_deposes", &s->promoter_deposes, e) ||
 	    js_get_choice(n, "scheduling", names, &choice, e) ||
+	    js_get_number(n, "rate_excess", &s->rate_excess, 0,
+			  SETTINGS_MAX_RATE_EXCESS, e) ||
+	    js_get_int(n, "rate_slack", &s->rate_slack, 0,
+		       SETTINGS_MAX_RATE_SLACK, "operations", e) ||
+	    js_get_bool(n, "pacing", &s->pacing, e) ||
 	    js_get_bool(n, "admission", &s->admission, e) ||
 	    js_get_bool(n, "short_first", &s->short_first, e))
 		return RES_BAD_LIST;
--- a/settings.h
+++ b/settings.h
@@ -115,6 +115,17 @@
 	bool promoter_deposes; /* the promoter deposes the old primary in the
 				* same step and checks fencing tokens; if not,
 				* proxies use a primary only under a lease */
+	/* Time for which an API key may be used after the configuration was
+	 * last known to be the newest; 0: without a limit. */
+	clk_ms key_lease_ms;
+	/* Rate limits of tenants: sliding window in which they are checked (0:
+	 * there are no limits), and what may be used beyond them in a window:
+	 * a fraction of the limit, and a number of operations. */
+	clk_ms rate_window_ms;
+	double rate_excess;
+	int64_t rate_slack;
+	bool pacing; /* the number of statements sent to a member at a time
+		      * follows its answers */
 	clk_ms replace_ms; /* time without an answer after which a voting
 			    * control instance is replaced, or removed where
 			    * enough others vote; 0: never */
