db: connections belong to tenants

A member must run a statement under the name of its tenant, which is told when a connection is opened and can't change. Connections carry the tenant and run only its jobs; conn_choice decides. A job that waits for a connection no longer holds up those of other tenants behind it. Connections inside the share stay open for 45 s, those beyond it for 1 s, and the least useful are closed first.

Where there are tenants, connections that are being opened count as statements, since each occupies a slot, and a proxy may run one statement a slot at a member that is not overloaded: one tenant may cause 28% of the load, so the proxies of a member are used unevenly. Jobs without a tenant, at a member without any, go the same way as before.

--- a/counter.h
+++ b/counter.h
@@ -17,7 +17,8 @@
 	X(callers_accepted) X(callers_closed) X(statements) \
 	X(reads_replica) X(reads_primary) X(reads_replica_eligible) \
 	X(reads_eligible_primary) X(writes) X(forwarded) X(config_applied) X(config_ignored_older) \
-	X(lease_granted) X(backend_connects) \
+	X(lease_granted) X(backend_connects) X(backend_conn_found) \
+	X(backend_conn_replaced) \
 	X(backend_connect_failures) X(backend_full) \
 	X(backend_silent) X(late_answers) \
 	X(token_lost) X(dedup_hits) X(links_refused) \
--- a/db.c
+++ b/db.c
@@ -349,17 +349,25 @@
  * for half of its latency objective, the newest is taken first: in the order of
  * arrival all of them would miss the objective.
  */
-static struct db_job **db_next_job(struct db_member *m, clk_ms now)
+struct db_job **db_next_job(struct db_member *m, clk_ms now)
 {
 	struct db_job **p = &m->queue;
-	const struct db_job *first = m->queue;
+	struct db_job **newest;
+	const struct db_job *first;
 
+	while (*p && (*p)->held)
+		p = &(*p)->next;
+	first = *p;
+	if (!first)
+		return NULL;
 	if (!first->objective_ms ||
 	    now - first->queued_at < first->objective_ms / 2)
 		return p;
-	while ((*p)->next && (*p)->next->priority == first->priority)
-		p = &(*p)->next;
-	return p;
+	newest = p;
+	for (; *p && (*p)->priority == first->priority; p = &(*p)->next)
+		if (!(*p)->held)
+			newest = p;
+	return newest;
 }
 
 static void db_enqueue(struct db_member *m, struct db_job *j, clk_ms now)
@@ -372,6 +380,8 @@
 	*p = j;
 	j->member = m;
 	j->queued_at = now;
+	j->held = false;
+	j->opened_conn = false;
 	m->nqueue++;
 }
 
@@ -389,10 +399,17 @@
 bool db_may_run(const struct db_member *m, clk_ms now)
 {
 	int all = DB_STATEMENTS_PER_SLOT * (int)m->info.slots;
+	/* Where tenants share connections, many are opened anew, and each
+	 * occupies a slot meanwhile. */
+	int used = m->running + (m->by_tenant ? m->opening : 0);
 
 	if (all < m->sharing_proxies && !db_is_overloaded(m, now))
 		return true;
-	return !m->running || m->running * m->sharing_proxies < all;
+	if (m->by_tenant &&
+	    used < DB_TENANT_STATEMENTS_PER_SLOT * (int)m->info.slots &&
+	    !db_is_overloaded(m, now))
+		return true;
+	return !m->running || used * m->sharing_proxies < all;
 }
 
 /* Returns whether a connection may be opened. After a refusal, only one at a
@@ -429,27 +446,53 @@
 	db_end_job(j, &r);
 }
 
+static struct db_job *db_take_from_queue(struct db_member *m,
+					 struct db_job **place)
+{
+	struct db_job *j = *place;
+
+	*place = j->next;
+	m->nqueue--;
+	return j;
+}
+
+void db_run_queued(struct db_conn *c, struct db_job **place, clk_ms now)
+{
+	db_run(c, db_take_from_queue(c->member, place), now);
+}
+
+void db_refuse_queued(struct db_job **place, clk_ms now)
+{
+	db_refuse_without_lease(db_take_from_queue((*place)->member, place),
+				now);
+}
+
 /* Assigns idle connections to waiting jobs and opens missing connections. */
-void db_dispatch(struct db_member *m, clk_ms now)
+static void db_dispatch_any(struct db_member *m, clk_ms now)
 {
 	while (m->queue && db_may_run(m, now)) {
 		struct db_job **p = db_next_job(m, now);
-		struct db_job *j = *p;
-		bool refused = !db_has_lease(m, j, now);
-		struct db_conn *c = refused ? NULL : db_choose_idle(m, j);
+		bool refused = !db_has_lease(m, *p, now);
+		struct db_conn *c = refused ? NULL : db_choose_idle(m, *p);
 
 		if (!c && !refused)
 			break;
-		*p = j->next;
-		m->nqueue--;
 		if (refused)
-			db_refuse_without_lease(j, now);
+			db_refuse_queued(p, now);
 		else
-			db_run(c, j, now);
+			db_run_queued(c, p, now);
 	}
 	while (m->queue && db_may_run(m, now) && db_may_open(m, now))
-		if (!db_open(m, now))
+		if (!db_open(m, "", now))
 			return;
+}
+
+void db_dispatch(struct db_member *m, clk_ms now)
+{
+	if (db_uses_tenants(m))
+		db_dispatch_tenants(m, now);
+	else
+		db_dispatch_any(m, now);
 	if (m->queue && !m->nconns && now < m->conn_limit_until)
 		db_fail_queue(m,
 			      (struct db_result){.status = DB_REFUSED,
@@ -474,8 +517,7 @@
 
 	while (*p != j)
 		p = &(*p)->next;
-	*p = j->next;
-	j->member->nqueue--;
+	db_take_from_queue(j->member, p);
 }
 
 void db_cancel(struct db_job *j)
@@ -510,10 +552,12 @@
 	for (int i = m->nconns - 1; i >= 0; i--)
 		if (i < m->nconns)
 			db_conn_tick(m->conns[i], now);
+	if (m->by_tenant)
+		db_close_extra(m, now);
 	if (m->queue)
 		db_dispatch(m, now);
 	if (db_should_test(m, now))
-		db_open(m, now);
+		db_open(m, "", now);
 }
 
 void db_tick(struct db *d, clk_ms now)
--- a/db.h
+++ b/db.h
@@ -12,6 +12,9 @@
  * after all of that succeeded. The whole answer is buffered before it is passed
  * on.
  *
+ * Where there are tenants, a connection belongs to the tenant that it was
+ * opened for and runs only jobs of that tenant (conn_choice.h).
+ *
  * A connection whose job was canceled is reused only after the outstanding
  * answers have arrived; it is closed if they do not arrive in time.
  */
@@ -69,7 +72,8 @@
 	 * other proxies close theirs beyond their share after
 	 * DB_EXTRA_IDLE_MS */
 	DB_CONN_LIMIT_PAUSE_MS = 250,
-	/* the same where the share is below two connections */
+	/* the same where the share is below two connections, or a tenant waits
+	 * for a connection of its own */
 	DB_SCARCE_CONN_LIMIT_PAUSE_MS = 60,
 	/* pause after a member refused a statement because its queue was
 	 * full */
@@ -81,6 +85,13 @@
 	 * three, most statements wait at the member.
 	 */
 	DB_STATEMENTS_PER_SLOT = 2,
+	/*
+	 * The same for one proxy where there are tenants and the member is not
+	 * overloaded. The proxies of a member are then used unevenly, since one
+	 * tenant may cause 28% of the load, so none of them is bound to an
+	 * equal part. See docs/design/tenant-connections.md.
+	 */
+	DB_TENANT_STATEMENTS_PER_SLOT = 1,
 	/*
 	 * Where that limit is less than one statement for each proxy, it
 	 * applies only while the member is overloaded: for this long after it
@@ -165,6 +176,9 @@
 	struct db_job *next; /* next in the member's queue */
 	clk_ms queued_at; /* when it entered the queue */
 	clk_ms started_at; /* when it got its connection */
+	/* it waits for a connection of its tenant; jobs behind it go on */
+	bool held;
+	bool opened_conn; /* a connection was opened for it */
 	bool sent; /* the statement itself was sent */
 	/* set while another proxy runs it, see relay.h */
 	struct relay_forwarded_job *relay;
@@ -182,6 +196,9 @@
 	 * connections, proxies have to take turns.
 	 */
 	int own_conns_percent;
+	/* Set by the user of this module: there are tenants, so connections
+	 * are kept for each of them. */
+	bool by_tenant;
 	int sharing_proxies; /* proxies that use the member, this one included
 			      */
 	/* Set by the user of this module: until when it may be used as the
@@ -271,4 +288,15 @@
 void db_tick(struct db *d, clk_ms now);
 size_t db_connections(const struct db *d);
 
+/* Connections to a member by their state. */
+struct db_conn_counts {
+	int opening;
+	int idle;
+	int busy;
+	int in_txn;
+	int tenants; /* number of tenants that have one */
+};
+
+struct db_conn_counts db_count_conns(const struct db_member *m);
+
 #endif
--- a/db_conn.c
+++ b/db_conn.c
@@ -32,7 +32,7 @@
 	c->failed = false;
 }
 
-struct db_conn *db_open(struct db_member *m, clk_ms now)
+struct db_conn *db_open(struct db_member *m, const char *tenant, clk_ms now)
 {
 	struct db_conn *c = calloc(1, sizeof(*c));
 	struct net_handler h = {
@@ -44,6 +44,7 @@
 	if (!c || !m->conns)
 		abort();
 	c->member = m;
+	snprintf(c->tenant, ID_LEN, "%s", tenant);
 	c->net = net_connect(m->db->loop, m->info.addr, &h, &e);
 	if (!c->net) {
 		log_warn("db", "event=connect_failed member=%s error=\"%s\"",
@@ -58,7 +59,8 @@
 	db_phase(c, DB_CONNECTING, now);
 	c->ready_expected = 1;
 	cnt_add(CNT_backend_connects, 1);
-	line_put_startup(net_output(c->net), m->info.group, m->info.id);
+	line_put_startup(net_output(c->net), m->info.group, c->tenant,
+			 m->info.id);
 	return c;
 }
 
@@ -174,6 +176,7 @@
 	struct db_member *m = c->member;
 
 	c->job = j;
+	c->used = true;
 	j->conn = c;
 	j->member = m;
 	j->started_at = now;
@@ -337,7 +340,7 @@
 		cnt_add(CNT_backend_full, 1);
 		m->conn_limit_reached = true;
 		m->conn_limit_until =
-			now + (m->own_conns_percent < 200
+			now + (m->by_tenant || m->own_conns_percent < 200
 				       ? DB_SCARCE_CONN_LIMIT_PAUSE_MS
 				       : DB_CONN_LIMIT_PAUSE_MS);
 		db_conn_free(c);
@@ -468,6 +471,8 @@
 		return DB_LEAVING_IDLE_MS;
 	if (m->own_conns_percent < 200)
 		return (clk_ms)m->own_conns_percent * DB_SCARCE_IDLE_MS / 100;
+	if (m->by_tenant)
+		return DB_IDLE_MS; /* see db_close_extra() */
 	if (m->nconns > db_own_connections(m))
 		return DB_EXTRA_IDLE_MS;
 	return m->nconns > DB_LONG_IDLE_CONNS ? DB_SPARE_IDLE_MS : DB_IDLE_MS;
--- a/db_priv.h
+++ b/db_priv.h
@@ -1,7 +1,8 @@
 #ifndef DB_PRIV_H
 #define DB_PRIV_H
 
-/* Shared by db.c (members, queues) and db_conn.c (one connection). */
+/* Shared by db.c (members, queues), db_conn.c (one connection) and db_tenant.c
+ * (connections that belong to tenants). */
 
 #include "db.h"
 #include "net.h"
@@ -17,6 +18,8 @@
 
 struct db_conn {
 	struct db_member *member;
+	char tenant[ID_LEN]; /* as in struct db_job; never changes */
+	bool used; /* it has run a statement */
 	struct net_conn *net;
 	enum db_phase phase;
 	struct db_job *job; /* NULL if it was canceled */
@@ -48,7 +51,7 @@
 };
 
 /* db_conn.c */
-struct db_conn *db_open(struct db_member *m, clk_ms now);
+struct db_conn *db_open(struct db_member *m, const char *tenant, clk_ms now);
 void db_run(struct db_conn *c, struct db_job *j, clk_ms now);
 void db_conn_free(struct db_conn *c);
 void db_conn_tick(struct db_conn *c, clk_ms now);
@@ -60,6 +63,15 @@
 int db_own_connections(const struct db_member *m);
 void db_dispatch(struct db_member *m, clk_ms now);
 
+/* The place in the queue of the job to run next, leaving out those that are
+ * held; NULL if there is none. */
+struct db_job **db_next_job(struct db_member *m, clk_ms now);
+
+/* Takes the job out of the queue and runs it, or refuses it if the lease is
+ * missing that it needs. */
+void db_run_queued(struct db_conn *c, struct db_job **place, clk_ms now);
+void db_refuse_queued(struct db_job **place, clk_ms now);
+
 /* True if one more statement may run on the member. Statements of open
  * transactions are never held back, because a waiting transaction blocks
  * others. */
@@ -73,4 +85,12 @@
 void db_record_response_time(struct db_member *m, clk_ms ms);
 void db_end_job(struct db_job *j, struct db_result *r);
 
+/* db_tenant.c: the same as in db.c where connections belong to tenants. */
+bool db_uses_tenants(const struct db_member *m);
+void db_dispatch_tenants(struct db_member *m, clk_ms now);
+
+/* Closes connections beyond this proxy's share that were idle for
+ * DB_EXTRA_IDLE_MS, the least useful first. */
+void db_close_extra(struct db_member *m, clk_ms now);
+
 #endif
--- a/status_call.c
+++ b/status_call.c
@@ -140,7 +140,7 @@
 		free(c);
 		return NULL;
 	}
-	line_put_startup(net_output(c->conn), a->group, a->member);
+	line_put_startup(net_output(c->conn), a->group, "", a->member);
 	ev_timer_init(&c->timer, stc_on_timeout, PRO_STATUS_TIMEOUT_MS / 1000.0,
 		      0.0);
 	c->timer.data = c;
