relay: run a tenant's jobs at one proxy of a slice and zone

The connections of a tenant to a member are useful only where its jobs run. The runner of such a job is the live proxy of slice and zone with the highest rendezvous hash of tenant and proxy. Links to these runners are opened when first needed and closed after 30 s without use; until one is up, the job goes to the sender's own runner. Slices are counted so that a runner has 16 connections to a member. The metrics show the connections to each member.

--- a/entry.c
+++ b/entry.c
@@ -190,6 +190,7 @@
 
 	buf_addf(text, "sessions %zu\nbackend_connections %zu\n",
 		 front_count(p->fronts), front_connections(p->fronts));
+	front_put_connections(p->fronts, text);
 	metrics_add_histogram(text, "statement_latency",
 			      front_latency(p->fronts));
 }
--- a/front.c
+++ b/front.c
@@ -260,3 +260,29 @@
 {
 	return db_connections(f->db);
 }
+
+void front_put_connections(const struct front_server *f, struct buf *text)
+{
+	struct db_member **list;
+	size_t n = db_members(f->db, &list);
+	int listed = 0;
+
+	for (size_t i = 0; i < n && listed < FRONT_LISTED_MEMBERS; i++) {
+		const char *id = list[i]->info.id;
+		struct db_conn_counts c = db_count_conns(list[i]);
+
+		if (!list[i]->nconns)
+			continue;
+		listed++;
+		buf_addf(
+			text,
+			"member_connections{member=\"%s\",state=\"opening\"} "
+			"%d\n"
+			"member_connections{member=\"%s\",state=\"idle\"} %d\n"
+			"member_connections{member=\"%s\",state=\"busy\"} %d\n"
+			"member_connections{member=\"%s\",state=\"in_txn\"} %d\n"
+			"member_tenants{member=\"%s\"} %d\n",
+			id, c.opening, id, c.idle, id, c.busy, id, c.in_txn, id,
+			c.tenants);
+	}
+}
--- a/front.h
+++ b/front.h
@@ -115,4 +115,8 @@
 size_t front_load(const struct front_server *f);
 size_t front_connections(const struct front_server *f);
 
+/* Appends metrics of the connections to members, for at most
+ * FRONT_LISTED_MEMBERS members that have any. */
+void front_put_connections(const struct front_server *f, struct buf *text);
+
 #endif
--- a/front_priv.h
+++ b/front_priv.h
@@ -31,9 +31,14 @@
 	/* connections of a runner (relay.h) to a member, so that its
 	 * transactions leave some for other jobs */
 	FRONT_RUNNER_CONNECTIONS = 4,
+	/* the same where there are tenants, each of which needs connections of
+	 * its own: a runner then keeps those of most of its tenants open */
+	FRONT_TENANT_RUNNER_CONNECTIONS = 16,
 	/* share of a member's connections for runners; the rest is for proxies
 	 * that can't reach a runner */
 	FRONT_RUNNER_PERCENT = 90,
+	/* members whose connections the metrics list */
+	FRONT_LISTED_MEMBERS = 256,
 	/* a group counts as recently read for so long; with many proxies, each
 	 * reads a group every few seconds */
 	FRONT_GROUP_READ_MS = 15000,
--- a/front_send.c
+++ b/front_send.c
@@ -22,17 +22,34 @@
 	return g ? (int)g->max_connections - FRONT_SPARE_CONNECTIONS : 0;
 }
 
+/* Number of slices that gives each runner the connections it should have to a
+ * member with n connections. Where there are tenants, only the part of them
+ * that runners may use counts. */
+static int send_needed_slices(const struct front_server *f, int n,
+			      int largest_zone)
+{
+	int need = FRONT_RUNNER_CONNECTIONS * largest_zone;
+
+	if (f->routes->has_tenants) {
+		need = FRONT_TENANT_RUNNER_CONNECTIONS * largest_zone * 100;
+		n *= FRONT_RUNNER_PERCENT;
+	}
+	return (need + n - 1) / n;
+}
+
 int front_count_slices(const struct front_server *f, int largest_zone)
 {
 	int slices = 0;
 
 	for (int64_t i = 0; f->routes && i < f->routes->ngroups; i++) {
 		int n = send_connections(f, f->routes->groups[i].name);
-		int need = FRONT_RUNNER_CONNECTIONS * largest_zone;
+		int needed;
 
-		if (n > 0 && n < FRONT_OWN_CONNECTIONS * f->proxies &&
-		    (need + n - 1) / n > slices)
-			slices = (need + n - 1) / n;
+		if (n <= 0 || n >= FRONT_OWN_CONNECTIONS * f->proxies)
+			continue;
+		needed = send_needed_slices(f, n, largest_zone);
+		if (needed > slices)
+			slices = needed;
 	}
 	return slices < largest_zone ? slices : largest_zone;
 }
@@ -83,6 +100,7 @@
 
 			m->own_conns_percent = send_share(f, &m->info, primary);
 			m->sharing_proxies = send_users(f, &m->info, primary);
+			m->by_tenant = f->routes && f->routes->has_tenants;
 		}
 	}
 }
--- a/relay.c
+++ b/relay.c
@@ -178,7 +178,7 @@
 }
 
 static struct relay_runner *relay_open(struct relay *r,
-				       const struct proxy_info *p)
+				       const struct relay_candidate *p)
 {
 	struct relay_runner *g = calloc(1, sizeof(*g));
 	struct link_handler h = {.arg = g,
@@ -208,16 +208,17 @@
 	free(g);
 }
 
-static uint64_t relay_rendezvous_hash(const struct relay *r, const char *runner)
+/* of: id of the sender, or name of the tenant */
+static uint64_t relay_rendezvous_hash(const char *of, const char *runner)
 {
 	char both[2 * ID_LEN];
-	int len = snprintf(both, sizeof(both), "%s %s", r->set->id, runner);
+	int len = snprintf(both, sizeof(both), "%s %s", of, runner);
 
 	return XXH3_64bits(both, (size_t)len);
 }
 
 static struct relay_runner *relay_find_runner(struct relay *r,
-					      const struct proxy_info *p)
+					      const struct relay_candidate *p)
 {
 	for (struct relay_runner *g = r->runners; g; g = g->next)
 		if (!strcmp(g->id, p->id) && !strcmp(g->addr, p->addr))
@@ -255,22 +256,52 @@
 	return p;
 }
 
-/* The best runner found so far for a slice in a zone. */
-struct relay_candidate {
-	const struct proxy_info *best;
-	uint64_t weight;
-};
+/* Returns the live runner with the highest rendezvous hash, or NULL. */
+static const struct relay_candidate *relay_choose_runner(
+	const struct relay_slice_zone *p, const char *of)
+{
+	const struct relay_candidate *best = NULL;
+	uint64_t best_weight = 0;
+
+	for (int i = 0; i < p->live_runners; i++) {
+		uint64_t weight = relay_rendezvous_hash(of, p->live[i].id);
+
+		if (best && weight <= best_weight)
+			continue;
+		best = &p->live[i];
+		best_weight = weight;
+	}
+	return best;
+}
+
+static void relay_add_live(struct relay_slice_zone *p,
+			   const struct proxy_info *x)
+{
+	struct relay_candidate *c;
+
+	p->live = realloc(p->live,
+			  (size_t)(p->live_runners + 1) * sizeof(*p->live));
+	if (!p->live)
+		abort();
+	c = &p->live[p->live_runners++];
+	memcpy(c->id, x->id, ID_LEN);
+	memcpy(c->addr, x->addr, ADDR_LEN);
+}
+
+static void relay_clear_slice_zones(struct relay *r)
+{
+	for (size_t i = 0; i < r->nslice_zones; i++)
+		free(r->slice_zones[i].live);
+	r->nslice_zones = 0;
+}
 
 /* Assigns proxy i of the list to a slice: the proxies of a zone are distributed
  * over the slices in the order of their ids. Proxies that are down keep their
  * slice. */
 static void relay_assign_proxy(struct relay *r, const struct proxy_info *list,
-			       size_t i, int slices,
-			       struct relay_candidate *choices)
+			       size_t i, int slices)
 {
 	const struct proxy_info *x = &list[i];
-	uint64_t weight = relay_rendezvous_hash(r, x->id);
-	struct relay_candidate *choice;
 	struct relay_slice_zone *p;
 	int before = 0;
 
@@ -278,35 +309,28 @@
 		before += !strcmp(list[j].zone, x->zone);
 	p = relay_add_slice_zone(r, x->zone, before % slices);
 	p->runners++;
-	p->live_runners += x->alive;
+	if (x->alive)
+		relay_add_live(p, x);
 	p->runs_here |= !strcmp(x->id, r->set->id);
-	choice = &choices[p - r->slice_zones];
-	if (x->alive && (!choice->best || weight > choice->weight))
-		*choice = (struct relay_candidate){.best = x, .weight = weight};
 }
 
 void relay_take_proxies(struct relay *r, const struct proxy_info *list,
 			size_t n, int slices)
 {
-	/* There are at most as many slice zones as proxies. */
-	struct relay_candidate *choices = calloc(n + 1, sizeof(*choices));
-
-	if (!choices)
-		abort();
 	for (struct relay_runner *g = r->runners; g; g = g->next)
 		g->in_use = false;
-	r->nslice_zones = 0;
+	relay_clear_slice_zones(r);
 	for (size_t i = 0; slices && i < n; i++)
-		relay_assign_proxy(r, list, i, slices, choices);
+		relay_assign_proxy(r, list, i, slices);
 	for (size_t i = 0; i < r->nslice_zones; i++) {
 		struct relay_slice_zone *p = &r->slice_zones[i];
 
-		if (!choices[i].best || p->runs_here)
+		if (!p->live_runners || p->runs_here)
 			continue;
-		p->runner = relay_find_runner(r, choices[i].best);
+		p->runner = relay_find_runner(
+			r, relay_choose_runner(p, r->set->id));
 		p->runner->in_use = true;
 	}
-	free(choices);
 }
 
 int relay_count_runners(const struct relay *r, const char *zone, int slice)
@@ -413,15 +437,40 @@
 	free(out->session_settings);
 }
 
+static bool relay_is_reachable(const struct relay_runner *g, clk_ms now)
+{
+	return g && g->up &&
+	       now - link_last_received(g->link) < RELAY_RUNNER_SILENT_MS;
+}
+
+/* Returns the runner of a job; NULL if it is to be run here. */
+static struct relay_runner *relay_place_job(struct relay *r,
+					    const struct relay_slice_zone *p,
+					    const char *tenant, clk_ms now)
+{
+	const struct relay_candidate *c =
+		tenant[0] ? relay_choose_runner(p, tenant) : NULL;
+	struct relay_runner *g;
+
+	if (c && !strcmp(c->id, r->set->id))
+		return NULL;
+	g = c ? relay_find_runner(r, c) : NULL;
+	if (g)
+		g->keep_until = now + RELAY_LINK_IDLE_MS;
+	if (relay_is_reachable(g, now))
+		return g;
+	return relay_is_reachable(p->runner, now) ? p->runner : NULL;
+}
+
 bool relay_start(struct relay *r, struct db_member *m, int slice,
 		 struct db_job *j, clk_ms limit, clk_ms now)
 {
 	const struct relay_slice_zone *p =
 		relay_find_slice_zone(r, m->info.zone, slice);
-	struct relay_runner *g = p ? p->runner : NULL;
+	struct relay_runner *g =
+		p ? relay_place_job(r, p, j->tenant, now) : NULL;
 
-	if (!g || !g->up ||
-	    now - link_last_received(g->link) >= RELAY_RUNNER_SILENT_MS)
+	if (!g)
 		return false;
 	relay_send(g, NULL, m, j, limit, now);
 	return true;
@@ -474,13 +523,14 @@
 {
 	struct relay *r = w->data;
 	struct relay_runner *next;
+	clk_ms now = clk_now();
 
 	(void)loop;
 	(void)events;
-	relay_serve_tick(r, clk_now());
+	relay_serve_tick(r, now);
 	for (struct relay_runner *g = r->runners; g; g = next) {
 		next = g->next;
-		if (!g->in_use && !g->load)
+		if (!g->in_use && !g->load && now >= g->keep_until)
 			relay_close(r, g);
 	}
 }
@@ -521,6 +571,7 @@
 		relay_fail_runner(r->runners);
 		relay_close(r, r->runners);
 	}
+	relay_clear_slice_zones(r);
 	free(r->slice_zones);
 	free(r);
 }
--- a/relay.h
+++ b/relay.h
@@ -10,7 +10,12 @@
  * over a number of slices, and so are the proxies of each zone. A proxy sends
  * the jobs for members of a slice and zone to one proxy of that slice and zone,
  * its runner: the one with the highest rendezvous hash of both ids among those
- * alive. The runner runs the job like its own ones, by priority, and keeps the
+ * alive. A job of a tenant goes to the proxy with the highest hash of the
+ * tenant's name and the proxy's id instead, so that all connections of the
+ * tenant to a member are at one proxy, which may be this one. Links to such
+ * runners are opened when first needed and closed after RELAY_LINK_IDLE_MS
+ * without use; until one is up, the job goes to the runner of the sender. The
+ * runner runs the job like its own ones, by priority, and keeps the
  * connection of a transaction (a pin, on the sender's side). If no runner can
  * be reached, the sender starts the job on the member directly.
  *
@@ -30,6 +35,10 @@
 	/* two ping intervals of a link; a runner from which nothing was
 	 * received for so long is not used */
 	RELAY_RUNNER_SILENT_MS = 500,
+	/* A link that only tenants use is closed after so long without a job.
+	 * Handshakes are rare then, and links to runners of tenants that are
+	 * not active here cost no pings. */
+	RELAY_LINK_IDLE_MS = 30000,
 	/* part of a job's time limit that is kept for the way back */
 	RELAY_RETURN_MARGIN_MS = 20,
 	/* interval between checks for expired jobs */
@@ -55,8 +64,8 @@
 bool relay_runs_here(const struct relay *r, const char *zone, int slice);
 
 /* Has a job run by the runner of the member's zone and slice. Returns false if
- * none can be reached. limit is the time by which the answer must have arrived
- * here. */
+ * it is to be run here: this proxy is the runner, or none can be reached. limit
+ * is the time by which the answer must have arrived here. */
 bool relay_start(struct relay *r, struct db_member *m, int slice,
 		 struct db_job *j, clk_ms limit, clk_ms now);
 
--- a/relay_priv.h
+++ b/relay_priv.h
@@ -21,17 +21,26 @@
 	/* a slice uses it; otherwise its link is closed when nothing runs there
 	 * any more */
 	bool in_use;
+	/* until when its link is kept for jobs of tenants */
+	clk_ms keep_until;
 	size_t load; /* number of jobs and kept connections */
 	struct relay_forwarded_job *jobs; /* that run there */
 	struct relay_pin *pins; /* its numbers are unique to this runner */
 };
 
+/* A proxy that may run the jobs of a slice in a zone. */
+struct relay_candidate {
+	char id[ID_LEN];
+	char addr[ADDR_LEN];
+};
+
 /* The proxies of one slice in one zone. */
 struct relay_slice_zone {
 	char zone[ID_LEN];
 	int slice;
 	int runners; /* number of proxies that hold its connections */
-	int live_runners; /* those of them that are alive */
+	struct relay_candidate *live; /* those of them that are alive */
+	int live_runners;
 	bool runs_here; /* this proxy is one of them */
 	struct relay_runner *runner; /* NULL if no runner is alive */
 };
