--- a/t/unit_front.cc
+++ b/t/unit_front.cc
@@ -93,3 +93,55 @@
 	front_free(f);
 	ev_loop_destroy(loop);
 }
+
+/* The sizes of the sites with tenants: 83 proxies in three zones, members with
+ * 66 connections. Guards against runners with too few connections to keep those
+ * of most of their tenants open, and against shares that together exceed what a
+ * member accepts. */
+TEST(Front, ARunnerOfTenantsHasConnectionsForMostOfThem)
+{
+	constexpr int PROXIES = 83;
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct settings set = {};
+	struct proxy_info proxies[PROXIES] = {};
+	struct backend_info b = {};
+	struct route_table *r = rt_new();
+	struct err e = ERR_INIT;
+
+	strcpy(set.id, "p00");
+	strcpy(set.zone, "z0");
+	strcpy(set.link, "127.0.0.1:0");
+	struct front_server *f = front_new(loop, &set);
+	ASSERT_EQ(RES_OK, front_link(f, 1, &e)) << e.text;
+	strcpy(b.id, "m0");
+	strcpy(b.group, "orders");
+	strcpy(b.zone, "z0");
+	strcpy(b.addr, "127.0.0.1:1");
+	for (int i = 0; i < PROXIES; i++) {
+		snprintf(proxies[i].id, ID_LEN, "p%02d", i);
+		snprintf(proxies[i].zone, ID_LEN, "z%d", i % 3);
+		proxies[i].alive = true;
+	}
+	r->version = 1;
+	r->has_tenants = true;
+	r->groups = (struct rt_group *)calloc(1, sizeof(*r->groups));
+	r->ngroups = 1;
+	strcpy(r->groups[0].name, "orders");
+	r->groups[0].max_connections = 66;
+	front_take_backends(f, &b, 1);
+	struct group_info g = {};
+	strcpy(g.name, "orders");
+	strcpy(g.primary, "m0");
+	front_take_groups(f, &g, 1);
+	front_take_proxies(f, proxies, PROXIES);
+	front_take_routes(f, r);
+	struct db_member *m = db_find(f->db, "m0");
+	EXPECT_EQ(8, f->slice_count);
+	EXPECT_TRUE(m->by_tenant);
+	EXPECT_EQ(4, m->sharing_proxies);
+	EXPECT_EQ(64 * 90 / 4, m->own_conns_percent);
+	EXPECT_LE(4 * (m->own_conns_percent / 100 + DB_EXTRA_CONNS), 66);
+	rt_unref(r);
+	front_free(f);
+	ev_loop_destroy(loop);
+}
--- a/t/unit_relay.cc
+++ b/t/unit_relay.cc
@@ -11,7 +11,7 @@
 
 extern "C" {
 #include "link.h"
-#include "relay.h"
+#include "relay_priv.h"
 #include "settings.h"
 }
 
@@ -30,6 +30,11 @@
 		((Runner *)arg)->proxy_link = l;
 	}
 
+	static void on_down(void *arg, struct link *)
+	{
+		((Runner *)arg)->proxy_link = nullptr;
+	}
+
 	static void on_message(void *arg, struct link *, const struct msg *m)
 	{
 		if (m->type == MSG_JOB)
@@ -44,6 +49,7 @@
 		h.arg = this;
 		h.on_up = on_up;
 		h.on_message = on_message;
+		h.on_down = on_down;
 		ASSERT_EQ(RES_OK, link_listen(&server, loop, &settings, "proxy",
 					      2, &h, &e));
 	}
@@ -322,3 +328,187 @@
 	near.end_job(near.jobs.back().job_number, DB_DONE, 0);
 	EXPECT_TRUE(run_until([&] { return a.results.size() == 1; }));
 }
+
+/* Jobs of tenants, with one slice: "p1", which is this proxy, and "p2" run
+ * those for members of the zone "za", "p3" and "p4" those for "zb". */
+struct RelayTenants : Relay {
+	static constexpr int TENANTS = 12;
+
+	Runner fourth;
+	struct proxy_info list[4] = {};
+
+	void SetUp() override
+	{
+		const struct settings *all[] = {&proxy_settings, &near.settings,
+						&far.settings,
+						&fourth.settings};
+
+		Relay::SetUp();
+		set_identity(&fourth.settings, "p4", "zb");
+		fourth.listen(loop);
+		for (int i = 0; i < 4; i++) {
+			memcpy(list[i].id, all[i]->id, ID_LEN);
+			memcpy(list[i].zone, all[i]->zone, ID_LEN);
+			memcpy(list[i].addr, all[i]->link, ADDR_LEN);
+			list[i].alive = true;
+		}
+		relay_take_proxies(relay, list, 4, 1);
+		ASSERT_TRUE(run_until([&] {
+			return start("", "m1") &&
+			       (far.jobs.size() || fourth.jobs.size());
+		}));
+	}
+
+	void TearDown() override
+	{
+		fourth.stop();
+		Relay::TearDown();
+	}
+
+	/* The runner that this proxy uses for jobs without a tenant, and the
+	 * other one of the zone. */
+	Runner &own()
+	{
+		return far.jobs.size() && !far.jobs[0].tenant[0] ? far : fourth;
+	}
+
+	Runner &other()
+	{
+		return &own() == &far ? fourth : far;
+	}
+
+	bool start(const std::string &tenant, const char *member)
+	{
+		Statement &s = statement();
+
+		snprintf(s.job.tenant, ID_LEN, "%s", tenant.c_str());
+		return relay_start(relay, db_find(db, member), 0, &s.job,
+				   clk_now() + 1000, clk_now());
+	}
+
+	/* Starts a job and returns the runner that got it. */
+	Runner *find(const std::string &tenant, const char *member)
+	{
+		std::vector<Runner *> all = {&near, &far, &fourth};
+		std::vector<size_t> had;
+		Runner *got = nullptr;
+
+		for (Runner *r : all)
+			had.push_back(r->jobs.size());
+		if (!start(tenant, member))
+			return nullptr;
+		EXPECT_TRUE(run_until([&] {
+			for (size_t i = 0; i < all.size(); i++)
+				if (all[i]->jobs.size() > had[i])
+					got = all[i];
+			return got != nullptr;
+		}));
+		return got;
+	}
+
+	static std::string name(int i)
+	{
+		return "tenant" + std::to_string(i);
+	}
+
+	/* A tenant whose jobs for a member in "zb" the other runner gets. */
+	std::string tenant_of_other()
+	{
+		for (int i = 0; i < TENANTS; i++)
+			find(name(i), "m1");
+		EXPECT_TRUE(run_until([&] { return other().proxy_link; }));
+		settle();
+		for (int i = 0; i < TENANTS; i++)
+			if (find(name(i), "m1") == &other())
+				return name(i);
+		return "";
+	}
+
+	void settle()
+	{
+		for (int i = 0; i < 50; i++) {
+			ev_run(loop, EVRUN_NOWAIT);
+			usleep(1000);
+		}
+	}
+};
+
+/* Guards against connections of a tenant at several proxies of a slice and
+ * zone, of which each has too few for all tenants, against a link to each proxy
+ * from the start, and against jobs that wait until a link is up. */
+TEST_F(RelayTenants, ATenantsJobsGoToOneRunner)
+{
+	int here = 0, at_other = 0;
+
+	EXPECT_EQ(nullptr, other().proxy_link);
+	for (int i = 0; i < TENANTS; i++)
+		EXPECT_TRUE(start(name(i), "m1"));
+	EXPECT_TRUE(run_until([&] { return own().jobs.size() > TENANTS; }))
+		<< "no other link is up yet";
+	ASSERT_NE("", tenant_of_other());
+	for (int i = 0; i < TENANTS; i++) {
+		Runner *r = find(name(i), "m1");
+
+		at_other += r == &other();
+		EXPECT_TRUE(r == &own() || r == &other());
+		EXPECT_EQ(r, find(name(i), "m1")) << name(i);
+		EXPECT_STREQ(name(i).c_str(), r->jobs.back().tenant);
+	}
+	EXPECT_GT(at_other, 0);
+	EXPECT_LT(at_other, TENANTS);
+	/* This proxy is one of the runners of its own zone. */
+	for (int i = 0; i < TENANTS; i++)
+		EXPECT_FALSE(start(name(i), "m0")) << "no link is up yet";
+	EXPECT_TRUE(run_until([&] { return near.proxy_link; }));
+	settle();
+	for (int i = 0; i < TENANTS; i++) {
+		Runner *r = find(name(i), "m0");
+
+		here += !r;
+		EXPECT_TRUE(!r || r == &near);
+		EXPECT_EQ(r, find(name(i), "m0")) << name(i);
+	}
+	EXPECT_GT(here, 0);
+	EXPECT_LT(here, TENANTS);
+	EXPECT_EQ(nullptr, find("", "m0")) << "those without a tenant run here";
+}
+
+/* When a runner fails, the jobs under way there end, and its tenants' next jobs
+ * go to another one at once; also after control has noticed. */
+TEST_F(RelayTenants, AnotherRunnerTakesTheTenantsOfAFailedOne)
+{
+	std::string tenant = tenant_of_other();
+	Statement &waits = statements.back();
+
+	ASSERT_NE("", tenant);
+	other().stop();
+	EXPECT_TRUE(run_until([&] { return !waits.results.empty(); }));
+	EXPECT_EQ(DB_LOST, waits.results.back().status);
+	EXPECT_TRUE(waits.results.back().sent) << "it may have run";
+	EXPECT_EQ(&own(), find(tenant, "m1"));
+	list[&other() == &far ? 2 : 3].alive = false;
+	relay_take_proxies(relay, list, 4, 1);
+	EXPECT_EQ(&own(), find(tenant, "m1"));
+	EXPECT_EQ(1, relay_count_live_runners(relay, "zb", 0));
+}
+
+/* Guards against links, and their pings, to the runners of all tenants that
+ * were ever active here, and against a link that is closed while a job is under
+ * way. */
+TEST_F(RelayTenants, AnUnusedLinkIsClosed)
+{
+	std::string tenant = tenant_of_other();
+	struct relay_runner *g = relay->runners;
+
+	ASSERT_NE("", tenant);
+	while (strcmp(g->id, other().settings.id) != 0)
+		g = g->next;
+	EXPECT_GT(g->keep_until, clk_now() + RELAY_LINK_IDLE_MS - 5000);
+	g->keep_until = clk_now();
+	settle();
+	EXPECT_NE(nullptr, other().proxy_link) << "jobs are under way";
+	for (const struct msg_job &j : other().jobs)
+		other().end_job(j.job_number, DB_DONE, 0);
+	EXPECT_TRUE(run_until([&] { return !other().proxy_link; }));
+	EXPECT_NE(nullptr, own().proxy_link) << "its link is always open";
+}
