--- a/control_api.c
+++ b/control_api.c
@@ -164,7 +164,7 @@
 {
 	struct err e = ERR_INIT;
 	struct route_table *r =
-		doc_parse_configuration(q->body, q->body_len, &e);
+		doc_parse_configuration(q->body, q->body_len, a->set->key, &e);
 	struct msg_publish p = {.config_text = {q->body, q->body_len}};
 	struct buf routes = BUF_INIT;
 
--- a/json.c
+++ b/json.c
@@ -330,6 +330,10 @@
 {
 	char found[64];
 
+	if (n->secret)
+		return js_fail_key(n, key, e,
+				   "found another value, expected %s",
+				   expected);
 	return js_fail_key(n, key, e, "found %s, expected %s",
 			   js_describe_value(o, found, sizeof(found)),
 			   expected);
@@ -513,7 +517,7 @@
 	struct json_object *v;
 
 	*len = 0;
-	*out = (struct js_node){.doc = n->doc};
+	*out = (struct js_node){.doc = n->doc, .secret = n->secret};
 	if (!json_object_object_get_ex(n->obj, key, &v))
 		return RES_OK;
 	if (!json_object_is_type(v, json_type_array))
@@ -532,9 +536,9 @@
 static struct json_object *js_array_entry(const struct js_node *array, size_t i,
 					  struct js_node *out)
 {
-	*out = (struct js_node){
-		.doc = array->doc,
-		.obj = json_object_array_get_idx(array->obj, i)};
+	*out = (struct js_node){.doc = array->doc,
+				.obj = json_object_array_get_idx(array->obj, i),
+				.secret = array->secret};
 	snprintf(out->path, sizeof(out->path), "%.64s[%zu]", array->path, i);
 	return out->obj;
 }
@@ -554,7 +558,7 @@
 {
 	struct json_object *v;
 
-	*out = (struct js_node){.doc = n->doc};
+	*out = (struct js_node){.doc = n->doc, .secret = n->secret};
 	if (!json_object_object_get_ex(n->obj, key, &v))
 		return RES_OK;
 	if (!json_object_is_type(v, json_type_object))
--- a/json.h
+++ b/json.h
@@ -32,6 +32,9 @@
 	struct js_doc *doc;
 	struct json_object *obj;
 	char path[JS_PATH_LEN]; /* empty for the root */
+	/* Errors do not show the values below it, which may be secrets. Nodes
+	 * that are read from it inherit this. */
+	bool secret;
 };
 
 /* Parses a text or a file; NULL on failure. name stands for the file name in
--- a/t/unit_damaged.cc
+++ b/t/unit_damaged.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 extern "C" {
+#include "apikey.h"
 #include "lists.h"
 #include "msg.h"
 #include "pgwire.h"
@@ -229,9 +230,13 @@
 	std::string config =
 		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":"
 		"\"shop\",\"path_prefix\":\"/\",\"kind\":\"primary\","
-		"\"timeout_ms\":800,\"priority\":2,\"service\":\"g1\"}],"
+		"\"timeout_ms\":800,\"priority\":2,\"service\":\"g1\","
+		"\"public\":true}],"
 		"\"services\":[{\"name\":\"g1\",\"max_conns\":30}],"
-		"\"limits\":{\"txn_idle_ms\":900}}";
+		"\"tenants\":[{\"name\":\"t0\",\"api_keys\":[\"k0\",\"k1\"],"
+		"\"rate_per_s\":2.5,\"burst\":3},{\"name\":\"t1\","
+		"\"api_keys\":[\"k2\"]}],\"limits\":{\"txn_idle_ms\":900}}";
+	const unsigned char hash_key[AKEY_SECRET_LEN] = {};
 	std::string announcement =
 		"{\"service\":\"g1\",\"addr\":\"10.0.0.9:80\",\"zone\":"
 		"\"za\",\"slots\":2,\"state\":\"ready\",\"db_role\":"
@@ -242,7 +247,8 @@
 		struct announcement a;
 		struct err e = {};
 
-		rt_unref(doc_parse_configuration(s.data(), s.size(), &e));
+		rt_unref(doc_parse_configuration(s.data(), s.size(), hash_key,
+						 &e));
 		s = damage(announcement);
 		doc_parse_announcement(&a, "m0", s.data(), s.size(), &e);
 	}
--- a/t/unit_document.cc
+++ b/t/unit_document.cc
@@ -3,10 +3,13 @@
 #include <string>
 
 extern "C" {
+#include "apikey.h"
 #include "platform/calls.h"
 #include "platform/document.h"
 }
 
+static const unsigned char hash_key[AKEY_SECRET_LEN] = {7};
+
 static const char valid_config[] =
 	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"shop\","
 	"\"path_prefix\":\"/\",\"kind\":\"read_your_writes\","
@@ -28,7 +31,8 @@
 static bool accepted(const std::string &s)
 {
 	struct err e = {};
-	struct route_table *r = doc_parse_configuration(s.data(), s.size(), &e);
+	struct route_table *r =
+		doc_parse_configuration(s.data(), s.size(), hash_key, &e);
 
 	EXPECT_TRUE(r || e.text[0]) << "refused without a reason";
 	rt_unref(r);
@@ -38,8 +42,8 @@
 TEST(Document, DecodesAConfiguration)
 {
 	struct err e = {};
-	struct route_table *r =
-		doc_parse_configuration(valid_config, strlen(valid_config), &e);
+	struct route_table *r = doc_parse_configuration(
+		valid_config, strlen(valid_config), hash_key, &e);
 
 	ASSERT_TRUE(r) << e.text;
 	EXPECT_EQ(7, r->version);
@@ -82,7 +86,7 @@
 {
 	std::string s = replace_in_config("read_your_writes", "eventual");
 	struct route_table *r =
-		doc_parse_configuration(s.data(), s.size(), NULL);
+		doc_parse_configuration(s.data(), s.size(), hash_key, NULL);
 
 	ASSERT_TRUE(r);
 	EXPECT_EQ(RT_READS_CURRENT,
