front, uplink, db: API keys decide whether and for whom a statement runs

Cause: a session's second word was ignored, so every caller was served, and a withdrawn key was used for ever.

Change: a session keeps the hash of its key and its tenant. The key is checked at STARTUP, for each statement but ROLLBACK, and for each new try. A new configuration ends idle transactions whose key was withdrawn or moved. An answer to an ask confirms the configuration that it names (uplink on_config_confirmed); pushed answers do not. authorized_until is checked right before a statement is sent to a member; a job refused there is not run (LINE_E_KEY_EXPIRED) and is tried again if the lease was renewed. RES_AUTH is DENIED at the line protocol. The key's bytes are overwritten once hashed.

unit_line's list of codes that promise "not run" now includes DENIED, which is stricter. Without tenants, members receive the same bytes (FrontKey.WithoutTenantsMembersReceiveWhatTheyDid).

--- a/db.h
+++ b/db.h
@@ -151,7 +151,9 @@
 	/* Name under which the member is told who is calling; empty where
 	 * there are no tenants. */
 	char tenant[ID_LEN];
-	/* Until when the caller's API key may be used; 0 without a limit. */
+	/* Until when the caller's API key may be used; 0 without a limit. It is
+	 * checked when the statement is sent, and refused as not run after it
+	 * (LINE_E_KEY_EXPIRED). */
 	clk_ms authorized_until;
 	/* When the answer must be there, or the job is of no use; 0 if unknown.
 	 */
--- a/db_conn.c
+++ b/db_conn.c
@@ -126,13 +126,29 @@
 	cnt_add(CNT_retry_no_lease, 1);
 }
 
-/* Ends a job before its statement was sent, because the lease of the member
- * ended while the connection was prepared. */
-static void db_refuse_unsent(struct db_conn *c, clk_ms now)
+static bool db_is_authorized(const struct db_job *j, clk_ms now)
+{
+	return !j->authorized_until || now < j->authorized_until;
+}
+
+static void db_log_key_expired(const struct db_member *m,
+			       const struct db_job *j, clk_ms now)
+{
+	log_info("db",
+		 "event=key_expired member=%s tenant=%s id=%.*s ended_ms=%lld",
+		 m->info.id, j->tenant, (int)j->id.len, j->id.p,
+		 (long long)(now - j->authorized_until));
+	cnt_add(CNT_key_expired_unsent, 1);
+}
+
+/* Ends a job before its statement was sent, because the lease of the member or
+ * the time for which the caller's API key may be used ended while the job
+ * waited or the connection was prepared. */
+static void db_refuse_unsent(struct db_conn *c, enum line_error error,
+			     clk_ms now)
 {
-	db_log_without_lease(c->member, c->job, now);
 	c->failed = true;
-	c->error = LINE_E_NOT_PRIMARY;
+	c->error = error;
 	c->code[0] = '\0';
 	c->text[0] = '\0';
 	db_answered(c, now);
@@ -145,7 +161,13 @@
 	struct pos wait = {0};
 
 	if (!db_has_lease(c->member, j, now)) {
-		db_refuse_unsent(c, now);
+		db_log_without_lease(c->member, j, now);
+		db_refuse_unsent(c, LINE_E_NOT_PRIMARY, now);
+		return;
+	}
+	if (!db_is_authorized(j, now)) {
+		db_log_key_expired(c->member, j, now);
+		db_refuse_unsent(c, LINE_E_KEY_EXPIRED, now);
 		return;
 	}
 	j->sent = true;
--- a/entry.c
+++ b/entry.c
@@ -1,5 +1,7 @@
 #include "entry.h"
 
+#include "apikey.h"
+#include "counter.h"
 #include "front.h"
 #include "http.h"
 #include "log.h"
@@ -38,6 +40,7 @@
 	bool closing;
 	bool was_ready;
 	bool listening;
+	bool key_lease_ended;
 	struct rotation rotation;
 	ev_timer cut_off_timer;
 };
@@ -128,6 +131,14 @@
 	entry_listen(p);
 }
 
+static void entry_on_config_confirmed(void *arg, int64_t version,
+				      clk_ms asked_at)
+{
+	struct entry *p = arg;
+
+	front_confirm_config(p->fronts, version, asked_at);
+}
+
 static int64_t entry_suspected_primaries(void *arg, struct suspect_report *out,
 					 int64_t max, clk_ms now)
 {
@@ -177,37 +188,65 @@
 		.collect_samples = entry_own_samples,
 		.on_peer_sample = entry_on_sample,
 		.append_wanted_groups = entry_put_wanted_groups,
-		.on_new_routes = entry_on_routes};
+		.on_new_routes = entry_on_routes,
+		.on_config_confirmed = entry_on_config_confirmed};
 
 	cfg.uuid = p->uuid;
 	p->uplink = uplink_new(&cfg);
 	front_on_urgent(p->fronts, entry_on_urgent, p);
 }
 
+static void entry_add_key_lease(const struct entry *p, struct buf *text)
+{
+	clk_ms left = front_key_lease_left(p->fronts, clk_now());
+
+	if (left != CLK_NEVER)
+		buf_addf(text, "key_lease_left_ms %lld\n", (long long)left);
+}
+
 static void entry_metrics(void *arg, struct buf *text)
 {
 	struct entry *p = arg;
 
 	buf_addf(text, "sessions %zu\nbackend_connections %zu\n",
 		 front_count(p->fronts), front_connections(p->fronts));
+	entry_add_key_lease(p, text);
 	metrics_add_histogram(text, "statement_latency",
 			      front_latency(p->fronts));
 }
 
+/* Logs when API keys may no longer be used, and when they may be again. */
+static void entry_watch_key_lease(struct entry *p, clk_ms left)
+{
+	bool ended = left <= 0;
+
+	if (ended == p->key_lease_ended)
+		return;
+	p->key_lease_ended = ended;
+	if (ended)
+		cnt_add(CNT_key_lease_ended, 1);
+	log_info("entry", "event=%s config=%" PRId64,
+		 ended ? "key_lease_ended" : "key_lease_valid",
+		 front_routes(p->fronts)->version);
+}
+
 static void entry_check_cut_off(struct entry *p, clk_ms now)
 {
 	clk_ms age = uplink_answer_age(p->uplink, now);
+	clk_ms keys_left = front_key_lease_left(p->fronts, now);
 	clk_ms since = p->rotation.cut_off_since;
 	struct rot_connectivity look = {
 		.control_doubtful = !uplink_majority_heard(
 			p->uplink, ROT_CONTROL_DOUBTFUL_MS, now),
 		.control_lost = !uplink_majority_heard(
 			p->uplink, ROT_CONTROL_LOST_MS, now),
-		.leader_answers = age < ROT_LEADER_MAX_AGE_MS};
+		.leader_answers = age < ROT_LEADER_MAX_AGE_MS,
+		.key_lease_ending = keys_left < AKEY_ENDING_MS};
 	struct suspect_report missed = {0};
 
 	if (!p->listening)
 		return;
+	entry_watch_key_lease(p, keys_left);
 	look.primary_unusable =
 		front_suspected_primaries(p->fronts, &missed, 1, now) ||
 		(!p->set->promoter_deposes &&
@@ -221,8 +260,10 @@
 		front_drain(p->fronts, p->draining);
 		break;
 	case ROT_CUT_OFF:
-		log_warn("entry", "event=cut_off control_age_ms=%lld group=%s",
-			 (long long)age, missed.group);
+		log_warn("entry",
+			 "event=cut_off control_age_ms=%lld group=%s "
+			 "key_lease_ending=%d",
+			 (long long)age, missed.group, look.key_lease_ending);
 		front_refuse_without_lease(p->fronts, true);
 		break;
 	case ROT_UNCHANGED:
--- a/front.c
+++ b/front.c
@@ -137,6 +137,7 @@
 	f->loop = loop;
 	f->set = set;
 	f->db = db_new(loop);
+	f->key_lease.duration_ms = set->key_lease_ms;
 	f->latency = hist_new();
 	f->hedge_budget.tokens = FRONT_HEDGES_INITIAL;
 	ev_timer_init(&f->tick, front_on_tick, FRONT_TICK_MS / 1000.0,
--- a/front.h
+++ b/front.h
@@ -42,6 +42,19 @@
 void front_take_routes(struct front_server *f, struct route_table *r);
 const struct route_table *front_routes(const struct front_server *f);
 
+/*
+ * Tells that a control leader that may act answered an ask, which was sent at
+ * asked_at, and named this version as the newest configuration. Where there are
+ * tenants and key_lease_ms is set, API keys are used only while such an answer
+ * is recent enough, see apikey.h.
+ */
+void front_confirm_config(struct front_server *f, int64_t version,
+			  clk_ms asked_at);
+
+/* How much longer API keys may be used, negative if they may not be any more;
+ * CLK_NEVER without a limit. */
+clk_ms front_key_lease_left(const struct front_server *f, clk_ms now);
+
 /* Starts to run jobs for other proxies, on the link address. */
 enum res front_link(struct front_server *f, int64_t uuid, struct err *e);
 
--- a/front_control.c
+++ b/front_control.c
@@ -104,6 +104,8 @@
 		return;
 	rt_unref(f->routes);
 	f->routes = rt_ref(r);
+	akey_on_config(&f->key_lease, r->version);
+	front_end_withdrawn(f, clk_now());
 	front_assign_slices(f);
 }
 
--- a/front_priv.h
+++ b/front_priv.h
@@ -5,10 +5,11 @@
  * Shared by front.c (connections of callers), front_session.c (what a session
  * answers itself), front_run.c (one statement at the backends), front_send.c
  * (running a job here or by another proxy), front_choose_member.c (choice of
- * the member) and front_control.c (state received from control and reported to
- * it).
+ * the member), front_key.c (API keys of callers) and front_control.c (state
+ * received from control and reported to it).
  */
 
+#include "apikey.h"
 #include "db.h"
 #include "freshness.h"
 #include "front.h"
@@ -169,6 +170,10 @@
 	bool closing;
 	clk_ms last_activity;
 	char database[RT_DATABASE_NAME_LEN];
+	char key_hash[RT_KEY_HASH_HEX]; /* of the API key; empty if none */
+	/* whom the current or last transaction or statement runs for; empty if
+	 * for no tenant */
+	char tenant[ID_LEN];
 	char group[ID_LEN]; /* group of the current transaction or statement */
 	/* route of the current transaction or statement */
 	struct rt_database route;
@@ -200,6 +205,7 @@
 	struct front_session *busy_sessions;
 	size_t count;
 	struct route_table *routes;
+	struct akey_lease key_lease;
 	struct db *db;
 	struct relay *relay;
 	struct proxy_info *proxy_list;
@@ -245,6 +251,20 @@
 void front_refuse(struct front_session *s, enum res r, const char *text);
 void front_process_input(struct front_session *s);
 
+/* front_key.c: keeps the hash of a caller's API key and overwrites the key. */
+void front_take_key(struct front_session *s, char *key, size_t len);
+
+/*
+ * Decides whether the session's key permits a statement now, and sets the
+ * tenant of the session and its job. An open transaction stays with its tenant.
+ * A refused one has to be rolled back by the caller of this function.
+ */
+enum res front_check_key(struct front_session *s, clk_ms now);
+
+/* Rolls back idle transactions whose key was withdrawn or given to another
+ * tenant; to be called with a new configuration. */
+void front_end_withdrawn(struct front_server *f, clk_ms now);
+
 /* front_run.c */
 void front_start_statement(struct front_session *s, clk_ms now);
 void front_run_tick(struct front_session *s, clk_ms now);
--- a/front_run.c
+++ b/front_run.c
@@ -28,7 +28,7 @@
 		"event=statement id=%.*s database=%s group=%s member=%s "
 		"writes=%d commits=%d txn=%d tries=%d sent=%d ms=%lld "
 		"need=%lld.%lld need_age=%lld need_from=%s pos=%lld.%lld "
-		"sampled=%d config=%lld outcome=%s reason=%s",
+		"sampled=%d config=%lld outcome=%s reason=%s tenant=%s",
 		(int)run->stmt.id.len, run->stmt.id.p, s->database, s->group,
 		member, run->writes, run->commits, s->txn, run->tries,
 		run->sent, (long long)(clk_now() - run->received_at),
@@ -38,7 +38,7 @@
 		run_required_from(run), (long long)run->answer_pos.term,
 		(long long)run->answer_pos.number, run->answer_sampled,
 		(long long)(s->server->routes ? s->server->routes->version : 0),
-		outcome, res_name(reason));
+		outcome, res_name(reason), s->tenant);
 }
 
 static void run_end(struct front_session *s)
@@ -178,6 +178,10 @@
 	case LINE_E_CONN_LIMIT:
 		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_UNREACHABLE);
 		return true;
+	case LINE_E_KEY_EXPIRED:
+		/* The key is checked again, and may be valid for longer now. */
+		run_schedule_retry(s, 0, RES_KEY_UNCONFIRMED);
+		return true;
 	case LINE_E_OTHER:
 		break;
 	}
@@ -197,11 +201,15 @@
 	bool commits = s->run.commits;
 
 	if (s->txn == FRONT_OPEN && !r->sent &&
-	    r->error == LINE_E_NOT_PRIMARY) {
+	    (r->error == LINE_E_NOT_PRIMARY ||
+	     r->error == LINE_E_KEY_EXPIRED)) {
 		/* It was not sent for want of a lease, and the transaction is
 		 * rolled back. */
 		front_forget_kept(s);
-		run_refuse(s, RES_PRIMARY_CHANGED, member);
+		run_refuse(s,
+			   r->error == LINE_E_KEY_EXPIRED ? RES_KEY_UNCONFIRMED
+							  : RES_PRIMARY_CHANGED,
+			   member);
 		return;
 	}
 	if (run_retry_refused(s, r, member)) {
@@ -542,12 +550,27 @@
 	front_send_kept(s, now);
 }
 
+/* Checks the caller's API key for one more try; refuses the statement if it may
+ * not be used any more. */
+static bool run_key_is_valid(struct front_session *s, clk_ms now)
+{
+	enum res r = front_check_key(s, now);
+
+	if (!r)
+		return true;
+	front_release_kept(s);
+	run_refuse(s, s->run.sent ? run_lost_reason(s) : r, "");
+	return false;
+}
+
 static void run_try(struct front_session *s, clk_ms now)
 {
 	bool read_only =
 		s->txn == FRONT_BEGUN ? s->txn_read_only : s->run.is_read;
 
 	s->run.retry_at = 0;
+	if (!run_key_is_valid(s, now))
+		return;
 	if (s->txn == FRONT_OPEN) {
 		run_in_txn(s, now);
 	} else if (!read_only || run_needs_primary(s)) {
--- a/front_session.c
+++ b/front_session.c
@@ -43,13 +43,14 @@
 			      const struct stmt *st, enum res r)
 {
 	cnt_add_refusal(r);
-	log_info("front",
-		 "event=refused id=%.*s database=%s kind=%d txn=%d reason=%s "
-		 "config=%lld",
-		 (int)st->id.len, st->id.p ? st->id.p : "", s->database,
-		 st->kind, s->txn, res_name(r),
-		 (long long)(s->server->routes ? s->server->routes->version
-					       : 0));
+	log_info(
+		"front",
+		"event=refused id=%.*s database=%s kind=%d txn=%d reason=%s "
+		"config=%lld tenant=%s",
+		(int)st->id.len, st->id.p ? st->id.p : "", s->database,
+		st->kind, s->txn, res_name(r),
+		(long long)(s->server->routes ? s->server->routes->version : 0),
+		s->tenant);
 }
 
 static void front_reject(struct front_session *s, const struct stmt *st,
@@ -102,9 +103,10 @@
  * were committed. */
 static void front_commit_failed(struct front_session *s, const struct stmt *st)
 {
-	enum res r = s->txn_failure == RES_STOPPING ? RES_STOPPING
-						    : RES_PRIMARY_CHANGED;
+	enum res r = s->txn_failure;
 
+	if (r != RES_STOPPING && r != RES_AUTH)
+		r = RES_PRIMARY_CHANGED;
 	front_release_kept(s);
 	s->txn = FRONT_NONE;
 	s->txn_failure = RES_OK;
@@ -182,21 +184,28 @@
 	return false;
 }
 
-/* Refuses a statement because this instance stops, and ends its transaction. */
-static void front_refuse_at_stop(struct front_session *s, const struct stmt *st)
+/* Whether the statement needs a valid API key: all but a rollback. */
+static bool front_needs_key(const struct stmt *st)
+{
+	return st->kind != STMT_ROLLBACK && st->kind != STMT_MALFORMED;
+}
+
+/* Refuses a statement for a reason that ends its transaction. */
+static void front_reject_txn(struct front_session *s, const struct stmt *st,
+			     enum res r)
 {
 	if (s->txn != FRONT_NONE) {
 		front_release_kept(s);
 		s->txn = st->kind == STMT_COMMIT ? FRONT_NONE : FRONT_FAILED;
 	}
-	front_reject(s, st, RES_STOPPING);
+	front_reject(s, st, r);
 }
 
 static void front_statement(struct front_session *s, const struct stmt *st)
 {
 	if (s->server->refuse_statements && s->txn != FRONT_FAILED &&
 	    front_needs_member(st)) {
-		front_refuse_at_stop(s, st);
+		front_reject_txn(s, st, RES_STOPPING);
 		return;
 	}
 	if (s->txn == FRONT_FAILED && st->kind != STMT_COMMIT &&
@@ -207,6 +216,14 @@
 		front_reject(s, st, r);
 		return;
 	}
+	if (s->txn != FRONT_FAILED && front_needs_key(st)) {
+		enum res r = front_check_key(s, clk_now());
+
+		if (r) {
+			front_reject_txn(s, st, r);
+			return;
+		}
+	}
 	switch (st->kind) {
 	case STMT_READ:
 		front_run(s, st, false, NULL);
@@ -246,20 +263,35 @@
 	}
 }
 
+/* Refuses a session and closes its connection. */
+static void front_refuse_startup(struct front_session *s, enum res r)
+{
+	struct stmt none = {.kind = STMT_MALFORMED};
+
+	front_log_refusal(s, &none, r);
+	line_put_error(net_output(s->conn), r, res_text(r));
+	s->closing = true;
+	net_close_after_flush(s->conn);
+}
+
 static void front_startup(struct front_session *s,
 			  const struct line_caller_msg *call)
 {
-	struct stmt none = {.kind = STMT_MALFORMED};
+	struct buf *in = net_input(s->conn);
+	enum res r;
 
+	front_take_key(s, buf_data(in) + (call->api_key.p - buf_data(in)),
+		       call->api_key.len);
 	snprintf(s->database, sizeof(s->database), "%.*s",
 		 (int)call->database.len, call->database.p);
 	if (call->database.len >= sizeof(s->database) ||
 	    !rt_find_database(s->server->routes, s->database)) {
-		front_log_refusal(s, &none, RES_NO_DATABASE);
-		line_put_error(net_output(s->conn), RES_NO_DATABASE,
-			       res_text(RES_NO_DATABASE));
-		s->closing = true;
-		net_close_after_flush(s->conn);
+		front_refuse_startup(s, RES_NO_DATABASE);
+		return;
+	}
+	r = front_check_key(s, clk_now());
+	if (r) {
+		front_refuse_startup(s, r);
 		return;
 	}
 	s->started = true;
--- a/rotation.c
+++ b/rotation.c
@@ -15,7 +15,8 @@
 		r->control_doubtful_since = 0;
 		return ROT_CONNECTED;
 	}
-	if (r->lost_checks < ROT_LOST_CHECKS || !l->primary_unusable)
+	if (r->lost_checks < ROT_LOST_CHECKS ||
+	    (!l->primary_unusable && !l->key_lease_ending))
 		return ROT_UNCHANGED;
 	r->cut_off_since = now;
 	/* If control has been unheard for longer than a probe interval, only
--- a/rotation.h
+++ b/rotation.h
@@ -9,7 +9,8 @@
  * the rotation after two consecutive refusals. An instance that reaches neither
  * most control instances nor a primary is cut off, alone or with its whole
  * zone, and other instances serve its callers better. So is one that reaches
- * primaries but has lost the lease to use them. It refuses probes. Once
+ * primaries but has lost the lease to use them, or whose lease to use API keys
+ * ends soon (apikey.h). It refuses probes. Once
  * the balancer has taken it out, it closes idle sessions and refuses waiting
  * statements, so that its callers connect to other instances.
  *
@@ -61,6 +62,8 @@
 				* the lease to use primaries has expired */
 	bool leader_answers; /* the control leader answered within
 				ROT_LEADER_MAX_AGE_MS */
+	bool key_lease_ending; /* API keys may be used for less than
+				* AKEY_ENDING_MS */
 };
 
 enum rot_event { ROT_UNCHANGED, ROT_CUT_OFF, ROT_CONNECTED };
--- /dev/null
+++ b/t/unit_front_key.cc
@@ -0,0 +1,510 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <sodium.h>
+#include <string>
+#include <vector>
+
+#include "lib_loopback.h"
+
+extern "C" {
+#include "counter.h"
+#include "front_priv.h"
+#include "settings.h"
+}
+
+/*
+ * API keys of sessions while configurations change and the lease of keys ends,
+ * with the real session and connection code and a member that is played in the
+ * same loop.
+ */
+namespace
+{
+
+constexpr int LEASE_MS = 60000;
+constexpr int SHORT_LEASE_MS = 500; /* of tests that wait for its end */
+
+/* A member that leads and answers each statement with success. */
+struct Member {
+	std::string addr = loopback::free_addr();
+	std::vector<std::string> lines; /* received, without the end of line */
+	std::string hold; /* lines with this text wait for release() */
+	struct net_listener *listener = nullptr;
+	struct MemberConn *held = nullptr;
+	int conns = 0;
+
+	/* How many of the received lines contain a text. */
+	int count(const std::string &text) const
+	{
+		int n = 0;
+
+		for (const std::string &l : lines)
+			n += l.find(text) != std::string::npos;
+		return n;
+	}
+};
+
+struct MemberConn {
+	Member *member;
+	struct net_conn *net;
+	char txn = 'I';
+
+	void answer(const std::string &line)
+	{
+		if (line.find(" BEGIN") != std::string::npos)
+			txn = 'T';
+		if (line.find(" COMMIT") != std::string::npos ||
+		    line.find(" ROLLBACK") != std::string::npos)
+			txn = 'I';
+		if (line.rfind("QUERY", 0) == 0)
+			buf_addstr(net_output(net), "COMPLETE -\r\n");
+		buf_addf(net_output(net), "READY %c 1.1\r\n", txn);
+		net_flush(net);
+	}
+};
+
+void member_read(void *arg)
+{
+	auto *c = (MemberConn *)arg;
+	struct buf *in = net_input(c->net);
+	char *end;
+
+	while (buf_len(in) &&
+	       (end = (char *)memchr(buf_data(in), '\n', buf_len(in)))) {
+		size_t used = (size_t)(end - buf_data(in)) + 1;
+		std::string line(buf_data(in), used - 2);
+		Member *m = c->member;
+
+		buf_consume(in, used);
+		m->lines.push_back(line);
+		if (!m->hold.empty() && line.find(m->hold) != std::string::npos)
+			m->held = c;
+		else
+			c->answer(line);
+	}
+}
+
+void member_closed(void *arg)
+{
+	auto *c = (MemberConn *)arg;
+
+	c->member->conns--;
+	net_free(c->net);
+	delete c;
+}
+
+} // namespace
+
+struct FrontKey : testing::Test {
+	using Keys = std::map<std::string, std::string>; /* key to tenant */
+
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct settings set = {};
+	struct err e = ERR_INIT;
+	struct front_server *f = nullptr;
+	Member m;
+	struct net_conn *caller = nullptr;
+	std::string received;
+	bool closed = false;
+	int version = 0;
+
+	static void member_accept(void *arg, int fd)
+	{
+		auto *t = (FrontKey *)arg;
+		auto *c = new MemberConn{&t->m, nullptr};
+		struct net_handler h = {.arg = c,
+					.on_read = member_read,
+					.on_close = member_closed};
+
+		c->net = net_from_accepted(t->loop, fd, &h);
+		t->m.conns++;
+	}
+
+	void SetUp() override
+	{
+		struct backend_info b = {};
+		struct group_info g = {};
+
+		ASSERT_GE(sodium_init(), 0);
+		strcpy(set.id, "p0");
+		strcpy(set.zone, "za");
+		strcpy(set.link, "127.0.0.1:0");
+		snprintf(set.listen, sizeof(set.listen), "%s",
+			 loopback::free_addr().c_str());
+		set.promoter_deposes = true;
+		set.key_lease_ms = LEASE_MS;
+		f = front_new(loop, &set);
+		ASSERT_EQ(RES_OK, front_link(f, 1, &e)) << e.text;
+		ASSERT_EQ(RES_OK, front_listen(f, &e)) << e.text;
+		ASSERT_EQ(RES_OK, net_listen(&m.listener, loop, m.addr.c_str(),
+					     member_accept, this, &e))
+			<< e.text;
+		front_on_urgent(
+			f, [](void *) {}, nullptr);
+		strcpy(b.id, "m0");
+		strcpy(b.group, "g1");
+		strcpy(b.zone, "za");
+		strcpy(b.addr, m.addr.c_str());
+		b.slots = 5;
+		front_take_backends(f, &b, 1);
+		strcpy(g.name, "g1");
+		strcpy(g.primary, "m0");
+		g.term = 1;
+		front_take_groups(f, &g, 1);
+	}
+
+	/* Publishes a configuration with these keys, confirmed from now on. */
+	void publish(const Keys &keys, bool has_tenants = true)
+	{
+		struct route_table *r = rt_new();
+		size_t n = keys.size() + 1;
+
+		r->version = ++version;
+		r->txn_idle_ms = 9000;
+		r->ngroups = 1;
+		r->groups = (rt_group *)calloc(1, sizeof(rt_group));
+		strcpy(r->groups[0].name, "g1");
+		r->groups[0].max_connections = 30;
+		r->ndatabases = 2;
+		r->databases = (rt_database *)calloc(2, sizeof(rt_database));
+		for (int i = 0; i < 2; i++) {
+			struct rt_database *d = &r->databases[i];
+
+			strcpy(d->name, i ? "news" : "orders");
+			strcpy(d->group, "g1");
+			d->read_freshness = RT_READS_CURRENT;
+			d->statement_timeout_ms = 3000;
+			d->is_public = i == 1;
+		}
+		r->has_tenants = has_tenants;
+		r->tenants = (rt_tenant *)calloc(n, sizeof(rt_tenant));
+		r->api_keys = (rt_api_key *)calloc(n, sizeof(rt_api_key));
+		for (const auto &k : keys) {
+			rt_api_key *out = &r->api_keys[r->napi_keys++];
+
+			out->tenant = r->ntenants;
+			for (int64_t i = 0; i < r->ntenants; i++)
+				if (k.second == r->tenants[i].name)
+					out->tenant = i;
+			if (out->tenant == r->ntenants)
+				strcpy(r->tenants[r->ntenants++].name,
+				       k.second.c_str());
+			akey_hash(set.key, k.first.data(), k.first.size(),
+				  out->hash);
+		}
+		rt_sort(r);
+		front_take_routes(f, r);
+		rt_unref(r);
+		confirm();
+	}
+
+	/* A control leader answers that the configuration held is the newest.
+	 */
+	void confirm()
+	{
+		front_confirm_config(f, version, clk_now());
+	}
+
+	void wait_until_lease_ends()
+	{
+		ASSERT_TRUE(run_until([&] {
+			return front_key_lease_left(f, clk_now()) <= 0;
+		}));
+	}
+
+	/* Opens a session; returns the answer to STARTUP. */
+	std::string open(const std::string &words)
+	{
+		struct net_handler h = {
+			.arg = this,
+			.on_read =
+				[](void *arg) {
+					auto *t = (FrontKey *)arg;
+					struct buf *in = net_input(t->caller);
+
+					t->received.append(buf_data(in),
+							   buf_len(in));
+					buf_consume(in, buf_len(in));
+				},
+			.on_close =
+				[](void *arg) {
+					((FrontKey *)arg)->closed = true;
+				}};
+
+		net_free(caller);
+		closed = false;
+		caller = net_connect(loop, set.listen, &h, &e);
+		EXPECT_NE(nullptr, caller) << e.text;
+		return exchange("STARTUP " + words);
+	}
+
+	void send(const std::string &line)
+	{
+		received.clear();
+		buf_addf(net_output(caller), "%s\r\n", line.c_str());
+		net_flush(caller);
+	}
+
+	bool answered()
+	{
+		return closed || received.find("READY") != std::string::npos;
+	}
+
+	std::string exchange(const std::string &line)
+	{
+		send(line);
+		EXPECT_TRUE(run_until([&] { return answered(); })) << line;
+		return received;
+	}
+
+	bool run_until(const std::function<bool()> &done)
+	{
+		return loopback::run_until(loop, done);
+	}
+
+	/* The first word or two of an answer, such as "ERROR DENIED". */
+	static std::string kind(const std::string &answer)
+	{
+		size_t n = answer.find(' ', 6);
+
+		return answer.substr(0, n);
+	}
+
+	bool succeeds(const std::string &line)
+	{
+		return exchange(line).rfind("COMPLETE", 0) == 0;
+	}
+
+	void TearDown() override
+	{
+		net_free(caller);
+		front_free(f);
+		EXPECT_TRUE(run_until([&] { return !m.conns; }));
+		net_listener_free(m.listener);
+		ev_loop_destroy(loop);
+	}
+};
+
+/* Guards against callers that are served without a key, or for whom one is
+ * asked where none is needed. */
+TEST_F(FrontKey, ASessionNeedsAKnownKey)
+{
+	publish({{"k-acme", "acme"}});
+	EXPECT_EQ("ERROR DENIED", kind(open("orders wrong")));
+	EXPECT_TRUE(run_until([&] { return closed; }));
+	EXPECT_EQ("ERROR DENIED", kind(open("orders")));
+	EXPECT_TRUE(run_until([&] { return closed; }));
+	EXPECT_EQ(0u, open("orders k-acme").rfind("READY I", 0));
+	EXPECT_TRUE(succeeds("QUERY 1 WRITE a 1"));
+	EXPECT_STREQ("acme", f->sessions->tenant);
+	EXPECT_STREQ("acme", f->sessions->job.tenant);
+	EXPECT_GT(f->sessions->job.authorized_until, 0);
+	for (const char *words : {"news", "news wrong"}) {
+		EXPECT_EQ(0u, open(words).rfind("READY I", 0)) << words;
+		EXPECT_TRUE(succeeds("QUERY 2 WRITE a 1"));
+		EXPECT_STREQ("", f->sessions->job.tenant);
+		EXPECT_EQ(0, f->sessions->job.authorized_until);
+	}
+	EXPECT_EQ(0u, open("news k-acme").rfind("READY I", 0));
+	EXPECT_TRUE(succeeds("QUERY 3 WRITE a 1"));
+	EXPECT_STREQ("acme", f->sessions->job.tenant);
+	EXPECT_EQ(0, m.count("k-acme") + m.count("wrong"));
+}
+
+/* Guards against other traffic to members where there are no tenants. */
+TEST_F(FrontKey, WithoutTenantsMembersReceiveWhatTheyDid)
+{
+	publish({}, false);
+	f->key_lease.until = 0;
+	open("orders any");
+	EXPECT_TRUE(succeeds("QUERY 1 WRITE a 1"));
+	EXPECT_TRUE(succeeds("QUERY 2 BEGIN"));
+	EXPECT_TRUE(succeeds("QUERY 3 READ a"));
+	EXPECT_TRUE(succeeds("QUERY 4 COMMIT"));
+	EXPECT_TRUE(succeeds("QUERY 5 READ a"));
+	EXPECT_EQ(
+		(std::vector<std::string>{
+			"STARTUP g1 marjoramlatch m0", "QUERY 1 WRITE a 1",
+			"QUERY - BEGIN", "QUERY 3 READ a", "QUERY 4 COMMIT",
+			"QUERY - BEGIN", "QUERY 5 READ a", "QUERY - ROLLBACK"}),
+		m.lines);
+	EXPECT_EQ(CLK_NEVER, front_key_lease_left(f, clk_now()));
+}
+
+/* Guards against a transaction that holds its locks, or goes on, after its key
+ * was withdrawn. */
+TEST_F(FrontKey, AWithdrawnKeyEndsItsTransaction)
+{
+	publish({{"k1", "acme"}, {"k2", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 BEGIN"));
+	EXPECT_TRUE(succeeds("QUERY 2 WRITE a 1"));
+	publish({{"k2", "acme"}});
+	EXPECT_TRUE(run_until([&] { return m.count("ROLLBACK") == 1; }))
+		<< "not only with the next statement";
+	EXPECT_EQ("ERROR DENIED", kind(exchange("QUERY 3 WRITE a 2")));
+	EXPECT_NE(std::string::npos, received.find("READY E"));
+	EXPECT_TRUE(succeeds("QUERY 4 ROLLBACK"));
+	EXPECT_EQ("ERROR DENIED", kind(exchange("QUERY 5 READ a")));
+	EXPECT_EQ("ERROR DENIED", kind(exchange("QUERY 6 BEGIN")));
+	EXPECT_EQ("ERROR DENIED", kind(exchange("QUERY 7 SET a 1")));
+	EXPECT_EQ(0, m.count("WRITE a 2") + m.count("QUERY 5"));
+	publish({{"k1", "acme"}});
+	EXPECT_TRUE(succeeds("QUERY 8 WRITE a 3")) << "the key is back";
+}
+
+TEST_F(FrontKey, ACommitAfterTheKeyWasWithdrawnIsRefused)
+{
+	publish({{"k1", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 BEGIN"));
+	EXPECT_TRUE(succeeds("QUERY 2 WRITE a 1"));
+	publish({});
+	EXPECT_EQ("ERROR DENIED", kind(exchange("QUERY 3 COMMIT")));
+	EXPECT_NE(std::string::npos, received.find("READY I"));
+	EXPECT_EQ(0, m.count("COMMIT"));
+}
+
+/* Guards against a change of tenant inside a transaction: its connection to the
+ * member was opened under the name of the first one. */
+TEST_F(FrontKey, AKeyThatMovesEndsItsTransaction)
+{
+	publish({{"k1", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 BEGIN"));
+	EXPECT_TRUE(succeeds("QUERY 2 WRITE a 1"));
+	publish({{"k1", "zeta"}, {"k2", "acme"}});
+	EXPECT_EQ("ERROR DENIED", kind(exchange("QUERY 3 WRITE a 2")));
+	EXPECT_TRUE(succeeds("QUERY 4 ROLLBACK"));
+	EXPECT_TRUE(run_until([&] { return m.count("ROLLBACK") == 1; }));
+	EXPECT_EQ(0, m.count("WRITE a 2"));
+	EXPECT_TRUE(succeeds("QUERY 5 WRITE a 3"));
+	EXPECT_STREQ("zeta", f->sessions->job.tenant);
+}
+
+/* Guards against a transaction that goes on because its key was withdrawn while
+ * a statement of it ran, and against losing that statement's answer. */
+TEST_F(FrontKey, AStatementUnderWayIsAnsweredAndTheNextIsRefused)
+{
+	publish({{"k1", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 BEGIN"));
+	m.hold = "WRITE";
+	send("QUERY 2 WRITE a 1");
+	ASSERT_TRUE(run_until([&] { return m.held; }));
+	publish({});
+	m.hold.clear();
+	m.held->answer("QUERY 2 WRITE a 1");
+	ASSERT_TRUE(run_until([&] { return answered(); }));
+	EXPECT_EQ(0u, received.rfind("COMPLETE", 0));
+	EXPECT_EQ("ERROR DENIED", kind(exchange("QUERY 3 READ a")));
+	EXPECT_TRUE(run_until([&] { return m.count("ROLLBACK") == 1; }));
+	EXPECT_EQ(0, m.count("QUERY 3"));
+}
+
+/* Guards against a proxy that is cut off from control and goes on to use keys,
+ * and against one that does not serve again afterwards. */
+TEST_F(FrontKey, WithoutALeaseNothingRuns)
+{
+	f->key_lease.duration_ms = SHORT_LEASE_MS;
+	publish({{"k1", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 WRITE a 1"));
+	wait_until_lease_ends();
+	EXPECT_EQ("ERROR BUSY", kind(exchange("QUERY 2 WRITE a 2")));
+	EXPECT_EQ("ERROR BUSY", kind(exchange("QUERY 3 BEGIN")));
+	EXPECT_EQ(0, m.count("QUERY 2"));
+	confirm();
+	EXPECT_TRUE(succeeds("QUERY 4 WRITE a 4"));
+	EXPECT_TRUE(succeeds("QUERY 5 BEGIN"));
+	EXPECT_TRUE(succeeds("QUERY 6 WRITE a 5"));
+	wait_until_lease_ends();
+	EXPECT_EQ("ERROR BUSY", kind(exchange("QUERY 7 COMMIT")));
+	EXPECT_NE(std::string::npos, received.find("READY I"));
+	EXPECT_TRUE(run_until([&] { return m.count("ROLLBACK") == 1; }));
+	EXPECT_EQ(0, m.count("COMMIT"));
+	EXPECT_EQ("ERROR BUSY", kind(open("orders k1")));
+	EXPECT_EQ("ERROR BUSY", kind(open("orders k-new")))
+		<< "a newer configuration may contain the key";
+	EXPECT_EQ(0u, open("news").rfind("READY I", 0));
+}
+
+/* Guards against a statement that leaves after the lease has ended, because a
+ * prepared statement had to be sent first. */
+TEST_F(FrontKey, TheLeaseIsCheckedWhenTheStatementIsSent)
+{
+	uint64_t before = cnt_refusal_count(RES_KEY_UNCONFIRMED);
+
+	f->key_lease.duration_ms = SHORT_LEASE_MS;
+	publish({{"k1", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 PREPARE s WRITE q"));
+	m.hold = "PREPARE";
+	send("QUERY 2 EXECUTE s a");
+	ASSERT_TRUE(run_until([&] { return m.held; }));
+	wait_until_lease_ends();
+	m.hold.clear();
+	m.held->answer("QUERY - PREPARE");
+	ASSERT_TRUE(run_until([&] { return answered(); }));
+	EXPECT_EQ("ERROR BUSY", kind(received));
+	EXPECT_EQ(0, m.count("EXECUTE"));
+	EXPECT_EQ(before + 1, cnt_refusal_count(RES_KEY_UNCONFIRMED));
+}
+
+/* Guards against a caller that is refused although the lease was renewed while
+ * its statement waited. */
+TEST_F(FrontKey, AStatementIsTriedAgainUnderARenewedLease)
+{
+	f->key_lease.duration_ms = SHORT_LEASE_MS;
+	publish({{"k1", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 PREPARE s WRITE q"));
+	m.hold = "PREPARE";
+	send("QUERY 2 EXECUTE s a");
+	ASSERT_TRUE(run_until([&] { return m.held; }));
+	wait_until_lease_ends();
+	confirm();
+	m.hold.clear();
+	m.held->answer("QUERY - PREPARE");
+	ASSERT_TRUE(run_until([&] { return answered(); }));
+	EXPECT_EQ(0u, received.rfind("COMPLETE", 0)) << received;
+	EXPECT_EQ(1, m.count("EXECUTE"));
+}
+
+/* The same inside a transaction, whose connection was rolled back. */
+TEST_F(FrontKey, ATransactionEndsWhenItsStatementIsNotSent)
+{
+	f->key_lease.duration_ms = SHORT_LEASE_MS;
+	publish({{"k1", "acme"}});
+	open("orders k1");
+	EXPECT_TRUE(succeeds("QUERY 1 PREPARE s WRITE q"));
+	EXPECT_TRUE(succeeds("QUERY 2 BEGIN"));
+	EXPECT_TRUE(succeeds("QUERY 3 WRITE a 1"));
+	m.hold = "PREPARE";
+	send("QUERY 4 EXECUTE s a");
+	ASSERT_TRUE(run_until([&] { return m.held; }));
+	wait_until_lease_ends();
+	confirm();
+	m.hold.clear();
+	m.held->answer("QUERY - PREPARE");
+	ASSERT_TRUE(run_until([&] { return answered(); }));
+	EXPECT_EQ("ERROR BUSY", kind(received));
+	EXPECT_NE(std::string::npos, received.find("READY E"));
+	EXPECT_TRUE(run_until([&] { return m.count("ROLLBACK") == 1; }));
+	EXPECT_EQ(0, m.count("EXECUTE"));
+	EXPECT_TRUE(succeeds("QUERY 5 ROLLBACK"));
+	EXPECT_TRUE(succeeds("QUERY 6 WRITE a 2"));
+}
+
+/* Guards against keys that stay in the memory of a proxy. */
+TEST_F(FrontKey, OverwritesTheKey)
+{
+	struct front_session s = {};
+	char key[] = "secret-key";
+
+	s.server = f;
+	front_take_key(&s, key, strlen(key));
+	EXPECT_EQ(std::string(10, '\0'), std::string(key, 10));
+	EXPECT_EQ((size_t)RT_KEY_HASH_HEX - 1, strlen(s.key_hash));
+}
--- a/t/unit_line.cc
+++ b/t/unit_line.cc
@@ -145,12 +145,33 @@
 
 	line_put_error(&out, r, "x");
 	std::string s(buf_data(&out), buf_len(&out));
-	for (const char *p : {"BUSY", "ABORTED", "LAGGING"})
+	for (const char *p : {"BUSY", "ABORTED", "LAGGING", "DENIED"})
 		not_run |= s.find(p) != std::string::npos;
 	buf_free(&out);
 	return not_run;
 }
 
+/* Guards against callers that repeat requests with a key that is refused. */
+TEST_F(Line, TellsAnUnknownKeyFromOneThatCannotBeConfirmed)
+{
+	struct buf out = BUF_INIT;
+
+	line_put_error(&out, RES_AUTH, "x");
+	line_put_error(&out, RES_KEY_UNCONFIRMED, "y");
+	EXPECT_EQ("ERROR DENIED x\r\nERROR BUSY y\r\n",
+		  std::string(buf_data(&out), buf_len(&out)));
+	buf_free(&out);
+}
+
+/* Guards against a key that is read with what follows it. */
+TEST_F(Line, TheSecondWordOfAStartupIsTheKey)
+{
+	ASSERT_EQ(LINE_OK, decode("STARTUP shop key-1 more\r\n"));
+	EXPECT_EQ("key-1", str(call.api_key));
+	ASSERT_EQ(LINE_OK, decode("STARTUP shop\r\n"));
+	EXPECT_EQ(0u, call.api_key.len);
+}
+
 /* Guards against reporting that nothing ran for a code whose request may have
  * run. RES_READ_FAILED is exempt: a read changes nothing, so that it can be
  * repeated safely. */
--- a/t/unit_rotation.cc
+++ b/t/unit_rotation.cc
@@ -11,10 +11,10 @@
 	clk_ms now = 100000;
 
 	enum rot_event check(bool doubtful, bool lost, bool misses_primary,
-			     bool leader = false)
+			     bool leader = false, bool keys_end = false)
 	{
 		struct rot_connectivity l = {doubtful, lost, misses_primary,
-					     leader};
+					     leader, keys_end};
 
 		now += 100;
 		return rot_update(&r, &l, now);
@@ -102,3 +102,24 @@
 	EXPECT_EQ(ROT_UNCHANGED, check(false, false, false, true));
 	EXPECT_EQ(ROT_UNCHANGED, check(true, true, true));
 }
+
+/* Guards against callers that are sent to an instance which refuses their keys:
+ * its lease of API keys is about to end, and control is silent. */
+TEST_F(Rotation, LeavesBeforeItMayNotUseKeysAnyMore)
+{
+	EXPECT_EQ(ROT_UNCHANGED, check(true, true, false));
+	EXPECT_EQ(ROT_UNCHANGED, check(true, true, false));
+	EXPECT_EQ(ROT_CUT_OFF, check(true, true, false, false, true));
+	EXPECT_FALSE(rot_answer_probe(&r));
+	EXPECT_EQ(ROT_CONNECTED, check(false, false, false, true));
+}
+
+/* Guards against all instances leaving at once because there is no leader. */
+TEST_F(Rotation, StaysWhileControlIsHeardWithoutALeader)
+{
+	for (int i = 0; i < 50; i++) {
+		EXPECT_EQ(ROT_UNCHANGED,
+			  check(false, false, false, false, true));
+		EXPECT_TRUE(rot_answer_probe(&r));
+	}
+}
--- a/t/unit_uplink.cc
+++ b/t/unit_uplink.cc
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <sodium.h>
+#include <vector>
 
 #include "lib_loopback.h"
 
@@ -27,6 +28,9 @@
 	bool leads = false;
 	clk_ms clock_ahead_ms = 0; /* of the proxy's clock */
 	int answers = 0;
+	int64_t published = 0; /* version of the configuration that it names */
+	int asks = 0;
+	struct link *last_link = nullptr; /* of the last ask */
 	int samples = 0;
 	/* the latest time of a sample received, by the proxy's clock */
 	clk_ms newest_sample = -1;
@@ -62,8 +66,20 @@
 			((Control *)arg)->answer(l, &m->u.ask);
 	}
 
+	/* Sends an answer on its own initiative. */
+	void push(struct link *l)
+	{
+		struct msg m = {};
+
+		m.type = MSG_ANSWER;
+		m.u.answer.published_version = published;
+		link_send(l, &m);
+	}
+
 	void answer(struct link *l, const struct msg_ask *ask)
 	{
+		asks++;
+		last_link = l;
 		struct msg m = {};
 		struct msg_answer *a = &m.u.answer;
 
@@ -82,6 +98,7 @@
 			newest_sample = at > newest_sample ? at : newest_sample;
 		}
 		a->answer_seq = ++answers;
+		a->published_version = published;
 		strcpy(a->leader, set.id);
 		a->lease_ms = 1000;
 		a->leader_clock = clk_now() + clock_ahead_ms;
@@ -96,6 +113,12 @@
 	struct uplink *u = nullptr;
 	struct view *view = nullptr;
 	clk_ms learned_at = 0; /* time of the sample that the proxy reports */
+	struct Confirmed {
+		int64_t version;
+		clk_ms asked_at;
+		clk_ms at;
+	};
+	std::vector<Confirmed> confirmed;
 
 	void SetUp() override
 	{
@@ -133,6 +156,12 @@
 			return 1;
 		};
 		cfg.on_peer_sample = [](void *, const struct pos_sample *) {};
+		cfg.on_config_confirmed = [](void *arg, int64_t version,
+					     clk_ms asked_at) {
+			((Uplink *)arg)
+				->confirmed.push_back(
+					{version, asked_at, clk_now()});
+		};
 		u = uplink_new(&cfg);
 	}
 
@@ -229,3 +258,35 @@
 	EXPECT_LE(a.newest_sample, learned_at);
 	a.stop();
 }
+
+/* Guards against API keys that are used for longer than allowed: a
+ * configuration is confirmed only by answers to asks, as of the time of the
+ * ask, and only by an instance that leads. */
+TEST_F(Uplink, OnlyAnswersOfALeaderConfirmAConfiguration)
+{
+	Control a("a", 0);
+
+	a.published = 3;
+	a.start();
+	start({&a});
+	ASSERT_TRUE(run_until([&] { return a.asks >= 3; }));
+	EXPECT_TRUE(confirmed.empty());
+	a.leads = true;
+	clk_ms led_at = clk_now();
+	ASSERT_TRUE(run_until([&] { return confirmed.size() >= 2; }));
+	for (const Confirmed &c : confirmed) {
+		EXPECT_EQ(3, c.version);
+		EXPECT_LE(c.asked_at, c.at);
+		EXPECT_GE(c.asked_at, led_at - 1000);
+	}
+	a.leads = false;
+	int asks = a.asks;
+	ASSERT_TRUE(run_until([&] { return a.asks >= asks + 2; }));
+	size_t before = confirmed.size();
+	a.published = 4;
+	a.push(a.last_link);
+	asks = a.asks;
+	ASSERT_TRUE(run_until([&] { return a.asks >= asks + 3; }));
+	EXPECT_EQ(before, confirmed.size());
+	a.stop();
+}
--- a/uplink.c
+++ b/uplink.c
@@ -225,6 +225,7 @@
 	if (u->cfg.quota)
 		quota_client_apply_answer(u->cfg.quota, a, ask_sent_at);
 	upl_apply_routes(u, a);
+	upl_confirm_config(u, a, ask_sent_at);
 	upl_apply_samples(u, control, a, ask_sent_at);
 	if (upl_lists_version(u) != lists) {
 		cnt_add(CNT_config_applied, 1);
--- a/uplink.h
+++ b/uplink.h
@@ -92,6 +92,15 @@
 	/* Receives a published configuration that is newer than the one held.
 	 */
 	void (*on_new_routes)(void *arg, struct route_table *r);
+
+	/*
+	 * A control leader that may act answered an ask, which was sent at
+	 * asked_at, and named this version as the newest configuration. Called
+	 * after on_new_routes(). Answers sent on the leader's own initiative
+	 * prove nothing and are not reported.
+	 */
+	void (*on_config_confirmed)(void *arg, int64_t version,
+				    clk_ms asked_at);
 };
 
 struct uplink *uplink_new(const struct uplink_config *cfg);
--- a/uplink_answer.c
+++ b/uplink_answer.c
@@ -102,6 +102,14 @@
 	rt_unref(r);
 }
 
+void upl_confirm_config(struct uplink *u, const struct msg_answer *a,
+			clk_ms ask_sent_at)
+{
+	if (u->cfg.on_config_confirmed && a->res == RES_OK && a->lease_ms > 0)
+		u->cfg.on_config_confirmed(u->cfg.arg, a->published_version,
+					   ask_sent_at);
+}
+
 static bool upl_is_listed(const struct msg_answer *a, const char *id)
 {
 	for (int64_t i = 0; i < a->ncontrols; i++)
--- a/uplink_priv.h
+++ b/uplink_priv.h
@@ -98,6 +98,10 @@
  * may be another process with another clock when it answers again. */
 void upl_forget_clock(struct uplink *u, int control);
 void upl_apply_routes(struct uplink *u, const struct msg_answer *a);
+
+/* Reports that an answer confirms the version of the configuration. */
+void upl_confirm_config(struct uplink *u, const struct msg_answer *a,
+			clk_ms ask_sent_at);
 void upl_apply_controls(struct uplink *u, const struct msg_answer *a);
 
 /* Takes a voter's support of the lease; extends the lease to the time until
