t: tenants at the stand-in, system test and soak of API keys

Cause: tests had no tenants, and members did not tell under which name statements ran.

Session::open takes a key, Deployment::use_tenants gives the configuration tenants. sys_tenants runs real processes; sys_platform_soak has tenants in the seeds 2, 7, 12, ..., withdraws keys during its faults and checks that nothing sent with a key more than key_lease_ms after its withdrawal was committed. Seeds without tenants draw the same random numbers as before.

Until connections to members are opened under the tenant's name, the system test accepts both that name and "marjoramlatch".

--- a/t/helper/platform.c
+++ b/t/helper/platform/main.c
@@ -54,12 +54,16 @@
  *                        rolled back
  *   runs                 prints how many statements with an id have succeeded
  *   reads M              prints how many READ statements the member has run
+ *   tenants              prints the names that were given at STARTUP
+ *   statements NAME      prints how many statements with an id have succeeded
+ * on connections that gave this name
  */
 #include "clock.h"
 #include "http.h"
 #include "log.h"
 #include "net.h"
 #include "stmt.h"
+#include "tenants.h"
 
 #include <ev.h>
 #include <inttypes.h>
@@ -131,6 +135,7 @@
 	struct conn *next;
 	struct net_conn *net;
 	struct member *member;
+	struct tenant *tenant; /* named at STARTUP */
 	bool started;
 	char *pending_line; /* line that waits for a slot or runs */
 	int64_t arrival; /* order in which lines arrived */
@@ -245,8 +250,10 @@
 
 static void send_complete(struct conn *c, const char *id)
 {
-	if (strcmp(id, "-") != 0)
+	if (strcmp(id, "-") != 0) {
 		runs++;
+		tenant_count_statement(c->tenant);
+	}
 	send_line(c, "COMPLETE %s.%s", c->member->id, id);
 }
 
@@ -483,9 +490,10 @@
 {
 	char *save;
 	const char *name = strtok_r(rest, " ", &save);
+	const char *tenant = strtok_r(NULL, " ", &save);
 	const char *id;
 
-	strtok_r(NULL, " ", &save);
+	c->tenant = tenant_named(tenant ? tenant : "");
 	id = strtok_r(NULL, " ", &save);
 	if (max_connections &&
 	    count_connections(c->member) >= max_connections) {
@@ -957,7 +965,12 @@
 		buf_addf(out, "%d\n", ncommits);
 	else if (!strcmp(verb, "runs"))
 		buf_addf(out, "%" PRId64 "\n", runs);
-	else if (m && !strcmp(verb, "connections"))
+	else if (arg && !strcmp(verb, "statements"))
+		buf_addf(out, "%d\n", tenant_statements(arg));
+	else if (!strcmp(verb, "tenants")) {
+		tenants_list(out);
+		buf_addstr(out, "\n");
+	} else if (m && !strcmp(verb, "connections"))
 		buf_addf(out, "%d\n", count_connections(m));
 	else if (m && !strcmp(verb, "transactions"))
 		buf_addf(out, "%d\n", count_transactions(m));
--- a/t/lib_platform.cc
+++ b/t/lib_platform.cc
@@ -61,7 +61,8 @@
 }
 
 Session::Session(Session &&o) noexcept
-    : fd_(o.fd_), received_(o.received_), last_id_(o.last_id_)
+    : fd_(o.fd_), received_(o.received_), last_id_(o.last_id_),
+      startup_answer_(o.startup_answer_)
 {
 	o.fd_ = -1;
 }
@@ -71,17 +72,20 @@
 	std::swap(fd_, o.fd_);
 	std::swap(received_, o.received_);
 	std::swap(last_id_, o.last_id_);
+	std::swap(startup_answer_, o.startup_answer_);
 	return *this;
 }
 
-bool Session::open(const std::string &addr, const std::string &database)
+bool Session::open(const std::string &addr, const std::string &database,
+		   const std::string &key)
 {
 	if (fd_ >= 0)
 		::close(fd_);
 	received_.clear();
 	fd_ = connect_to(addr);
-	send("STARTUP " + database + " test\r\n");
-	return read_line().rfind("READY", 0) == 0;
+	send("STARTUP " + database + " " + key + "\r\n");
+	startup_answer_ = read_line();
+	return startup_answer_.rfind("READY", 0) == 0;
 }
 
 void Session::send(const std::string &bytes)
@@ -249,6 +253,9 @@
 
 	if (!promoter_deposes_)
 		s += "\"promoter_deposes\": false, ";
+	if (key_lease_ms_)
+		s += "\"key_lease_ms\": " + std::to_string(key_lease_ms_) +
+		     ", ";
 	if (control)
 		return s + "\"id\": \"127.0.1." + std::to_string(i + 1) +
 		       "\", \"name\": \"c" + n + "\", \"link\": \"127.0.1." +
@@ -274,6 +281,22 @@
 	seeds_ = all;
 }
 
+/* The part of a configuration that lists tenants; empty if it has none. */
+static std::string tenants_json(bool has_tenants, const Tenants &tenants)
+{
+	std::string list;
+
+	for (const auto &t : tenants) {
+		std::string keys;
+
+		for (const std::string &k : t.second)
+			keys += (keys.empty() ? "\"" : ",\"") + k + "\"";
+		list += std::string(list.empty() ? "" : ",") + "{\"name\":\"" +
+			t.first + "\",\"api_keys\":[" + keys + "]}";
+	}
+	return has_tenants ? "\"tenants\":[" + list + "]," : "";
+}
+
 std::string Deployment::config_document(int version,
 					const std::string &more) const
 {
@@ -295,9 +318,13 @@
 			  "\"max_staleness_ms\":" +
 			  std::to_string(age) + "}";
 	}
+	if (has_tenants_)
+		routes += ",{\"name\":\"r-news\",\"host\":\"news\","
+			  "\"kind\":\"primary\",\"timeout_ms\":2000,"
+			  "\"service\":\"g1\",\"public\":true}";
 	return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
-	       routes + more +
-	       "],\"services\":[{\"name\":\"g1\",\"max_conns\":" +
+	       routes + more + "]," + tenants_json(has_tenants_, tenants_) +
+	       "\"services\":[{\"name\":\"g1\",\"max_conns\":" +
 	       std::to_string(connections_) +
 	       "}],"
 	       "\"limits\":{\"txn_idle_ms\":1500}}";
@@ -363,7 +390,8 @@
 		[&] {
 			Session s;
 
-			return s.open(client_addrs_[proxy], "orders") &&
+			return s.open(client_addrs_[proxy], "orders",
+				      probe_key_) &&
 			       s.query("WRITE probe x").rfind("COMPLETE", 0) ==
 				       0;
 		},
@@ -382,6 +410,25 @@
 void Deployment::let_replaced_primaries_go_on()
 {
 	promoter_deposes_ = false;
+	rewrite_settings();
+}
+
+void Deployment::use_tenants(const Tenants &tenants, int key_lease_ms)
+{
+	has_tenants_ = true;
+	key_lease_ms_ = key_lease_ms;
+	tenants_ = tenants;
+	probe_key_ = tenants[0].second[0];
+	rewrite_settings();
+}
+
+void Deployment::set_tenants(const Tenants &tenants)
+{
+	tenants_ = tenants;
+}
+
+void Deployment::rewrite_settings()
+{
 	for (size_t i = 0; i < proxies_.size(); i++)
 		dir_.write("p" + std::to_string(i) + ".json",
 			   settings((int)i, false));
@@ -421,7 +468,7 @@
 		for (int i : proxies) {
 			Session s;
 
-			if (s.open(client_addrs_[i], "orders"))
+			if (s.open(client_addrs_[i], "orders", probe_key_))
 				s.query("WRITE report 1", 1000);
 		}
 		return send_platform_command("primary") != "m0";
--- a/t/lib_platform.h
+++ b/t/lib_platform.h
@@ -23,7 +23,14 @@
 	Session &operator=(Session &&o) noexcept;
 
 	/* Connects and logs in; returns whether the proxy answered READY. */
-	bool open(const std::string &addr, const std::string &database);
+	bool open(const std::string &addr, const std::string &database,
+		  const std::string &key = "test");
+
+	/* The answer to the last open(). */
+	const std::string &startup_answer() const
+	{
+		return startup_answer_;
+	}
 
 	/* Sends a statement with a new request id. Returns the lines of the
 	 * answer up to and including READY, each followed by "|", or "closed"
@@ -50,8 +57,12 @@
 	int fd_ = -1;
 	std::string received_; /* not returned by line() yet */
 	std::string last_id_;
+	std::string startup_answer_;
 };
 
+/* Tenants of a configuration: name and API keys. */
+using Tenants = std::vector<std::pair<std::string, std::vector<std::string>>>;
+
 /* Whether an answer of Session::query() reports success. */
 inline bool statement_succeeded(const std::string &answer)
 {
@@ -85,6 +96,15 @@
 	 * on until it is told to step down. Must be called before start(). */
 	void let_replaced_primaries_go_on();
 
+	/* Gives the configuration tenants, and the public database "news"; API
+	 * keys need a lease of key_lease_ms. The first key of the first tenant
+	 * is used to see whether the proxies serve. Must be called before
+	 * start(). */
+	void use_tenants(const Tenants &tenants, int key_lease_ms);
+
+	/* The tenants that config_document() contains from now on. */
+	void set_tenants(const Tenants &tenants);
+
 	/* Lets all connections to the members pass through the relay of
 	 * lib_cluster.h. Its routes are named m0, m1, ..., its sources c0, c1,
 	 * ... and p0, p1, .... Must be called before start(). */
@@ -165,6 +185,7 @@
 
       private:
 	std::string settings(int i, bool control) const;
+	void rewrite_settings();
 	cluster::TempDir dir_;
 	std::vector<std::string> api_addrs_;
 	std::vector<std::string> client_addrs_;
@@ -174,6 +195,10 @@
 	int connections_ = 30; /* of each member */
 	bool limit_connections_ = false; /* see limit_member_connections() */
 	bool promoter_deposes_ = true;
+	bool has_tenants_ = false; /* see use_tenants() */
+	int key_lease_ms_ = 0;
+	std::string probe_key_ = "test";
+	Tenants tenants_;
 	std::string commands_addr_;
 	std::string promoter_addr_;
 	std::string seeds_;
--- a/t/sys_platform_soak.cc
+++ b/t/sys_platform_soak.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -25,6 +26,9 @@
  *   The configuration that is read back is not older than the last one
  *   acknowledged.
  *   Service is restored within 7 s of the last fault.
+ *   With tenants: nothing that was sent with an API key later than the bound
+ *   after the key's withdrawal was acknowledged was committed, and a key that
+ * is in force is not denied.
  *
  * Two threads inject faults at the same time, so that their faults overlap:
  * one into the control instances and their disks, the other into proxies,
@@ -59,6 +63,8 @@
 	std::string item;
 	Outcome outcome;
 	int64_t answered_at;
+	std::string key; /* API key of the session */
+	int64_t sent_at; /* when its last statement was sent */
 };
 
 Outcome outcome_of(const std::string &answer)
@@ -67,7 +73,7 @@
 		return ACKNOWLEDGED;
 	for (const char *p :
 	     {"ERROR BUSY", "ERROR ABORTED", "ERROR LAGGING", "ERROR READONLY",
-	      "ERROR NODB", "ERROR MALFORMED"})
+	      "ERROR NODB", "ERROR MALFORMED", "ERROR DENIED"})
 		if (answer.rfind(p, 0) == 0)
 			return NOT_RUN;
 	return UNKNOWN;
@@ -79,6 +85,13 @@
 constexpr int CONNECTIONS_PER_MEMBER = 5; /* limit for odd seeds */
 /* In seeds that this divides, a replaced primary goes on. */
 constexpr int GOES_ON_EVERY = 3;
+/* Seeds with this remainder have tenants whose API keys are withdrawn. None of
+ * KEPT_SEEDS is one of them, so that they still run as when they failed. */
+constexpr int TENANTS_EVERY = 5;
+constexpr int TENANTS_REMAINDER = 2;
+constexpr int KEY_LEASE_MS = 1500; /* also the bound after a withdrawal */
+constexpr int KEY_CHANGE_MS = 300; /* pause between two withdrawals */
+const char *const LASTING_KEY = "test"; /* is never withdrawn */
 
 struct Soak {
 	Deployment d{3, PROXIES, 3};
@@ -97,14 +110,94 @@
 	std::atomic<int> possible_promotions{0};
 	std::atomic<int> acknowledged_version{1};
 	int acknowledged_writes = 0;
+	bool with_tenants;
+	std::mutex publish_lock;
+	int attempted_version = 1;
+	int last_key = 0;
+	/* By caller: the key that is in force, or will be. */
+	std::vector<std::string> keys;
+	/* When the withdrawal of a key was acknowledged. */
+	std::map<std::string, int64_t> withdrawn_at;
+	/* Keys that were replaced since the last acknowledged publication. */
+	std::vector<std::string> replaced;
+	std::atomic<int> denied_wrongly{0};
+
+	explicit Soak(uint64_t n)
+	    : rng(n), soak_seed(n),
+	      with_tenants(n % TENANTS_EVERY == TENANTS_REMAINDER)
+	{
+		for (int i = 0; i < CALLERS; i++)
+			keys.push_back(with_tenants ? new_key(i) : LASTING_KEY);
+	}
+
+	std::string new_key(int caller)
+	{
+		return "key-" + std::to_string(caller) + "-" +
+		       std::to_string(last_key++);
+	}
+
+	std::string key_of(int caller)
+	{
+		std::lock_guard<std::mutex> g(lock);
+
+		return keys[caller];
+	}
+
+	Tenants tenants()
+	{
+		std::lock_guard<std::mutex> g(lock);
+		Tenants t = {{"lasting", {LASTING_KEY}}};
+
+		for (int i = 0; i < CALLERS; i++)
+			t.push_back({"t" + std::to_string(i), {keys[i]}});
+		return t;
+	}
+
+	/* Publishes a configuration with another key for a caller. An attempt
+	 * without an answer may have succeeded, so the next version is higher.
+	 */
+	void change_key(int caller)
+	{
+		std::lock_guard<std::mutex> publishing(publish_lock);
+		std::string old = key_of(caller);
+		int v;
+
+		{
+			std::lock_guard<std::mutex> g(lock);
+
+			keys[caller] = new_key(caller);
+		}
+		replaced.push_back(old);
+		d.set_tenants(tenants());
+		v = ++attempted_version;
+		if (d.publish_config(d.config_document(v)).status != 200)
+			return;
+		int64_t now = now_ms();
+		std::lock_guard<std::mutex> g(lock);
 
-	explicit Soak(uint64_t n) : rng(n), soak_seed(n)
+		for (const std::string &k : replaced)
+			withdrawn_at[k] = now;
+		replaced.clear();
+		if (v > acknowledged_version)
+			acknowledged_version = v;
+	}
+
+	void change_keys(uint64_t seed)
 	{
+		std::mt19937_64 r(seed);
+
+		while (!stop_callers) {
+			change_key((int)(r() % CALLERS));
+			usleep(KEY_CHANGE_MS * 1000);
+		}
 	}
 
-	/* Writes one item, in a transaction or as a single statement. */
-	std::string write(Session &s, const std::string &item, bool txn)
+	/* Writes one item, in a transaction or as a single statement. Sets when
+	 * the last statement was sent. */
+	std::string write(Session &s, const std::string &item, bool txn,
+			  int64_t *sent_at)
 	{
+		*sent_at = now_ms();
 		if (!txn)
 			return s.query("WRITE " + item + " " + item);
 		std::string a = s.query("BEGIN");
@@ -116,6 +209,7 @@
 			s.query("ROLLBACK");
 			return "ERROR ABORTED";
 		}
+		*sent_at = now_ms();
 		return s.query("COMMIT");
 	}
 
@@ -124,6 +218,8 @@
 		std::mt19937_64 r(seed);
 		Session s;
 		bool open = false;
+		std::string key = key_of(caller);
+		int64_t sent_at;
 
 		for (int i = 0; !stop_callers; i++) {
 			std::string item = "w" + std::to_string(caller) + "-" +
@@ -132,16 +228,18 @@
 			if (!open)
 				open = s.open(
 					d.client_addr((int)(r() % QUIET_PROXY)),
-					"tickets");
+					"tickets", key);
+			if (with_tenants && !open && r() % 20 == 0)
+				key = key_of(caller);
 			if (!open) {
 				usleep(20000);
 				continue;
 			}
-			std::string a = write(s, item, r() % 3 == 0);
+			std::string a = write(s, item, r() % 3 == 0, &sent_at);
 			{
 				std::lock_guard<std::mutex> g(lock);
-				writes.push_back(
-					{item, outcome_of(a), now_ms()});
+				writes.push_back({item, outcome_of(a), now_ms(),
+						  key, sent_at});
 				acknowledged_writes +=
 					outcome_of(a) == ACKNOWLEDGED;
 			}
@@ -149,6 +247,10 @@
 				read_back(s, item);
 			open = a != "closed" &&
 			       a.find("READY I") != std::string::npos;
+			/* A withdrawn key is tried for longer than the bound.
+			 */
+			if (a.rfind("ERROR DENIED", 0) == 0 && r() % 400 == 0)
+				open = false;
 			usleep((useconds_t)(r() % 8000));
 		}
 	}
@@ -222,6 +324,7 @@
 			if (item.empty())
 				continue;
 			answer = s.query("READ " + item);
+			denied_wrongly += answer.rfind("ERROR DENIED", 0) == 0;
 			aged_reads += answer.rfind("DATAROW ", 0) == 0;
 			if (answer.rfind("DATAROW none", 0) == 0 &&
 			    is_kept(item) && !too_old_reads++)
@@ -243,8 +346,11 @@
 
 	void publish(FaultThread &r)
 	{
+		std::lock_guard<std::mutex> publishing(publish_lock);
 		int v = acknowledged_version + 1 + r.pick(3);
 
+		if (with_tenants)
+			v = attempted_version += 1 + r.pick(3);
 		if (d.publish_config(d.config_document(v)).status == 200)
 			acknowledged_version = v;
 	}
@@ -450,6 +556,29 @@
 		}
 	}
 
+	/* Nothing was committed for a key that was withdrawn too long ago. */
+	void check_withdrawn_keys()
+	{
+		int late = 0;
+
+		for (const Write &w : writes) {
+			auto at = withdrawn_at.find(w.key);
+
+			if (at == withdrawn_at.end() ||
+			    w.sent_at <= at->second + KEY_LEASE_MS)
+				continue;
+			late++;
+			EXPECT_EQ("0",
+				  d.send_platform_command("ever " + w.item))
+				<< w.item << " sent " << w.sent_at - at->second
+				<< " ms after its key was withdrawn";
+			EXPECT_NE(ACKNOWLEDGED, w.outcome) << w.item;
+		}
+		EXPECT_EQ(0, denied_wrongly);
+		printf("%zu keys withdrawn, %d writes later than the bound\n",
+		       withdrawn_at.size(), late);
+	}
+
 	void run()
 	{
 		std::vector<std::thread> callers;
@@ -459,6 +588,8 @@
 		/* Acknowledged writes of a replaced primary count as lost. */
 		if (soak_seed % GOES_ON_EVERY == 0)
 			d.let_replaced_primaries_go_on();
+		if (with_tenants)
+			d.use_tenants(tenants(), KEY_LEASE_MS);
 		d.use_relay();
 		ASSERT_TRUE(d.start());
 		for (int i = 0; i < CALLERS; i++)
@@ -470,6 +601,9 @@
 				[this, n = rng()] { hold_transactions(n); });
 		for (int i = 0; i < PROXIES; i++)
 			callers.emplace_back([this, i] { read_aged(i); });
+		if (with_tenants)
+			callers.emplace_back(
+				[this, n = rng()] { change_keys(n); });
 		FaultThread control{std::mt19937_64(rng())};
 		FaultThread service{std::mt19937_64(rng())};
 		int64_t end = now_ms() + FAULT_MS;
@@ -502,6 +636,8 @@
 		for (std::thread &t : callers)
 			t.join();
 		check_writes();
+		if (with_tenants)
+			check_withdrawn_keys();
 		EXPECT_EQ(0, stale_reads) << "own reads that missed a write";
 		EXPECT_EQ(0, too_old_reads) << "of " << aged_reads;
 		std::string doc = d.read_config().body;
--- a/t/unit_front_key.cc
+++ b/t/unit_front_key.cc
@@ -11,6 +11,7 @@
 extern "C" {
 #include "counter.h"
 #include "front_priv.h"
+#include "link.h"
 #include "settings.h"
 }
 
@@ -129,7 +130,8 @@
 		ASSERT_GE(sodium_init(), 0);
 		strcpy(set.id, "p0");
 		strcpy(set.zone, "za");
-		strcpy(set.link, "127.0.0.1:0");
+		snprintf(set.link, sizeof(set.link), "%s",
+			 loopback::free_addr().c_str());
 		snprintf(set.listen, sizeof(set.listen), "%s",
 			 loopback::free_addr().c_str());
 		set.promoter_deposes = true;
@@ -497,6 +499,54 @@
 	EXPECT_TRUE(succeeds("QUERY 6 WRITE a 2"));
 }
 
+/* Guards against a job of another proxy that waits here until its key may not
+ * be used any more. */
+TEST_F(FrontKey, ARunnerChecksTheKeyOfAJob)
+{
+	struct Origin {
+		struct link *link = nullptr;
+		std::vector<struct msg_job_end> ends;
+	} origin;
+	struct link_handler h = {};
+	struct settings other = {};
+	struct msg job = {};
+
+	strcpy(other.id, "p1");
+	strcpy(other.zone, "za");
+	h.arg = &origin;
+	h.on_up = [](void *arg, struct link *l) { ((Origin *)arg)->link = l; };
+	h.on_message = [](void *arg, struct link *, const struct msg *end) {
+		if (end->type == MSG_JOB_END)
+			((Origin *)arg)->ends.push_back(end->u.job_end);
+	};
+	h.on_down = [](void *, struct link *) {};
+	struct link *l = link_open(loop, &other, "proxy", set.link, 9, &h);
+	ASSERT_TRUE(run_until([&] { return origin.link; }));
+	job.type = MSG_JOB;
+	strcpy(job.u.job.member, "m0");
+	strcpy(job.u.job.tenant, "acme");
+	job.u.job.send_timeout_ms = 2000;
+	job.u.job.job_request_id = {"r1", 2};
+	job.u.job.text = {"WRITE a 1", 9};
+	job.u.job.prepared_text = {"", 0};
+	job.u.job.arguments = {"", 0};
+	for (int64_t ms : {(int64_t)-1, (int64_t)1500, (int64_t)0}) {
+		job.u.job.job_number++;
+		job.u.job.authorized_ms = ms;
+		link_send(l, &job);
+	}
+	ASSERT_TRUE(run_until([&] { return origin.ends.size() == 3; }));
+	for (const struct msg_job_end &end : origin.ends) {
+		bool expired = end.job_number == 1;
+
+		EXPECT_EQ(expired ? DB_REFUSED : DB_DONE, end.status);
+		EXPECT_EQ(!expired, end.sent);
+		EXPECT_TRUE(!expired || end.error == LINE_E_KEY_EXPIRED);
+	}
+	EXPECT_EQ(2, m.count("WRITE a 1"));
+	link_free(l);
+}
+
 /* Guards against keys that stay in the memory of a proxy. */
 TEST_F(FrontKey, OverwritesTheKey)
 {
