--- a/msg.c
+++ b/msg.c
@@ -358,6 +358,24 @@
 	INT(msg_job_end, txn_status_char),
 	INT(msg_job_end, kept_conn_id)};
 
+static const struct msg_field rate_demand_fields[] = {
+	STR(rate_demand, tenant),      INT(rate_demand, tokens),
+	INT(rate_demand, waiting),     INT(rate_demand, demand_milli),
+	INT(rate_demand, share_milli), INT(rate_demand, share_burst)};
+
+static const struct msg_field rate_ask_fields[] = {
+	INT(msg_rate_ask, seq),
+	LIST(msg_rate_ask, demands, rate_demand, rate_demand_fields)};
+
+static const struct msg_field rate_grant_entry_fields[] = {
+	STR(rate_grant, tenant),      INT(rate_grant, tokens),
+	INT(rate_grant, wait_ms),     INT(rate_grant, valid_ms),
+	INT(rate_grant, share_milli), INT(rate_grant, share_burst)};
+
+static const struct msg_field rate_grant_fields[] = {
+	INT(msg_rate_grant, seq), INT(msg_rate_grant, res),
+	LIST(msg_rate_grant, grants, rate_grant, rate_grant_entry_fields)};
+
 static const struct msg_field job_cancel_fields[] = {
 	INT(msg_job_cancel, job_number)};
 static const struct msg_field pin_end_fields[] = {
@@ -395,7 +413,8 @@
 	LAYOUT(CONFIG, config),	    LAYOUT(PUBLISH, publish),
 	LAYOUT(ROUTES, routes),	    LAYOUT(JOB, job),
 	LAYOUT(JOB_END, job_end),   LAYOUT(JOB_CANCEL, job_cancel),
-	LAYOUT(PIN_END, pin_end),   LAYOUT(PIN_LOST, pin_lost)};
+	LAYOUT(PIN_END, pin_end),   LAYOUT(PIN_LOST, pin_lost),
+	LAYOUT(RATE_ASK, rate_ask), LAYOUT(RATE_GRANT, rate_grant)};
 
 static const struct msg_layout *msg_find_layout(int64_t type)
 {
--- a/msg.h
+++ b/msg.h
@@ -80,7 +80,10 @@
 	MSG_JOB_END = 45,
 	MSG_JOB_CANCEL = 46,
 	MSG_PIN_END = 47,
-	MSG_PIN_LOST = 48
+	MSG_PIN_LOST = 48,
+	/* rate limits of tenants, see ratelim.h */
+	MSG_RATE_ASK = 49,
+	MSG_RATE_GRANT = 50
 };
 
 /* First message that each side of a link sends. */
@@ -574,6 +577,44 @@
 	int64_t kept_conn_id;
 };
 
+/* What a proxy needs for a tenant and what it has, see ratelim.h. */
+struct rate_demand {
+	char tenant[ID_LEN];
+	int64_t tokens; /* wanted, those for the waiting operations included */
+	int64_t waiting; /* operations that wait for a token */
+	int64_t demand_milli; /* thousandths of an operation a second; 0 if the
+			       * proxy needs no share */
+	int64_t share_milli; /* share that the proxy has, likewise */
+	int64_t share_burst; /* capacity of its local bucket, millionths of an
+			      * operation */
+};
+
+/* Request of a proxy to the control leader for tokens and shares. */
+struct msg_rate_ask {
+	int64_t seq;
+	struct rate_demand *demands;
+	int64_t ndemands;
+};
+
+/* Tokens and the share of a tenant for a proxy. */
+struct rate_grant {
+	char tenant[ID_LEN];
+	int64_t tokens;
+	int64_t wait_ms; /* until more can be had; 0 if all were given */
+	int64_t valid_ms; /* of the tokens, counted from when the ask was sent;
+			   * 0 if the tenant has no limit */
+	int64_t share_milli; /* replaces the share that the proxy had */
+	int64_t share_burst;
+};
+
+/* Answer to MSG_RATE_ASK. */
+struct msg_rate_grant {
+	int64_t seq; /* of the request */
+	int64_t res; /* enum res: OK or NOT_LEADER */
+	struct rate_grant *grants;
+	int64_t ngrants;
+};
+
 struct msg {
 	enum msg_type type;
 	union {
@@ -607,6 +648,8 @@
 		struct msg_job_cancel job_cancel;
 		struct msg_pin_end pin_end;
 		struct msg_pin_lost pin_lost;
+		struct msg_rate_ask rate_ask;
+		struct msg_rate_grant rate_grant;
 	} u;
 	void *decode_memory; /* msgpack_zone with the memory of a decoded
 				message */
--- a/t/unit_damaged.cc
+++ b/t/unit_damaged.cc
@@ -107,6 +107,8 @@
 		struct backend_info backend = {};
 		struct group_info group = {};
 		struct term_start start = {3, 9};
+		struct rate_demand demand = {"t", 1, 2, 3, 4, 5};
+		struct rate_grant grant = {"t", 1, 2, 3, 4, 5};
 
 		strcpy(backend.id, "m0");
 		strcpy(group.name, "g1");
@@ -122,6 +124,14 @@
 				m.u.ask.backend_announcements = &backend;
 				m.u.ask.nbackend_announcements = 1;
 			}
+			if (m.type == MSG_RATE_ASK) {
+				m.u.rate_ask.demands = &demand;
+				m.u.rate_ask.ndemands = 1;
+			}
+			if (m.type == MSG_RATE_GRANT) {
+				m.u.rate_grant.grants = &grant;
+				m.u.rate_grant.ngrants = 1;
+			}
 			if (m.type == MSG_ANSWER) {
 				m.u.answer.groups = &group;
 				m.u.answer.ngroups = 1;
--- a/t/unit_msg.cc
+++ b/t/unit_msg.cc
@@ -106,3 +106,33 @@
 	msg_free(&out);
 	buf_free(&b);
 }
+
+/* Guards against fields of an entry that are exchanged or left out, by which a
+ * proxy would take a share for tokens. */
+TEST(Msg, RateLimitsRoundTrip)
+{
+	struct rate_demand d = {"shop", 1, 2, 3, 4, 5};
+	struct rate_grant g = {"shop", 6, 7, 8, 9, 10};
+	struct buf b = BUF_INIT;
+	struct msg m = {};
+
+	m.type = MSG_RATE_ASK;
+	m.u.rate_ask = {77, &d, 1};
+	msg_encode(&m, &b);
+	struct msg out = decode(&b, RES_OK);
+	EXPECT_EQ(77, out.u.rate_ask.seq);
+	ASSERT_EQ(1, out.u.rate_ask.ndemands);
+	EXPECT_EQ(0, memcmp(&d, out.u.rate_ask.demands, sizeof(d)));
+	msg_free(&out);
+	buf_free(&b);
+	m.type = MSG_RATE_GRANT;
+	m.u.rate_grant = {77, RES_NOT_LEADER, &g, 1};
+	msg_encode(&m, &b);
+	out = decode(&b, RES_OK);
+	EXPECT_EQ(77, out.u.rate_grant.seq);
+	EXPECT_EQ(RES_NOT_LEADER, out.u.rate_grant.res);
+	ASSERT_EQ(1, out.u.rate_grant.ngrants);
+	EXPECT_EQ(0, memcmp(&g, out.u.rate_grant.grants, sizeof(g)));
+	msg_free(&out);
+	buf_free(&b);
+}
