front, control: enforce the tenants' rate limits

A grant wakes the waiting sessions at once. A further attempt after one that was sent takes another token; without one a read is not hedged. The token of an operation that was not sent goes back.

Only where rate_window_ms is set, and only for tenants with a rate; elsewhere nothing changes and no message is sent. The caller's tenant is that of the job, which is empty so far.

--- a/control.c
+++ b/control.c
@@ -294,6 +294,18 @@
 	link_send(x->link, &answer);
 }
 
+/* At once, as above: the tokens rest on that authority, too. */
+static void control_on_rate_ask(struct control *c,
+				const struct control_client *x,
+				const struct msg_rate_ask *ask)
+{
+	struct msg answer;
+
+	if (ctl_answer_rate_ask(c->ctl, link_peer_uuid(x->link), ask, clk_now(),
+				&answer))
+		link_send(x->link, &answer);
+}
+
 static void control_on_proxy_message(struct control *c,
 				     const struct control_client *x,
 				     const struct msg *m)
@@ -302,6 +314,9 @@
 	case MSG_ASK:
 		control_on_ask(c, x, &m->u.ask);
 		break;
+	case MSG_RATE_ASK:
+		control_on_rate_ask(c, x, &m->u.rate_ask);
+		break;
 	case MSG_APPLY:
 		ctl_apply(c->ctl, x->number, &m->u.apply, clk_wall(),
 			  clk_now());
--- a/counter.h
+++ b/counter.h
@@ -28,7 +28,7 @@
 	X(log_synced) X(log_torn) X(cfg_conflicts) X(cfg_resends) \
 	X(backends_announced) X(backends_silenced) X(bad_input) \
 	X(http_evicted) X(held_up) X(slow_syncs) X(positions_contradicted) \
-	X(samples_ahead)
+	X(samples_ahead) X(rate_asks)
 /* clang-format on */
 
 enum cnt {
--- a/ctl_core.c
+++ b/ctl_core.c
@@ -31,6 +31,11 @@
 	c->failover = fo_new(&fo, c->state);
 	c->quota = quota_server_new(set->grant_ms);
 	c->promotion = pro_new(c->state);
+	if (set->rate_window_ms)
+		c->rates = rl_server_new(
+			&(struct rl_config){.window_ms = set->rate_window_ms,
+					    .excess = set->rate_excess,
+					    .slack = set->rate_slack});
 	/* A voter may restart and vote for another leader while the old one
 	 * still counts its answer. */
 	if (set->controls_from_seeds && !set->promoter_deposes)
@@ -65,6 +70,7 @@
 	rt_unref(c->routes);
 	pro_free(c->promotion);
 	quota_server_free(c->quota);
+	rl_server_free(c->rates);
 	fo_free(c->failover);
 	state_free(c->state);
 	raft_free(c->raft);
@@ -232,6 +238,8 @@
 	c->last_answer_seq = raft_term(c->raft) << 32;
 	ctl_registry_start(c, now);
 	quota_server_start_term(c->quota, c->leader_since_ms);
+	if (c->rates)
+		rl_server_start_term(c->rates, c->leader_since_ms);
 	if (c->settings->controls_from_seeds)
 		pro_start_leading(c->promotion, raft_term(c->raft), now);
 	else
--- a/ctl_core.h
+++ b/ctl_core.h
@@ -119,6 +119,15 @@
 		    const char *zone, const struct msg_ask *ask, clk_ms now,
 		    struct msg *answer);
 
+/*
+ * Answers an ask for tokens (ratelim.h) of the proxy process with a uuid. As
+ * above, now must be read after the ask was received. Returns false if there is
+ * no answer. The answer is valid until the next call.
+ */
+bool ctl_answer_rate_ask(struct ctl *c, int64_t uuid,
+			 const struct msg_rate_ask *ask, clk_ms now,
+			 struct msg *answer);
+
 /* Operators' requests, answered by CTL_REPLY. wall is the wall-clock time that
  * is recorded for a new version of the lists. */
 void ctl_apply(struct ctl *c, int64_t client, const struct msg_apply *m,
--- a/ctl_priv.h
+++ b/ctl_priv.h
@@ -11,6 +11,7 @@
 
 #include "ctl_core.h"
 #include "quota.h"
+#include "ratelim.h"
 
 #include <uthash.h>
 
@@ -105,6 +106,7 @@
 	struct ctl_ticket *tickets;
 	size_t ntickets;
 	struct quota_server *quota;
+	struct rl_server *rates; /* NULL if there are no rate limits */
 	bool leading; /* is leader and applied an entry of its term */
 	clk_ms leader_since_ms;
 	int64_t last_answer_seq;
--- a/ctl_proxy.c
+++ b/ctl_proxy.c
@@ -283,6 +283,25 @@
 	ask_fill_quota(c, proxy, ask, now, a);
 }
 
+bool ctl_answer_rate_ask(struct ctl *c, int64_t uuid,
+			 const struct msg_rate_ask *ask, clk_ms now,
+			 struct msg *answer)
+{
+	struct msg_rate_grant *g = &answer->u.rate_grant;
+
+	memset(answer, 0, sizeof(*answer));
+	answer->type = MSG_RATE_GRANT;
+	if (c->rates && ctl_may_act(c, now)) {
+		cnt_add(CNT_rate_asks, 1);
+		return rl_server_handle_ask(c->rates, c->routes, uuid, ask, now,
+					    g);
+	}
+	cnt_add_refusal(RES_NOT_LEADER);
+	g->seq = ask->seq;
+	g->res = RES_NOT_LEADER;
+	return true;
+}
+
 /*
  * A pushed answer contains only records and versions. It refers to no ask, so
  * it grants no lease and no quota.
--- a/entry.c
+++ b/entry.c
@@ -157,6 +157,20 @@
 	front_put_wanted_groups(p->fronts, out, now);
 }
 
+static void entry_on_rate_grant(void *arg, const struct msg_rate_grant *g)
+{
+	struct entry *p = arg;
+
+	front_take_rate_grant(p->fronts, g);
+}
+
+static bool entry_send_rate_ask(void *arg, const struct msg_rate_ask *ask)
+{
+	struct entry *p = arg;
+
+	return uplink_ask_rate(p->uplink, ask);
+}
+
 static void entry_on_urgent(void *arg)
 {
 	struct entry *p = arg;
@@ -177,11 +191,13 @@
 		.collect_samples = entry_own_samples,
 		.on_peer_sample = entry_on_sample,
 		.append_wanted_groups = entry_put_wanted_groups,
+		.on_rate_grant = entry_on_rate_grant,
 		.on_new_routes = entry_on_routes};
 
 	cfg.uuid = p->uuid;
 	p->uplink = uplink_new(&cfg);
 	front_on_urgent(p->fronts, entry_on_urgent, p);
+	front_on_rate_ask(p->fronts, entry_send_rate_ask, p);
 }
 
 static void entry_metrics(void *arg, struct buf *text)
@@ -192,6 +208,7 @@
 		 front_count(p->fronts), front_connections(p->fronts));
 	metrics_add_histogram(text, "statement_latency",
 			      front_latency(p->fronts));
+	front_put_tenant_metrics(p->fronts, text);
 }
 
 static void entry_check_cut_off(struct entry *p, clk_ms now)
--- a/front.c
+++ b/front.c
@@ -126,6 +126,7 @@
 			front_unwatch(s);
 	}
 	front_report_suspects(f, now);
+	front_cap_tick(f, now);
 }
 
 struct front_server *front_new(struct ev_loop *loop, const struct settings *set)
@@ -143,6 +144,7 @@
 		      FRONT_TICK_MS / 1000.0);
 	f->tick.data = f;
 	ev_timer_start(loop, &f->tick);
+	front_cap_init(f);
 	return f;
 }
 
@@ -161,6 +163,7 @@
 	free(f->groups);
 	free(f->proxy_list);
 	rt_unref(f->routes);
+	front_cap_free(f);
 	hist_free(f->latency);
 	free(f);
 }
--- a/front.h
+++ b/front.h
@@ -86,6 +86,20 @@
  * missing or was just learned. */
 void front_on_urgent(struct front_server *f, void (*fn)(void *arg), void *arg);
 
+/*
+ * Rate limits of tenants (ratelim.h). Sets the function that sends an ask to
+ * the control leader and returns false if none is known, and takes the leader's
+ * grant.
+ */
+void front_on_rate_ask(struct front_server *f,
+		       bool (*send)(void *arg, const struct msg_rate_ask *ask),
+		       void *arg);
+void front_take_rate_grant(struct front_server *f,
+			   const struct msg_rate_grant *g);
+
+/* Appends the metrics of the tenants. */
+void front_put_tenant_metrics(struct front_server *f, struct buf *text);
+
 /* Closes each session once it is idle, until called with false. */
 void front_drain(struct front_server *f, bool drain);
 
--- a/front_control.c
+++ b/front_control.c
@@ -105,6 +105,7 @@
 	rt_unref(f->routes);
 	f->routes = rt_ref(r);
 	front_assign_slices(f);
+	front_cap_take_routes(f);
 }
 
 const struct route_table *front_routes(const struct front_server *f)
--- a/front_priv.h
+++ b/front_priv.h
@@ -5,14 +5,15 @@
  * Shared by front.c (connections of callers), front_session.c (what a session
  * answers itself), front_run.c (one statement at the backends), front_send.c
  * (running a job here or by another proxy), front_choose_member.c (choice of
- * the member) and front_control.c (state received from control and reported to
- * it).
+ * the member), front_cap.c (rate limits of tenants) and front_control.c (state
+ * received from control and reported to it).
  */
 
 #include "db.h"
 #include "freshness.h"
 #include "front.h"
 #include "net.h"
+#include "ratelim.h"
 #include "retry.h"
 
 #include <ev.h>
@@ -155,6 +156,11 @@
 	struct buf held_answer;
 	struct pos held_pos;
 	enum res reason; /* why it was not run so far */
+	/* Rate limit of the tenant, see front_cap.c. */
+	struct rl_token token; /* for the next try; held until it is sent */
+	bool token_asked; /* it was counted */
+	bool token_waits; /* waits for a grant of tokens, until: */
+	clk_ms token_wait_until;
 };
 
 struct front_session {
@@ -216,6 +222,12 @@
 	bool refuse_without_lease;
 	void (*on_urgent)(void *arg);
 	void *arg;
+	/* Rate limits of tenants; NULL if there are none. */
+	struct rl_client *caps;
+	ev_prepare caps_prepare; /* sends asks once per turn of the loop */
+	clk_ms caps_logged_at;
+	bool (*on_rate_ask)(void *arg, const struct msg_rate_ask *ask);
+	void *rate_arg;
 	/* when on_urgent was last called for a suspected primary */
 	clk_ms suspect_reported;
 	clk_ms early_ask_at; /* when on_urgent was last called for a position */
@@ -250,6 +262,12 @@
 void front_run_tick(struct front_session *s, clk_ms now);
 void front_run_abort(struct front_session *s);
 
+/* Tries a statement again that waits for a token. */
+void front_run_on_token(struct front_session *s, clk_ms now);
+
+/* Refuses the statement since its tenant has reached its rate limit. */
+void front_run_refuse_rate(struct front_session *s, clk_ms retry_ms);
+
 /* Gives up the statement under way and answers it. */
 void front_run_expire(struct front_session *s);
 
@@ -288,6 +306,37 @@
  */
 void front_give_up_kept(struct front_session *s);
 
+/* front_cap.c */
+void front_cap_init(struct front_server *f);
+void front_cap_free(struct front_server *f);
+void front_cap_tick(struct front_server *f, clk_ms now);
+void front_cap_take_routes(struct front_server *f);
+
+/* Starts a statement without a token. */
+void front_cap_start(struct front_session *s);
+
+/*
+ * Takes the token for sending the first statement of an operation, unless the
+ * session holds one. If there is none, the statement has been refused or waits
+ * for one, and false is returned.
+ */
+bool front_cap_take(struct front_session *s, clk_ms now);
+
+/* True if another token can be taken, for sending the statement again. */
+bool front_cap_may_repeat(const struct front_session *s, clk_ms now);
+
+/* True if the token of a statement that waits to be sent has lapsed. */
+bool front_cap_lapsed(const struct front_session *s, clk_ms now);
+
+/* Until when a statement may be sent. */
+clk_ms front_cap_limit(const struct front_session *s);
+
+/* The statement was sent: its token is used up. */
+void front_cap_sent(struct front_session *s);
+
+/* The statement has ended; a token that was not used goes back. */
+void front_cap_end(struct front_session *s, clk_ms now);
+
 /* front_choose_member.c */
 struct db_member *front_primary(const struct front_group *g);
 
--- a/front_run.c
+++ b/front_run.c
@@ -43,6 +43,7 @@
 
 static void run_end(struct front_session *s)
 {
+	front_cap_end(s, clk_now());
 	s->run.active = false;
 	s->job_runs = false;
 	s->run.answer_held = false;
@@ -58,8 +59,8 @@
 	s->txn_has_writes = false;
 }
 
-/* Answers the statement with an error of this proxy. */
-static void run_refuse(struct front_session *s, enum res r, const char *member)
+static void run_refuse_with(struct front_session *s, enum res r,
+			    const char *member, const char *text)
 {
 	bool in_txn = s->txn != FRONT_NONE && !s->run.commits;
 
@@ -69,11 +70,17 @@
 		run_clear_txn(s);
 	else if (in_txn)
 		s->txn = FRONT_FAILED;
-	front_refuse(s, r, res_text(r));
+	front_refuse(s, r, text);
 	run_end(s);
 	front_process_input(s);
 }
 
+/* Answers the statement with an error of this proxy. */
+static void run_refuse(struct front_session *s, enum res r, const char *member)
+{
+	run_refuse_with(s, r, member, res_text(r));
+}
+
 /* Called when the connection of a transaction failed between two statements, or
  * before a statement that found no free slot was tried again. */
 static void run_lost_kept(void *arg)
@@ -380,6 +387,8 @@
 
 	snprintf(member, sizeof(member), "%s", s->job_member);
 	s->job_runs = false;
+	if (r->sent)
+		front_cap_sent(s);
 	switch (r->status) {
 	case DB_DONE:
 		run_succeeded(s, r);
@@ -562,6 +571,7 @@
 	struct front_run *run = &s->run;
 
 	front_watch(s);
+	front_cap_start(s);
 	run->retry_at = 0;
 	run->tries = 0;
 	run->sent = false;
@@ -594,6 +604,25 @@
 	run_try(s, now);
 }
 
+void front_run_on_token(struct front_session *s, clk_ms now)
+{
+	if (s->run.active && s->run.token_waits && !s->job_runs)
+		run_try(s, now);
+}
+
+void front_run_refuse_rate(struct front_session *s, clk_ms retry_ms)
+{
+	char text[64];
+
+	if (s->run.sent) {
+		run_refuse(s, run_lost_reason(s), s->job_member);
+		return;
+	}
+	snprintf(text, sizeof(text), "retry after %lld ms",
+		 (long long)retry_ms);
+	run_refuse_with(s, RES_RATE_LIMIT, "", text);
+}
+
 void front_run_expire(struct front_session *s)
 {
 	enum res r = s->run.reason;
@@ -666,7 +695,11 @@
 	} else if (!s->job_runs) {
 		if (now >= run->retry_at)
 			run_try(s, now);
-	} else if (run_should_hedge(s, now) && run_may_hedge(s)) {
+	} else if (front_cap_lapsed(s, now)) {
+		front_cancel(s);
+		run_try(s, now);
+	} else if (run_should_hedge(s, now) && front_cap_may_repeat(s, now) &&
+		   run_may_hedge(s)) {
 		cnt_add(CNT_retry_slow, 1);
 		snprintf(run->avoid_member, ID_LEN, "%s", s->job_member);
 		run->sent = true;
@@ -683,6 +716,7 @@
 	else
 		front_release_kept(s);
 	front_forget_kept(s);
+	front_cap_end(s, clk_now());
 	s->run.active = false;
 	buf_free(&s->run.held_answer);
 	buf_free(&s->run.line);
--- a/front_send.c
+++ b/front_send.c
@@ -91,12 +91,14 @@
 {
 	struct front_server *f = s->server;
 
+	if (!front_cap_take(s, now))
+		return;
 	memcpy(s->job_member, m->info.id, ID_LEN);
 	s->job_runs = true;
 	s->run.tries++;
 	if (f->slice_count && !s->run.bypass_runner &&
 	    relay_start(f->relay, m, front_slice(f, s->group), &s->job,
-			s->run.deadline, now))
+			front_cap_limit(s), now))
 		return;
 	db_start(m, &s->job, now);
 }
@@ -182,6 +184,8 @@
 
 void front_cancel(struct front_session *s)
 {
+	if (s->job.sent)
+		front_cap_sent(s);
 	if (s->job.relay)
 		relay_cancel(&s->job);
 	else
--- a/t/unit_ctl.cc
+++ b/t/unit_ctl.cc
@@ -23,6 +23,7 @@
 	clk_ms now = 1000;
 	int64_t seq = 0, backend_calls = 0;
 	bool seeded = false;
+	clk_ms rate_window_ms = 0;
 	bool supported = false; /* the last answer supported the lease */
 
 	void SetUp() override
@@ -43,6 +44,8 @@
 			s.controls_from_seeds = seeded;
 			s.bootstrap = seeded;
 			s.promoter_deposes = !seeded;
+			s.rate_window_ms = rate_window_ms;
+			s.rate_slack = 20;
 			c[i] = ctl_new(&s, 10 + i, rng, now);
 		}
 		announce_peers();
@@ -370,3 +373,96 @@
 	run(300);
 	EXPECT_GE(raft_voter_back_at(ctl_raft(c[at])), now - 300);
 }
+
+/* The same with rate limits of tenants. */
+struct CtlRates : CtlSeeded {
+	int64_t ask_seq = 0;
+
+	CtlRates()
+	{
+		rate_window_ms = 5000;
+	}
+
+	void publish(int at)
+	{
+		struct route_table *r = rt_new();
+		struct buf packed = BUF_INIT;
+		struct msg_publish p = {};
+
+		r->version = p.version = 1;
+		r->has_tenants = true;
+		r->ntenants = 1;
+		r->tenants = (struct rt_tenant *)calloc(1, sizeof(rt_tenant));
+		strcpy(r->tenants[0].name, "shop");
+		r->tenants[0].rate_milli = 20000;
+		r->tenants[0].burst_milli = 20000;
+		rt_encode(r, &packed, &p.unpacked_routes_size);
+		p.config_text = {"{}", 2};
+		p.packed_routes = blob_from_buf(&packed);
+		ctl_publish(c[at], 1, &p, now);
+		execute_actions(at);
+		buf_free(&packed);
+		rt_unref(r);
+		run(300);
+	}
+
+	/* Tokens that an instance grants for many operations; -1 if it answers
+	 * that it does not lead. */
+	int64_t tokens(int i)
+	{
+		struct rate_demand d = {"shop", 1000, 1000, 0, 0, 0};
+		struct msg_rate_ask a = {++ask_seq, &d, 1};
+		struct msg m;
+
+		EXPECT_TRUE(ctl_answer_rate_ask(c[i], 7, &a, now, &m));
+		EXPECT_EQ(MSG_RATE_GRANT, m.type);
+		EXPECT_EQ(a.seq, m.u.rate_grant.seq);
+		if (m.u.rate_grant.res)
+			return -1;
+		return m.u.rate_grant.ngrants ? m.u.rate_grant.grants[0].tokens
+					      : 0;
+	}
+};
+
+/*
+ * Guards against tokens from an instance that may not act as the leader, and
+ * against a new leader that starts with more than the time since its election
+ * gives.
+ */
+TEST_F(CtlRates, OnlyTheLeaderGrantsTokensAndANewOneStartsEmpty)
+{
+	int at = elect(5000);
+
+	ASSERT_GE(at, 0);
+	publish(at);
+	run(6000);
+	for (int i = 0; i < 3; i++)
+		if (i == at)
+			EXPECT_GE(tokens(i), 10);
+		else
+			EXPECT_EQ(-1, tokens(i));
+	disconnected[at] = true;
+	clk_ms cut = now;
+	while (tokens(at) >= 0) {
+		step();
+		ASSERT_LE(now - cut, 500);
+	}
+	int next = elect(5000);
+	ASSERT_GE(next, 0);
+	EXPECT_EQ(-1, tokens(at));
+	/* Half of 20 operations a second, at most since the cut. */
+	EXPECT_LE(tokens(next), (now - cut) / 100 + 1);
+}
+
+/* Guards against answers to rate asks in a deployment without rate limits. */
+TEST_F(CtlSeeded, WithoutRateLimitsNobodyGrantsTokens)
+{
+	int at = elect(5000);
+	struct rate_demand d = {"shop", 1, 1, 0, 0, 0};
+	struct msg_rate_ask a = {1, &d, 1};
+	struct msg m;
+
+	ASSERT_GE(at, 0);
+	EXPECT_TRUE(ctl_answer_rate_ask(c[at], 7, &a, now, &m));
+	EXPECT_EQ(RES_NOT_LEADER, m.u.rate_grant.res);
+}
--- a/uplink.c
+++ b/uplink.c
@@ -328,6 +328,11 @@
 		else if (m->u.answer.res == RES_OK)
 			upl_apply_push(c->uplink, &m->u.answer);
 		break;
+	case MSG_RATE_GRANT:
+		if (c->uplink->cfg.on_rate_grant)
+			c->uplink->cfg.on_rate_grant(c->uplink->cfg.arg,
+						     &m->u.rate_grant);
+		break;
 	case MSG_ROWS:
 		upl_finish_request(c->uplink, m->u.rows.seq,
 				   (enum res)m->u.rows.res, m);
@@ -456,6 +461,17 @@
 	uplink_report_soon(u);
 }
 
+bool uplink_ask_rate(struct uplink *u, const struct msg_rate_ask *ask)
+{
+	int leader = ask_leader(u->ask);
+	struct msg m = {.type = MSG_RATE_ASK, .u.rate_ask = *ask};
+
+	if (leader < 0)
+		return false;
+	link_send(u->controls[leader].link, &m);
+	return true;
+}
+
 void uplink_announce(struct uplink *u, const struct backend_info *b)
 {
 	const struct backend_info *known = view_backend(u->cfg.view, b->id);
--- a/uplink.h
+++ b/uplink.h
@@ -89,6 +89,9 @@
 	 * struct msg_ask. */
 	void (*append_wanted_groups)(void *arg, struct buf *out, clk_ms now);
 
+	/* A grant of the leader for an ask of uplink_ask_rate(). */
+	void (*on_rate_grant)(void *arg, const struct msg_rate_grant *g);
+
 	/* Receives a published configuration that is newer than the one held.
 	 */
 	void (*on_new_routes)(void *arg, struct route_table *r);
@@ -112,6 +115,10 @@
  */
 void uplink_add_controls(struct uplink *u, const struct settings *set);
 
+/* Sends an ask for tokens (ratelim.h) to the control instance that last
+ * answered as the leader; false if there is none. */
+bool uplink_ask_rate(struct uplink *u, const struct msg_rate_ask *ask);
+
 /* Reports to the leader that a backend announced itself or that it leaves. */
 void uplink_announce(struct uplink *u, const struct backend_info *b);
 
