--- a/counter.h
+++ b/counter.h
@@ -30,7 +30,7 @@
 	X(backends_announced) X(backends_silenced) X(bad_input) \
 	X(http_evicted) X(held_up) X(slow_syncs) X(positions_contradicted) \
 	X(samples_ahead) X(key_expired_unsent) X(key_lease_ended) \
-	X(key_withdrawn_txns)
+	X(key_withdrawn_txns) X(rate_asks)
 /* clang-format on */
 
 enum cnt {
