t/lib_keys: keys that the soak withdraws, in a file of their own

Change: class Keys holds which keys are in force and when withdrawals were acknowledged. The soak also checks that members are told no keys.

--- a/t/sys_platform_soak.cc
+++ b/t/sys_platform_soak.cc
@@ -3,11 +3,11 @@
 #include <atomic>
 #include <filesystem>
 #include <fstream>
-#include <map>
 #include <mutex>
 #include <random>
 #include <thread>
 
+#include "lib_keys.h"
 #include "lib_platform.h"
 
 using namespace platform;
@@ -91,7 +91,6 @@
 constexpr int TENANTS_REMAINDER = 2;
 constexpr int KEY_LEASE_MS = 1500; /* also the bound after a withdrawal */
 constexpr int KEY_CHANGE_MS = 300; /* pause between two withdrawals */
-const char *const LASTING_KEY = "test"; /* is never withdrawn */
 
 struct Soak {
 	Deployment d{3, PROXIES, 3};
@@ -113,44 +112,18 @@
 	bool with_tenants;
 	std::mutex publish_lock;
 	int attempted_version = 1;
-	int last_key = 0;
-	/* By caller: the key that is in force, or will be. */
-	std::vector<std::string> keys;
-	/* When the withdrawal of a key was acknowledged. */
-	std::map<std::string, int64_t> withdrawn_at;
-	/* Keys that were replaced since the last acknowledged publication. */
-	std::vector<std::string> replaced;
+	Keys keys{CALLERS};
 	std::atomic<int> denied_wrongly{0};
 
 	explicit Soak(uint64_t n)
 	    : rng(n), soak_seed(n),
 	      with_tenants(n % TENANTS_EVERY == TENANTS_REMAINDER)
 	{
-		for (int i = 0; i < CALLERS; i++)
-			keys.push_back(with_tenants ? new_key(i) : LASTING_KEY);
-	}
-
-	std::string new_key(int caller)
-	{
-		return "key-" + std::to_string(caller) + "-" +
-		       std::to_string(last_key++);
 	}
 
 	std::string key_of(int caller)
 	{
-		std::lock_guard<std::mutex> g(lock);
-
-		return keys[caller];
-	}
-
-	Tenants tenants()
-	{
-		std::lock_guard<std::mutex> g(lock);
-		Tenants t = {{"lasting", {LASTING_KEY}}};
-
-		for (int i = 0; i < CALLERS; i++)
-			t.push_back({"t" + std::to_string(i), {keys[i]}});
-		return t;
+		return with_tenants ? keys.key_of(caller) : LASTING_KEY;
 	}
 
 	/* Publishes a configuration with another key for a caller. An attempt
@@ -159,27 +132,14 @@
 	void change_key(int caller)
 	{
 		std::lock_guard<std::mutex> publishing(publish_lock);
-		std::string old = key_of(caller);
-		int v;
-
-		{
-			std::lock_guard<std::mutex> g(lock);
+		int v = ++attempted_version;
 
-			keys[caller] = new_key(caller);
-		}
-		replaced.push_back(old);
-		d.set_tenants(tenants());
-		v = ++attempted_version;
+		keys.replace(caller);
+		d.set_tenants(keys.tenants());
 		if (d.publish_config(d.config_document(v)).status != 200)
 			return;
-		int64_t now = now_ms();
-		std::lock_guard<std::mutex> g(lock);
-
-		for (const std::string &k : replaced)
-			withdrawn_at[k] = now;
-		replaced.clear();
-		if (v > acknowledged_version)
-			acknowledged_version = v;
+		keys.acknowledged();
+		acknowledged_version = v;
 	}
 
 	void change_keys(uint64_t seed)
@@ -562,21 +522,23 @@
 		int late = 0;
 
 		for (const Write &w : writes) {
-			auto at = withdrawn_at.find(w.key);
+			int64_t at = keys.withdrawn_at(w.key);
 
-			if (at == withdrawn_at.end() ||
-			    w.sent_at <= at->second + KEY_LEASE_MS)
+			if (at < 0 || w.sent_at <= at + KEY_LEASE_MS)
 				continue;
 			late++;
 			EXPECT_EQ("0",
 				  d.send_platform_command("ever " + w.item))
-				<< w.item << " sent " << w.sent_at - at->second
+				<< w.item << " sent " << w.sent_at - at
 				<< " ms after its key was withdrawn";
 			EXPECT_NE(ACKNOWLEDGED, w.outcome) << w.item;
 		}
 		EXPECT_EQ(0, denied_wrongly);
+		EXPECT_EQ(std::string::npos,
+			  d.send_platform_command("tenants").find("key-"))
+			<< "members are told no keys";
 		printf("%zu keys withdrawn, %d writes later than the bound\n",
-		       withdrawn_at.size(), late);
+		       keys.withdrawn(), late);
 	}
 
 	void run()
@@ -589,7 +551,7 @@
 		if (soak_seed % GOES_ON_EVERY == 0)
 			d.let_replaced_primaries_go_on();
 		if (with_tenants)
-			d.use_tenants(tenants(), KEY_LEASE_MS);
+			d.use_tenants(keys.tenants(), KEY_LEASE_MS);
 		d.use_relay();
 		ASSERT_TRUE(d.start());
 		for (int i = 0; i < CALLERS; i++)
