ratelim: let the leader set the interval between asks

Cause: in a simulation of 560 proxies, 650 tenants and 240,000 operations/s the leader got 25,964 asks/s, as each proxy sends one after the other.

Change: the grant names the least time between two asks, which grows with the number of proxies so that at most 4,000 asks/s come; 83 proxies stay at 20 ms.

--- a/msg.c
+++ b/msg.c
@@ -374,7 +374,8 @@
 
 static const struct msg_field rate_grant_fields[] = {
 	INT(msg_rate_grant, seq), INT(msg_rate_grant, res),
-	LIST(msg_rate_grant, grants, rate_grant, rate_grant_entry_fields)};
+	LIST(msg_rate_grant, grants, rate_grant, rate_grant_entry_fields),
+	INT(msg_rate_grant, ask_interval_ms)};
 
 static const struct msg_field job_cancel_fields[] = {
 	INT(msg_job_cancel, job_number)};
--- a/msg.h
+++ b/msg.h
@@ -613,6 +613,7 @@
 	int64_t res; /* enum res: OK or NOT_LEADER */
 	struct rate_grant *grants;
 	int64_t ngrants;
+	int64_t ask_interval_ms; /* least time between two asks of a proxy */
 };
 
 struct msg {
--- a/ratelim.h
+++ b/ratelim.h
@@ -89,7 +89,12 @@
 		4000, /* validity of a share, from when the ask was sent */
 	/* An ask without an answer counts as lost. */
 	RL_ASK_LOST_MS = 300,
-	RL_ASK_MIN_MS = 20, /* least time between two asks of a proxy */
+	/* Least time between two asks of a proxy: the first one, or more where
+	 * there are many proxies. The leader answers RL_MAX_ASKS_PER_S at most
+	 * then; the upper bound is below the longest wait for a grant. */
+	RL_ASK_MIN_MS = 20,
+	RL_ASK_MIN_MAX_MS = 200,
+	RL_MAX_ASKS_PER_S = 4000,
 	/* A proxy asks for what it needs in so long a time. */
 	RL_PREFETCH_MS = 500,
 	RL_PREFETCH_PAUSE_MS = 200, /* between asks that only prefetch */
--- a/ratelim_client.c
+++ b/ratelim_client.c
@@ -73,6 +73,7 @@
 	int64_t seq; /* of the newest ask */
 	bool in_flight;
 	clk_ms sent_at; /* of the newest ask */
+	clk_ms interval_ms; /* least time between two asks */
 	clk_ms next_check;
 	bool wanted; /* operations wait that no ask was sent for */
 	struct rate_demand *demands; /* of the newest ask */
@@ -90,6 +91,7 @@
 
 	if (!c)
 		abort();
+	c->interval_ms = RL_ASK_MIN_MS;
 	c->rng = rng_new(seed);
 	return c;
 }
@@ -521,7 +523,7 @@
 
 	if (c->in_flight && now - c->sent_at >= RL_ASK_LOST_MS)
 		c->in_flight = false;
-	if (c->in_flight || (c->seq && now - c->sent_at < RL_ASK_MIN_MS))
+	if (c->in_flight || (c->seq && now - c->sent_at < c->interval_ms))
 		return false;
 	if (!c->wanted && now < c->next_check)
 		return false;
@@ -592,6 +594,11 @@
 	c->in_flight = false;
 	if (g->res != RES_OK || now - c->sent_at >= RL_ASK_LOST_MS)
 		return false;
+	c->interval_ms = g->ask_interval_ms;
+	if (c->interval_ms < RL_ASK_MIN_MS)
+		c->interval_ms = RL_ASK_MIN_MS;
+	if (c->interval_ms > RL_ASK_MIN_MAX_MS)
+		c->interval_ms = RL_ASK_MIN_MAX_MS;
 	for (int64_t i = 0; i < g->ngrants; i++)
 		rlc_take_entry(c, &g->grants[i], now);
 	c->wanted = true;
--- a/ratelim_server.c
+++ b/ratelim_server.c
@@ -511,6 +511,9 @@
 	*answer = (struct msg_rate_grant){.seq = ask->seq, .res = RES_OK};
 	if (!rls_is_newer(s, uuid, ask->seq, now))
 		return false;
+	answer->ask_interval_ms =
+		rls_min(HASH_COUNT(s->proxies) * 1000 / RL_MAX_ASKS_PER_S,
+			RL_ASK_MIN_MAX_MS);
 	if (!limits)
 		return true;
 	rls_set_limits(s, limits, now);
--- a/t/unit_msg.cc
+++ b/t/unit_msg.cc
@@ -126,11 +126,12 @@
 	msg_free(&out);
 	buf_free(&b);
 	m.type = MSG_RATE_GRANT;
-	m.u.rate_grant = {77, RES_NOT_LEADER, &g, 1};
+	m.u.rate_grant = {77, RES_NOT_LEADER, &g, 1, 20};
 	msg_encode(&m, &b);
 	out = decode(&b, RES_OK);
 	EXPECT_EQ(77, out.u.rate_grant.seq);
 	EXPECT_EQ(RES_NOT_LEADER, out.u.rate_grant.res);
+	EXPECT_EQ(20, out.u.rate_grant.ask_interval_ms);
 	ASSERT_EQ(1, out.u.rate_grant.ngrants);
 	EXPECT_EQ(0, memcmp(&g, out.u.rate_grant.grants, sizeof(g)));
 	msg_free(&out);
