front: hedge a limited read only with a token for it

Cause: the token of the first attempt counted as held until its answer came, so a read was given up for a hedge that then had no token, and its caller lost the answer.

Change: a token counts as held only while the statement was not sent. A test of the uplink shows that asks for tokens go to the leader.

--- a/front_cap.c
+++ b/front_cap.c
@@ -141,7 +141,8 @@
 
 bool front_cap_may_repeat(const struct front_session *s, clk_ms now)
 {
-	return !front_cap_is_limited(s) || s->run.token.held ||
+	return !front_cap_is_limited(s) ||
+	       (s->run.token.held && !s->job.sent) ||
 	       rl_client_has_token(s->server->caps, s->job.tenant, now);
 }
 
--- a/t/unit_uplink.cc
+++ b/t/unit_uplink.cc
@@ -28,6 +28,7 @@
 	clk_ms clock_ahead_ms = 0; /* of the proxy's clock */
 	int answers = 0;
 	int samples = 0;
+	int rate_asks = 0;
 	/* the latest time of a sample received, by the proxy's clock */
 	clk_ms newest_sample = -1;
 
@@ -60,6 +61,19 @@
 	{
 		if (m->type == MSG_ASK)
 			((Control *)arg)->answer(l, &m->u.ask);
+		if (m->type == MSG_RATE_ASK)
+			((Control *)arg)->grant(l, &m->u.rate_ask);
+	}
+
+	void grant(struct link *l, const struct msg_rate_ask *ask)
+	{
+		struct rate_grant g = {"shop", ask->demands[0].tokens};
+		struct msg m = {};
+
+		m.type = MSG_RATE_GRANT;
+		m.u.rate_grant = {ask->seq, RES_OK, &g, 1};
+		rate_asks++;
+		link_send(l, &m);
 	}
 
 	void answer(struct link *l, const struct msg_ask *ask)
@@ -95,6 +109,8 @@
 	struct settings set = {};
 	struct uplink *u = nullptr;
 	struct view *view = nullptr;
+	int64_t granted_seq = 0; /* of the newest grant of tokens */
+	int64_t granted = 0;
 	clk_ms learned_at = 0; /* time of the sample that the proxy reports */
 
 	void SetUp() override
@@ -133,6 +149,11 @@
 			return 1;
 		};
 		cfg.on_peer_sample = [](void *, const struct pos_sample *) {};
+		cfg.on_rate_grant = [](void *arg,
+				       const struct msg_rate_grant *g) {
+			((Uplink *)arg)->granted_seq = g->seq;
+			((Uplink *)arg)->granted = g->grants[0].tokens;
+		};
 		u = uplink_new(&cfg);
 	}
 
@@ -229,3 +250,28 @@
 	EXPECT_LE(a.newest_sample, learned_at);
 	a.stop();
 }
+
+/* Guards against asks for tokens that go to an instance that does not lead, and
+ * against an ask that counts as sent while no leader is known. */
+TEST_F(Uplink, AsksForTokensGoToTheLeader)
+{
+	Control a("a", 0);
+	Control b("b", 0);
+	struct rate_demand d = {"shop", 3};
+	struct msg_rate_ask ask = {7, &d, 1};
+
+	a.start();
+	b.start();
+	start({&a, &b});
+	EXPECT_FALSE(uplink_ask_rate(u, &ask));
+	b.leads = true;
+	ASSERT_TRUE(run_until([&] { return b.answers > 0; }));
+	ASSERT_TRUE(run_until([&] { return uplink_ask_rate(u, &ask); }));
+	ASSERT_TRUE(run_until([&] { return granted_seq == 7; }));
+	EXPECT_EQ(3, granted);
+	EXPECT_EQ(0, a.rate_asks);
+	b.leads = false;
+	ASSERT_TRUE(run_until([&] { return !uplink_ask_rate(u, &ask); }));
+	a.stop();
+	b.stop();
+}
