--- a/t/unit_uplink.cc
+++ b/t/unit_uplink.cc
@@ -32,6 +32,7 @@
 	int asks = 0;
 	struct link *last_link = nullptr; /* of the last ask */
 	int samples = 0;
+	int rate_asks = 0;
 	/* the latest time of a sample received, by the proxy's clock */
 	clk_ms newest_sample = -1;
 
@@ -64,6 +65,19 @@
 	{
 		if (m->type == MSG_ASK)
 			((Control *)arg)->answer(l, &m->u.ask);
+		if (m->type == MSG_RATE_ASK)
+			((Control *)arg)->grant(l, &m->u.rate_ask);
+	}
+
+	void grant(struct link *l, const struct msg_rate_ask *ask)
+	{
+		struct rate_grant g = {"shop", ask->demands[0].tokens};
+		struct msg m = {};
+
+		m.type = MSG_RATE_GRANT;
+		m.u.rate_grant = {ask->seq, RES_OK, &g, 1};
+		rate_asks++;
+		link_send(l, &m);
 	}
 
 	/* Sends an answer on its own initiative. */
@@ -112,6 +126,8 @@
 	struct settings set = {};
 	struct uplink *u = nullptr;
 	struct view *view = nullptr;
+	int64_t granted_seq = 0; /* of the newest grant of tokens */
+	int64_t granted = 0;
 	clk_ms learned_at = 0; /* time of the sample that the proxy reports */
 	struct Confirmed {
 		int64_t version;
@@ -162,6 +178,11 @@
 				->confirmed.push_back(
 					{version, asked_at, clk_now()});
 		};
+		cfg.on_rate_grant = [](void *arg,
+				       const struct msg_rate_grant *g) {
+			((Uplink *)arg)->granted_seq = g->seq;
+			((Uplink *)arg)->granted = g->grants[0].tokens;
+		};
 		u = uplink_new(&cfg);
 	}
 
@@ -290,3 +311,28 @@
 	EXPECT_EQ(before, confirmed.size());
 	a.stop();
 }
+
+/* Guards against asks for tokens that go to an instance that does not lead, and
+ * against an ask that counts as sent while no leader is known. */
+TEST_F(Uplink, AsksForTokensGoToTheLeader)
+{
+	Control a("a", 0);
+	Control b("b", 0);
+	struct rate_demand d = {"shop", 3};
+	struct msg_rate_ask ask = {7, &d, 1};
+
+	a.start();
+	b.start();
+	start({&a, &b});
+	EXPECT_FALSE(uplink_ask_rate(u, &ask));
+	b.leads = true;
+	ASSERT_TRUE(run_until([&] { return b.answers > 0; }));
+	ASSERT_TRUE(run_until([&] { return uplink_ask_rate(u, &ask); }));
+	ASSERT_TRUE(run_until([&] { return granted_seq == 7; }));
+	EXPECT_EQ(3, granted);
+	EXPECT_EQ(0, a.rate_asks);
+	b.leads = false;
+	ASSERT_TRUE(run_until([&] { return !uplink_ask_rate(u, &ask); }));
+	a.stop();
+	b.stop();
+}
