--- a/t/unit_front_rate.cc
+++ b/t/unit_front_rate.cc
@@ -7,6 +7,7 @@
 #include "lib_loopback.h"
 
 extern "C" {
+#include "apikey.h"
 #include "front_priv.h"
 #include "settings.h"
 }
@@ -141,8 +142,7 @@
 		front_on_rate_ask(f, on_ask, this);
 		take_roster();
 		take_routes();
-		connect();
-		use_tenant("shop");
+		connect("orders", "key");
 	}
 
 	void TearDown() override
@@ -206,29 +206,32 @@
 		r->groups = (rt_group *)calloc(1, sizeof(rt_group));
 		strcpy(r->groups[0].name, "g1");
 		r->groups[0].max_connections = 30;
-		r->ndatabases = 1;
-		r->databases = (rt_database *)calloc(1, sizeof(rt_database));
-		strcpy(r->databases[0].name, "orders");
-		strcpy(r->databases[0].group, "g1");
-		r->databases[0].read_freshness = RT_READS_CURRENT;
-		r->databases[0].statement_timeout_ms = 3000;
+		r->ndatabases = 2;
+		r->databases = (rt_database *)calloc(2, sizeof(rt_database));
+		for (int i = 0; i < 2; i++) {
+			struct rt_database *d = &r->databases[i];
+
+			strcpy(d->name, i ? "open" : "orders");
+			strcpy(d->group, "g1");
+			d->read_freshness = RT_READS_CURRENT;
+			d->statement_timeout_ms = 3000;
+			d->is_public = i;
+		}
 		r->has_tenants = true;
 		r->ntenants = 1;
 		r->tenants = (rt_tenant *)calloc(1, sizeof(rt_tenant));
 		strcpy(r->tenants[0].name, "shop");
 		r->tenants[0].rate_milli = 10000;
 		r->tenants[0].burst_milli = 10000;
+		r->napi_keys = 1;
+		r->api_keys = (rt_api_key *)calloc(1, sizeof(rt_api_key));
+		akey_hash(set.key, "key", 3, r->api_keys[0].hash);
 		rt_sort(r);
 		front_take_routes(f, r);
 		rt_unref(r);
 	}
 
-	void use_tenant(const char *name)
-	{
-		snprintf(f->sessions->job.tenant, ID_LEN, "%s", name);
-	}
-
-	void connect()
+	void connect(const std::string &database, const std::string &key)
 	{
 		struct net_handler h = {
 			.arg = this,
@@ -245,7 +248,7 @@
 
 		caller = net_connect(loop, set.listen, &h, &e);
 		ASSERT_NE(nullptr, caller) << e.text;
-		exchange("STARTUP orders u");
+		exchange("STARTUP " + database + " " + key);
 	}
 
 	void send(const std::string &line)
@@ -419,7 +422,8 @@
 /* Guards against limits for callers without a tenant. */
 TEST_F(FrontRate, CallersWithoutATenantHaveNoLimit)
 {
-	use_tenant("");
+	net_free(caller);
+	connect("open", "other");
 	EXPECT_NE(std::string::npos,
 		  exchange("QUERY 1 WRITE a 1").find("COMPLETE"));
 	EXPECT_EQ(0u, asks.size());
