ratelim: give what the limit allows in a window

Cause: the refill was the bare rate and tokens lived up to a second, so that tenants below their limit were refused: after each change of the leader, which counted half of each rate as leased, and while one sent many times its usual, since its proxies got tokens only for what waited and then paused for up to 2 s. Operations that waited for a member lost their token and took another.

Change: half of the burst is refill, tokens live for 500 ms, 30% may be leased; at the limit each proxy gets its part of what comes in during its pause; a token that was taken ends no more, and stays with a statement that a member refused unrun.

--- a/front_cap.c
+++ b/front_cap.c
@@ -2,8 +2,7 @@
  * Rate limits of tenants in the proxy (prefix front_cap_): when a statement
  * takes a token of ratelim.h, waits for one or is refused. An operation takes
  * one token when its first statement is about to be sent to a member, and
- * another one for each further time that it is sent. The token ends at a time
- * that the statement must have been sent by.
+ * another one for each further time that it is sent after it may have run.
  */
 
 #include "front_priv.h"
@@ -115,8 +114,7 @@
 	struct front_run *run = &s->run;
 	clk_ms retry_ms = 0;
 
-	if (!front_cap_is_limited(s) ||
-	    (run->token.held && now < run->token.until))
+	if (!front_cap_is_limited(s) || run->token.held)
 		return true;
 	if (!run->token_asked)
 		rl_client_count_asked(caps, s->job.tenant, now);
@@ -146,21 +144,6 @@
 	       rl_client_has_token(s->server->caps, s->job.tenant, now);
 }
 
-bool front_cap_lapsed(const struct front_session *s, clk_ms now)
-{
-	return s->job_runs && s->run.token.held && !s->job.sent &&
-	       now >= s->run.token.until;
-}
-
-clk_ms front_cap_limit(const struct front_session *s)
-{
-	const struct front_run *run = &s->run;
-
-	return run->token.held && run->token.until < run->deadline
-		       ? run->token.until
-		       : run->deadline;
-}
-
 void front_cap_sent(struct front_session *s)
 {
 	s->run.token.held = false;
--- a/front_priv.h
+++ b/front_priv.h
@@ -351,13 +351,7 @@
 /* True if another token can be taken, for sending the statement again. */
 bool front_cap_may_repeat(const struct front_session *s, clk_ms now);
 
-/* True if the token of a statement that waits to be sent has lapsed. */
-bool front_cap_lapsed(const struct front_session *s, clk_ms now);
-
-/* Until when a statement may be sent. */
-clk_ms front_cap_limit(const struct front_session *s);
-
-/* The statement was sent: its token is used up. */
+/* The statement was sent and may have run: its token is used up. */
 void front_cap_sent(struct front_session *s);
 
 /* The statement has ended; a token that was not used goes back. */
--- a/front_run.c
+++ b/front_run.c
@@ -395,7 +395,8 @@
 
 	snprintf(member, sizeof(member), "%s", s->job_member);
 	s->job_runs = false;
-	if (r->sent)
+	/* A member that refused it for its own state has not run it. */
+	if (r->sent && (r->status != DB_REFUSED || r->error == LINE_E_OTHER))
 		front_cap_sent(s);
 	switch (r->status) {
 	case DB_DONE:
@@ -718,9 +719,6 @@
 	} else if (!s->job_runs) {
 		if (now >= run->retry_at)
 			run_try(s, now);
-	} else if (front_cap_lapsed(s, now)) {
-		front_cancel(s);
-		run_try(s, now);
 	} else if (run_should_hedge(s, now) && front_cap_may_repeat(s, now) &&
 		   run_may_hedge(s)) {
 		cnt_add(CNT_retry_slow, 1);
--- a/front_send.c
+++ b/front_send.c
@@ -116,7 +116,7 @@
 	s->run.tries++;
 	if (f->slice_count && !s->run.bypass_runner &&
 	    relay_start(f->relay, m, front_slice(f, s->group), &s->job,
-			front_cap_limit(s), now))
+			s->run.deadline, now))
 		return;
 	db_start(m, &s->job, now);
 }
--- a/ratelim.h
+++ b/ratelim.h
@@ -10,13 +10,13 @@
  *
  *   N <= (rate * window + burst) * (1 + excess) + slack
  *
- * for the operations of a tenant that all proxies together send to members in
- * any interval of the length window. What a tenant sends below its rate and
- * burst is not refused.
+ * for the operations of a tenant that callers send, and that all proxies
+ * together send to members, in any interval of the length window. What a tenant
+ * sends below that is not refused.
  *
  * The control leader (struct rl_server) keeps a token bucket for each tenant;
  * one token is one operation. A proxy (struct rl_client) asks for tokens
- * (MSG_RATE_ASK) and gets them (MSG_RATE_GRANT). In addition, up to half of a
+ * (MSG_RATE_ASK) and gets them (MSG_RATE_GRANT). In addition, a part of a
  * tenant's rate is leased to the proxies as shares, so that tenants are served
  * while there is no leader. A share is the refill rate of a local bucket at the
  * proxy.
@@ -29,11 +29,12 @@
  * the validity of tokens, B the capacity of the leader's bucket and K the
  * largest sum of the capacities of local buckets; rl_make_plan() chooses them
  * such that R * (W + V) + B + K is at most the bound.
- *  - An operation is sent at most V after its token was taken from a bucket. A
- *    granted token ends V after its ask was sent, which was before the leader
- *    granted it; a token taken from a local bucket ends V after that. So all
- *    operations sent in an interval of the length W are paid by tokens taken
- *    from buckets in an interval of the length W + V.
+ *  - An operation takes its token after its caller sent it and before it is
+ * sent to a member, so it counts only in intervals in which its token was taken
+ *    from the proxy's stock. A granted token ends V after its ask was sent,
+ *    which was before the leader granted it. So all operations of an interval
+ *    of the length W are paid by tokens taken from buckets in an interval of
+ *    the length W + V, however long they wait for a member.
  *  - At any time, the leader's bucket is refilled with R - S, where S is at
  *    least the sum of all shares that may still be valid. So all buckets
  *    together are refilled with at most R, and what is taken in an interval of
@@ -52,8 +53,8 @@
  *    its newest ask, once, and up to RL_ASK_LOST_MS after it was sent.
  *  - Change of the leader: the older leader has lost its authority before the
  *    newer one is elected, so the intervals in which they grant don't overlap.
- *    The newer one starts with an empty bucket and S = R / 2 and K in full for
- *    RL_SHARE_MS; older shares have ended then. Until then it gives no new
+ *    The newer one starts with an empty bucket and the largest S and K
+ *    for RL_SHARE_MS; older shares have ended then. Until then it gives no new
  *    shares and renews those that proxies report. A proxy reports a share only
  *    if that is valid for at least RL_ASK_LOST_MS more. So it was still valid,
  *    and not given to another proxy, when the newer leader renewed it in a
@@ -69,7 +70,7 @@
  *    assumes that these run at the same rate; a difference of 0.1% adds 0.1%.
  *
  * While a new leader starts, a tenant has the tokens and shares held by the
- * proxies and half of its rate from the leader.
+ * proxies and the part of its rate that can't be leased.
  */
 
 #include "clock.h"
@@ -81,10 +82,12 @@
 #include <stddef.h>
 
 enum {
-	/* Validity of a token, counted from when its ask was sent; shorter, but
-	 * not below the second, where the bound leaves less room. */
-	RL_TOKEN_MS = 1000,
-	RL_TOKEN_MIN_MS = 100,
+	/* Validity of a token, counted from when its ask was sent. The shorter
+	 * it is, the more of the bound is left for refill and buckets. */
+	RL_TOKEN_MS = 500,
+	/* Part of the refill rate that may be leased as shares. A new leader
+	 * has only the rest for the time in which older shares may be valid. */
+	RL_SHARE_PERCENT = 30,
 	RL_SHARE_MS =
 		4000, /* validity of a share, from when the ask was sent */
 	/* An ask without an answer counts as lost. */
@@ -92,11 +95,11 @@
 	/* Least time between two asks of a proxy: the first one, or more where
 	 * there are many proxies. The leader answers RL_MAX_ASKS_PER_S at most
 	 * then; the upper bound is below the longest wait for a grant. */
-	RL_ASK_MIN_MS = 20,
+	RL_ASK_MIN_MS = 30,
 	RL_ASK_MIN_MAX_MS = 200,
 	RL_MAX_ASKS_PER_S = 4000,
 	/* A proxy asks for what it needs in so long a time. */
-	RL_PREFETCH_MS = 500,
+	RL_PREFETCH_MS = 400,
 	RL_PREFETCH_PAUSE_MS = 200, /* between asks that only prefetch */
 	/* From this demand on, in thousandths of operations a second, a proxy
 	 * asks for a token in advance if it sends an ask anyway. */
@@ -112,18 +115,16 @@
 	/* A local bucket holds what its share gives in this time, and at least
 	 * one operation. */
 	RL_SHARE_BURST_MS = 250,
-	/* Operations that can be served within the first time wait for it;
-	 * others are refused. A proxy asks no more for the tenant before the
-	 * time that the leader named, which is then at least the second: 83
-	 * proxies send at most 415 messages a second for one tenant then. */
+	/* Operations that can be served within this time wait for it; others
+	 * are refused. */
 	RL_SHORT_WAIT_MS = 100,
-	RL_REFUSE_MIN_MS = 200,
 	RL_REFUSE_MAX_MS = 10000,
-	/* and this time for each ask of the last second that got less than it
-	 * needed, up to RL_REFUSE_SPREAD_MAX_MS: with 83 proxies about 90 asks
-	 * a second remain for a tenant. */
-	RL_REFUSE_SPREAD_MS = 10,
-	RL_REFUSE_SPREAD_MAX_MS = 2000,
+	/* While a tenant is at its limit, a proxy asks for it after a pause of
+	 * this time for each ask of the last second that got less than it
+	 * needed. With 83 proxies at most 208 asks a second remain for one
+	 * tenant. The tokens of a grant must not end before the pause. */
+	RL_PAUSE_PER_ASK_MS = 5,
+	RL_PAUSE_MAX_MS = 400,
 	RL_MAX_WAIT_MS = 300, /* longest wait of an operation for a grant */
 	RL_RETRY_MS = 300 /* told to callers if no leader answers */
 };
@@ -184,7 +185,7 @@
 /* Permission to send one operation. */
 struct rl_token {
 	bool held; /* false where there is no limit, too */
-	clk_ms until; /* the operation may be sent before this time */
+	clk_ms until; /* when it ends if it is given back */
 	int64_t epoch; /* of the limit that it was taken under */
 };
 
--- a/ratelim_client.c
+++ b/ratelim_client.c
@@ -428,7 +428,7 @@
 
 static int64_t rlc_prefetch_need(struct rlc_tenant *t, clk_ms now)
 {
-	clk_ms ahead = rlc_min(RL_PREFETCH_MS, t->valid_ms / 2);
+	clk_ms ahead = rlc_min(RL_PREFETCH_MS, t->valid_ms);
 	double need = rlc_demand(t, now) * (double)ahead / 1000;
 
 	need -= (double)t->share * (double)ahead / 1e6;
--- a/ratelim_server.c
+++ b/ratelim_server.c
@@ -90,31 +90,35 @@
 	       cfg->slack * RLS_OPERATION;
 }
 
+/*
+ * The limit is a number of operations in a window, so a tenant may use more
+ * than its rate all the time: half of the burst is given as a higher refill
+ * rate, and what the bound leaves then as capacity of the buckets.
+ */
 bool rl_make_plan(const struct rl_config *cfg, const struct rt_tenant *t,
 		  struct rl_plan *out)
 {
 	int64_t bound = rl_bound(cfg, t);
-	int64_t rate = rls_rate(t);
-	int64_t room = bound - rate * cfg->window_ms;
+	clk_ms taken_in = cfg->window_ms + RL_TOKEN_MS;
 	int64_t all;
 
 	if (!cfg->window_ms || t->rate_milli < 0)
 		return false;
-	out->refill = rate;
 	out->valid_ms = RL_TOKEN_MS;
-	if (rate && room / 2 / rate < RL_TOKEN_MS)
-		out->valid_ms = rls_max(room / 2 / rate, RL_TOKEN_MIN_MS);
-	all = rls_min(room - rate * out->valid_ms,
+	out->refill = rls_rate(t) + rls_burst(t) / (2 * cfg->window_ms);
+	if (out->refill * taken_in > bound / 10 * 9)
+		out->refill = bound / 10 * 9 / taken_in;
+	all = rls_min(bound - out->refill * taken_in,
 		      rls_max(rls_burst(t), cfg->slack * RLS_OPERATION));
 	if (all < RLS_OPERATION) {
 		all = rls_min(RLS_OPERATION, bound);
-		out->refill = rls_min(
-			rate, (bound - all) / (cfg->window_ms + out->valid_ms));
+		out->refill = (bound - all) / taken_in;
 	}
 	out->share_burst = all / 4;
 	if (out->share_burst < RLS_OPERATION)
 		out->share_burst = 0;
-	out->share_rate = out->share_burst ? out->refill / 2 : 0;
+	out->share_rate =
+		out->share_burst ? out->refill * RL_SHARE_PERCENT / 100 : 0;
 	out->bucket = all - out->share_burst;
 	return true;
 }
@@ -393,8 +397,8 @@
 	return rls_max(0, rls_min(wanted, spare));
 }
 
-/* Counts an ask that gets less than it needs; returns those of a second. */
-static int64_t rls_count_short(struct rls_tenant *t, clk_ms now)
+/* Counts the asks that got less than they needed, by seconds. */
+static void rls_count_short(struct rls_tenant *t, bool is_short, clk_ms now)
 {
 	if (now - t->short_since >= RLS_SHORT_MS) {
 		t->short_asks_before = now - t->short_since < 2 * RLS_SHORT_MS
@@ -403,8 +407,15 @@
 		t->short_asks = 0;
 		t->short_since = now;
 	}
-	t->short_asks++;
-	return rls_max(t->short_asks, t->short_asks_before);
+	t->short_asks += is_short;
+}
+
+/* For how long a proxy should not ask again for a tenant at its limit. */
+static clk_ms rls_pause_ms(const struct rls_tenant *t)
+{
+	int64_t n = rls_max(t->short_asks, t->short_asks_before);
+
+	return rls_min(n * RL_PAUSE_PER_ASK_MS, RL_PAUSE_MAX_MS);
 }
 
 /* Time until the operations that waited in vain can be served. */
@@ -412,8 +423,6 @@
 			  int64_t unmet, clk_ms now)
 {
 	int64_t refill = rls_refill(s, t, now);
-	clk_ms spread = rls_count_short(t, now) * RL_REFUSE_SPREAD_MS;
-	clk_ms ms;
 
 	if (now - t->unmet_since >= RLS_UNMET_MS) {
 		t->unmet_since = now;
@@ -422,31 +431,61 @@
 	t->unmet = rls_min(t->unmet + unmet, RLS_MAX_ASKED);
 	if (!refill)
 		return RL_REFUSE_MAX_MS;
-	ms = (t->unmet * RLS_OPERATION - t->level) / refill + 1;
-	if (ms <= RL_SHORT_WAIT_MS)
-		return ms;
-	ms = rls_max(ms, rls_min(spread, RL_REFUSE_SPREAD_MAX_MS));
-	return rls_min(rls_max(ms, RL_REFUSE_MIN_MS), RL_REFUSE_MAX_MS);
+	return rls_min((t->unmet * RLS_OPERATION - t->level) / refill + 1,
+		       RL_REFUSE_MAX_MS);
+}
+
+/* Operations that a proxy may send in a time, by its part of the demand. */
+static int64_t rls_fair_tokens(const struct rl_server *s,
+			       const struct rls_tenant *t,
+			       const struct rate_demand *d, clk_ms ms,
+			       clk_ms now)
+{
+	double all = 0;
+
+	for (size_t i = 0; i < t->nshares; i++)
+		all += (double)t->shares[i].demand;
+	if (all <= 0 || d->demand_milli <= 0)
+		return 0;
+	return (int64_t)((double)rls_refill(s, t, now) * (double)ms /
+			 RLS_OPERATION * (double)d->demand_milli / all);
 }
 
+/*
+ * Grants tokens. While a tenant is at its limit, its proxies ask only after a
+ * pause, and each gets its part of what comes in during one. If they got just
+ * the tokens for what waits, few operations would be served between two asks.
+ */
 static void rls_grant_tokens(const struct rl_server *s, struct rls_tenant *t,
 			     const struct rate_demand *d, clk_ms now,
 			     struct rate_grant *g)
 {
 	int64_t waiting = rls_max(0, rls_min(d->waiting, RLS_MAX_ASKED));
 	int64_t wanted = rls_max(0, rls_min(d->tokens, RLS_MAX_ASKED));
-	int64_t now_granted = rls_min(waiting, t->level / RLS_OPERATION);
-	int64_t more;
-
-	t->level -= now_granted * RLS_OPERATION;
-	g->tokens = now_granted;
-	if (now_granted < waiting) {
-		g->wait_ms = rls_wait_ms(s, t, waiting - now_granted, now);
-		return;
+	int64_t left = t->level / RLS_OPERATION;
+	clk_ms pause;
+
+	rls_count_short(t, waiting > left, now);
+	pause = rls_pause_ms(t);
+	if (waiting > left)
+		g->wait_ms =
+			rls_max(pause, rls_wait_ms(s, t, waiting - left, now));
+	else if (pause && wanted)
+		g->wait_ms = pause;
+	g->tokens = waiting;
+	if (pause)
+		g->tokens = rls_max(
+			waiting,
+			rls_min(wanted, rls_fair_tokens(s, t, d, pause, now)));
+	g->tokens = rls_min(g->tokens, left);
+	t->level -= g->tokens * RLS_OPERATION;
+	if (!pause && waiting <= left) {
+		int64_t more =
+			rls_prefetch(t, rls_max(0, wanted - waiting), waiting);
+
+		t->level -= more * RLS_OPERATION;
+		g->tokens += more;
 	}
-	more = rls_prefetch(t, rls_max(0, wanted - waiting), waiting);
-	t->level -= more * RLS_OPERATION;
-	g->tokens += more;
 }
 
 static void rls_answer(struct rl_server *s, const struct route_table *limits,
