--- a/front_priv.h
+++ b/front_priv.h
@@ -3,11 +3,12 @@
 
 /*
  * Shared by front.c (connections of callers), front_session.c (what a session
- * answers itself), front_run.c (one statement at the backends), front_send.c
- * (running a job here or by another proxy), front_choose_member.c (choice of
- * the member), front_key.c (API keys of callers), front_cap.c (rate limits of
- * tenants) and front_control.c (state
- * received from control and reported to it).
+ * answers itself), front_run.c (one statement at the backends), front_try.c
+ * (one try of it), front_fallback.c (reads that no replica can serve),
+ * front_send.c (running a job here or by another proxy), front_choose_member.c
+ * (choice of the member), front_key.c (API keys of callers), front_cap.c (rate
+ * limits of tenants) and front_control.c (state received from control and
+ * reported to it).
  */
 
 #include "apikey.h"
@@ -288,6 +289,15 @@
 void front_run_tick(struct front_session *s, clk_ms now);
 void front_run_abort(struct front_session *s);
 
+/* Answers the statement with an error of this proxy. */
+void front_run_refuse(struct front_session *s, enum res r, const char *member);
+
+/* Has the statement tried again after a pause. */
+void front_run_retry(struct front_session *s, clk_ms pause, enum res reason);
+
+/* Returns the error for a statement that was sent and got no answer. */
+enum res front_run_lost_reason(const struct front_session *s);
+
 /* Tries a statement again that waits for a token. */
 void front_run_on_token(struct front_session *s, clk_ms now);
 
@@ -297,6 +307,9 @@
 /* Gives up the statement under way and answers it. */
 void front_run_expire(struct front_session *s);
 
+/* front_try.c: starts one try of the session's statement. */
+void front_try(struct front_session *s, clk_ms now);
+
 /* front_send.c: runs a job here or by a proxy of the member's zone. */
 int front_slice(const struct front_server *f, const char *group);
 int front_count_slices(const struct front_server *f, int largest_zone);
--- a/front_run.c
+++ b/front_run.c
@@ -9,7 +9,6 @@
 #include <string.h>
 
 static void run_done(struct db_job *j, const struct db_result *r);
-static void run_try(struct front_session *s, clk_ms now);
 
 static const char *run_required_from(const struct front_run *run)
 {
@@ -76,7 +75,7 @@
 }
 
 /* Answers the statement with an error of this proxy. */
-static void run_refuse(struct front_session *s, enum res r, const char *member)
+void front_run_refuse(struct front_session *s, enum res r, const char *member)
 {
 	run_refuse_with(s, r, member, res_text(r));
 }
@@ -89,7 +88,7 @@
 
 	front_forget_kept(s);
 	if (s->run.active) {
-		run_refuse(s, RES_PRIMARY_CHANGED, s->job_member);
+		front_run_refuse(s, RES_PRIMARY_CHANGED, s->job_member);
 		return;
 	}
 	s->txn = FRONT_FAILED;
@@ -97,7 +96,7 @@
 }
 
 /* Returns the error for a statement that was sent and got no answer. */
-static enum res run_lost_reason(const struct front_session *s)
+enum res front_run_lost_reason(const struct front_session *s)
 {
 	if (s->run.answer_held)
 		return RES_UNKNOWN;
@@ -108,8 +107,7 @@
 	return s->run.writes ? RES_UNKNOWN : RES_READ_FAILED;
 }
 
-static void run_schedule_retry(struct front_session *s, clk_ms pause,
-			       enum res reason)
+void front_run_retry(struct front_session *s, clk_ms pause, enum res reason)
 {
 	s->job_runs = false;
 	s->run.reason = reason;
@@ -137,12 +135,13 @@
 	if (run_may_repeat(s, r)) {
 		snprintf(s->run.avoid_member, ID_LEN, "%s", member);
 		cnt_add(CNT_retry_unreachable, 1);
-		run_schedule_retry(s, r->sent ? 0 : FRONT_RETRY_PAUSE_MS,
-				   RES_UNREACHABLE);
+		front_run_retry(s, r->sent ? 0 : FRONT_RETRY_PAUSE_MS,
+				RES_UNREACHABLE);
 		return;
 	}
-	run_refuse(s, r->sent ? run_lost_reason(s) : RES_PRIMARY_CHANGED,
-		   member);
+	front_run_refuse(
+		s, r->sent ? front_run_lost_reason(s) : RES_PRIMARY_CHANGED,
+		member);
 }
 
 /* Lets a transaction continue after a statement of it found no free slot. */
@@ -153,7 +152,7 @@
 		return false;
 	cnt_add(CNT_backend_full, 1);
 	front_keep(s, r, run_lost_kept);
-	run_schedule_retry(s, DB_BUSY_PAUSE_MS, RES_WAIT_EXCEEDED);
+	front_run_retry(s, DB_BUSY_PAUSE_MS, RES_WAIT_EXCEEDED);
 	return true;
 }
 
@@ -168,26 +167,26 @@
 	case LINE_E_BUSY:
 		cnt_add(CNT_backend_full, 1);
 		snprintf(s->run.avoid_member, ID_LEN, "%s", member);
-		run_schedule_retry(s, s->run.is_read ? 0 : DB_BUSY_PAUSE_MS,
-				   RES_WAIT_EXCEEDED);
+		front_run_retry(s, s->run.is_read ? 0 : DB_BUSY_PAUSE_MS,
+				RES_WAIT_EXCEEDED);
 		return true;
 	case LINE_E_BEHIND:
 		cnt_add(CNT_retry_behind, 1);
 		snprintf(s->run.avoid_member, ID_LEN, "%s", member);
-		run_schedule_retry(s, 0, RES_BEHIND);
+		front_run_retry(s, 0, RES_BEHIND);
 		return true;
 	case LINE_E_NOT_PRIMARY:
 		cnt_add(CNT_retry_no_primary, 1);
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_PRIMARY);
+		front_run_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_PRIMARY);
 		return true;
 	case LINE_E_NO_STATEMENT:
 	case LINE_E_WRONG_BACKEND:
 	case LINE_E_CONN_LIMIT:
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_UNREACHABLE);
+		front_run_retry(s, FRONT_RETRY_PAUSE_MS, RES_UNREACHABLE);
 		return true;
 	case LINE_E_KEY_EXPIRED:
 		/* The key is checked again, and may be valid for longer now. */
-		run_schedule_retry(s, 0, RES_KEY_UNCONFIRMED);
+		front_run_retry(s, 0, RES_KEY_UNCONFIRMED);
 		return true;
 	case LINE_E_OTHER:
 		break;
@@ -196,7 +195,7 @@
 		return false;
 	cnt_add(CNT_retry_read_failed, 1);
 	snprintf(s->run.avoid_member, ID_LEN, "%s", member);
-	run_schedule_retry(s, 0, RES_READ_FAILED);
+	front_run_retry(s, 0, RES_READ_FAILED);
 	return true;
 }
 
@@ -213,10 +212,11 @@
 		/* It was not sent for want of a lease, and the transaction is
 		 * rolled back. */
 		front_forget_kept(s);
-		run_refuse(s,
-			   r->error == LINE_E_KEY_EXPIRED ? RES_KEY_UNCONFIRMED
-							  : RES_PRIMARY_CHANGED,
-			   member);
+		front_run_refuse(s,
+				 r->error == LINE_E_KEY_EXPIRED
+					 ? RES_KEY_UNCONFIRMED
+					 : RES_PRIMARY_CHANGED,
+				 member);
 		return;
 	}
 	if (run_retry_refused(s, r, member)) {
@@ -246,17 +246,6 @@
 	       (s->run.commits && s->txn_has_writes);
 }
 
-/* Notes whether a try is sent to the primary under a lease, and of which term.
- */
-static void run_note_lease(struct front_session *s, const struct db_member *m,
-			   clk_ms now)
-{
-	const struct front_group *g = front_find_group(s->server, s->group);
-
-	s->run.lease_term = front_leased_primary(g, now) == m ? g->term : 0;
-	s->run.lease_checked_at = now;
-}
-
 /*
  * True if a commit that succeeded may be acknowledged. Where the promoter does
  * not depose the old primary, the commit may have been made there after another
@@ -384,7 +373,7 @@
 					  .len = buf_len(&answer)});
 		buf_free(&answer);
 	} else if (g->term != s->run.lease_term) {
-		run_refuse(s, RES_UNKNOWN, s->job_member);
+		front_run_refuse(s, RES_UNKNOWN, s->job_member);
 	}
 }
 
@@ -411,184 +400,6 @@
 	}
 }
 
-static bool run_needs_primary(const struct front_session *s)
-{
-	return s->route.read_freshness == RT_READS_CURRENT;
-}
-
-/* Returns in need the position that a read on a replica has to wait for; false
- * if no recent enough one is known. */
-static bool run_required_position(struct front_session *s, struct pos *need)
-{
-	struct front_group *g = front_find_group(s->server, s->group);
-	clk_ms since =
-		s->txn == FRONT_BEGUN ? s->txn_since : s->run.received_at;
-	const struct freshness_sample *sample;
-
-	g->pos_needed_at = clk_now();
-	if (!g->min_age_ms || s->route.max_age_ms < g->min_age_ms)
-		g->min_age_ms = s->route.max_age_ms;
-	sample = frs_required_sample(&g->fresh, since, s->route.max_age_ms);
-	if (!sample)
-		return false;
-	s->run.required = *sample;
-	s->run.required_age_ms = since - sample->sent;
-	*need = sample->pos;
-	if (s->route.read_freshness == RT_READS_OWN_COMMITS)
-		*need = pos_max(*need, s->own_writes_pos);
-	return true;
-}
-
-/* Lets a statement wait for a lease, or refuses it if there will be none. */
-static void run_without_lease(struct front_session *s,
-			      const struct db_member *m)
-{
-	cnt_add(CNT_retry_no_lease, 1);
-	if (!s->server->refuse_without_lease || s->run.sent) {
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_LEASE);
-		return;
-	}
-	if (s->txn == FRONT_OPEN)
-		front_release_kept(s);
-	run_refuse(s, RES_NO_LEASE, m->info.id);
-}
-
-static void run_on_primary(struct front_session *s, clk_ms now)
-{
-	struct front_group *g = front_find_group(s->server, s->group);
-	struct db_member *m = front_primary(g);
-
-	s->job.required_pos = (struct pos){0};
-	s->run.required.sent = 0;
-	s->job.needs_lease = true;
-	s->run.primary_read = s->run.is_read;
-	s->job.begin = s->txn == FRONT_BEGUN || s->run.is_read;
-	s->job.begin_read_only = false;
-	s->job.rollback = s->run.is_read && s->txn == FRONT_NONE;
-	if (!m) {
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_PRIMARY);
-		return;
-	}
-	if (m->leaving_since &&
-	    now - m->leaving_since >= DB_LEAVING_PRIMARY_MS) {
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_LEAVING);
-		return;
-	}
-	if (now >= m->lease_until) {
-		run_without_lease(s, m);
-		return;
-	}
-	if (now < m->fail_until || now < m->busy_until ||
-	    (now < m->conn_limit_until && !m->nconns)) {
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_UNREACHABLE);
-		return;
-	}
-	run_note_lease(s, m, now);
-	front_send(s, m, now);
-}
-
-static void run_on_replica(struct front_session *s, struct db_member *m,
-			   struct pos need, clk_ms now)
-{
-	s->job.required_pos = need;
-	s->job.needs_lease = false;
-	s->run.lease_term = 0;
-	s->run.primary_read = false;
-	s->job.begin = s->txn == FRONT_BEGUN;
-	s->job.begin_read_only = s->job.begin;
-	s->job.rollback = false;
-	front_send(s, m, now);
-}
-
-/* Runs a read for which no recent enough position is known. One read at a time
- * goes to the primary to learn one. If all did so, as after a start, the
- * primary would have to serve what its replicas could. */
-static void run_without_position(struct front_session *s, struct front_group *g,
-				 clk_ms now)
-{
-	if (!g->fresh.n)
-		front_ask_early(s->server, now);
-	if (now - g->primary_read_at < FRONT_POSITION_WAIT_MS) {
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_REPLICA);
-		return;
-	}
-	g->primary_read_at = now;
-	run_on_primary(s, now);
-}
-
-/* Runs a read on any member whose log has reached the required position. */
-static void run_read(struct front_session *s, clk_ms now)
-{
-	struct front_group *g = front_find_group(s->server, s->group);
-	struct pos need = {0};
-	bool known = run_required_position(s, &need);
-	struct db_member *m = front_place_read(s->server, s, need, now);
-	const struct db_member *primary = front_leased_primary(g, now);
-
-	if (!known && (!m || m != primary))
-		run_without_position(s, g, now);
-	else if (!m)
-		run_schedule_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_REPLICA);
-	else if (m == primary)
-		run_on_primary(s, now);
-	else
-		run_on_replica(s, m, need, now);
-}
-
-/* Runs a statement of an open transaction, at the member that has it. */
-static void run_in_txn(struct front_session *s, clk_ms now)
-{
-	const struct front_group *g = front_find_group(s->server, s->group);
-	const struct db_member *m = front_kept_member(s);
-	bool must_lead = !s->server->set->promoter_deposes && !s->txn_read_only;
-
-	s->job.begin = false;
-	s->job.rollback = false;
-	s->job.required_pos = (struct pos){0};
-	s->job.needs_lease = s->run.commits && s->txn_has_writes;
-	if (must_lead && m != front_primary(g)) {
-		front_release_kept(s);
-		run_refuse(s, RES_PRIMARY_CHANGED, m->info.id);
-		return;
-	}
-	if (s->job.needs_lease && now >= m->lease_until) {
-		run_without_lease(s, m);
-		return;
-	}
-	run_note_lease(s, m, now);
-	front_send_kept(s, now);
-}
-
-/* Checks the caller's API key for one more try; refuses the statement if it may
- * not be used any more. */
-static bool run_key_is_valid(struct front_session *s, clk_ms now)
-{
-	enum res r = front_check_key(s, now);
-
-	if (!r)
-		return true;
-	front_release_kept(s);
-	run_refuse(s, s->run.sent ? run_lost_reason(s) : r, "");
-	return false;
-}
-
-static void run_try(struct front_session *s, clk_ms now)
-{
-	bool read_only =
-		s->txn == FRONT_BEGUN ? s->txn_read_only : s->run.is_read;
-
-	s->run.retry_at = 0;
-	if (!run_key_is_valid(s, now))
-		return;
-	if (s->txn == FRONT_OPEN) {
-		run_in_txn(s, now);
-	} else if (!read_only || run_needs_primary(s)) {
-		run_on_primary(s, now);
-	} else {
-		run_read(s, now);
-	}
-}
-
 void front_start_statement(struct front_session *s, clk_ms now)
 {
 	struct front_run *run = &s->run;
@@ -624,13 +435,13 @@
 	s->job.deadline = run->deadline;
 	s->job.done = run_done;
 	s->job.arg = s;
-	run_try(s, now);
+	front_try(s, now);
 }
 
 void front_run_on_token(struct front_session *s, clk_ms now)
 {
 	if (s->run.active && s->run.token_waits && !s->job_runs)
-		run_try(s, now);
+		front_try(s, now);
 }
 
 void front_run_refuse_rate(struct front_session *s, clk_ms retry_ms)
@@ -638,7 +449,7 @@
 	char text[64];
 
 	if (s->run.sent) {
-		run_refuse(s, run_lost_reason(s), s->job_member);
+		front_run_refuse(s, front_run_lost_reason(s), s->job_member);
 		return;
 	}
 	snprintf(text, sizeof(text), "retry after %lld ms",
@@ -656,8 +467,8 @@
 	else if (s->job_runs)
 		front_cancel(s);
 	if (s->run.sent)
-		r = run_lost_reason(s);
-	run_refuse(s, r, s->job_member);
+		r = front_run_lost_reason(s);
+	front_run_refuse(s, r, s->job_member);
 }
 
 /*
@@ -717,17 +528,17 @@
 		run_check_held_answer(s, now);
 	} else if (!s->job_runs) {
 		if (now >= run->retry_at)
-			run_try(s, now);
+			front_try(s, now);
 	} else if (front_cap_lapsed(s, now)) {
 		front_cancel(s);
-		run_try(s, now);
+		front_try(s, now);
 	} else if (run_should_hedge(s, now) && front_cap_may_repeat(s, now) &&
 		   run_may_hedge(s)) {
 		cnt_add(CNT_retry_slow, 1);
 		snprintf(run->avoid_member, ID_LEN, "%s", s->job_member);
 		run->sent = true;
 		front_cancel(s);
-		run_try(s, now);
+		front_try(s, now);
 	}
 }
 
