db, front: order and admit waiting jobs by jobq

The jobs that wait for a member were kept in a list by priority and age: a tenant with many jobs held up all others, and a job that could not end in time was told so at its limit. db_queue.c keeps them in jobq now. With tenants their jobs take turns. With the setting pacing service times are learned, also from answers to canceled jobs, and late jobs are refused on arrival and on the tick, as not run (LINE_E_OVERLOAD). Without both the order is the one of before, and nothing is refused.

--- a/counter.h
+++ b/counter.h
@@ -30,7 +30,10 @@
 	X(backends_announced) X(backends_silenced) X(bad_input) \
 	X(http_evicted) X(held_up) X(slow_syncs) X(positions_contradicted) \
 	X(samples_ahead) X(key_expired_unsent) X(key_lease_ended) \
-	X(key_withdrawn_txns) X(rate_asks)
+	X(key_withdrawn_txns) X(rate_asks) \
+	X(queue_refused_arrived) X(queue_refused_waiting) \
+	X(queue_refused_fallback) X(reads_moved) \
+	X(reads_fallback) X(reads_fallback_refused)
 /* clang-format on */
 
 enum cnt {
--- a/db.c
+++ b/db.c
@@ -2,7 +2,10 @@
 
 #include "counter.h"
 #include "log.h"
+#include "rng.h"
+#include "settings.h"
 
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -16,13 +19,18 @@
  * of the difference in about 700 answers. */
 #define DB_QUIET_WEIGHT 0.001
 
-struct db *db_new(struct ev_loop *loop)
+struct db *db_new(struct ev_loop *loop, const struct settings *set)
 {
 	struct db *d = calloc(1, sizeof(*d));
+	uint64_t seed = (uint64_t)set->seed;
 
 	if (!d)
 		abort();
+	if (!seed)
+		randombytes_buf(&seed, sizeof(seed));
 	d->loop = loop;
+	d->set = set;
+	d->rng = rng_new(seed);
 	return d;
 }
 
@@ -36,8 +44,10 @@
 		while (m->nconns)
 			db_conn_free(m->conns[m->nconns - 1]);
 		free(m->conns);
+		jobq_free(m->queue);
 		free(m);
 	}
+	rng_free(d->rng);
 	free(d->members);
 	free(d);
 }
@@ -84,6 +94,7 @@
 		abort();
 	m->db = d;
 	m->info = *b;
+	m->queue = jobq_new(d->rng);
 	db_log_member(b);
 	m->own_conns_percent = 100;
 	m->sharing_proxies = 1;
@@ -236,6 +247,7 @@
 
 	j->member = NULL;
 	j->conn = NULL;
+	db_end_fallback(m, j);
 	db_record_result(m, j, r, clk_now());
 	j->done(j, r);
 }
@@ -263,10 +275,11 @@
 			DB_QUIET_WEIGHT;
 }
 
-void db_record_relayed_end(struct db_member *m, const struct db_job *j,
+void db_record_relayed_end(struct db_member *m, struct db_job *j,
 			   const struct db_result *r, clk_ms now)
 {
 	db_statement_ended(m);
+	db_end_fallback(m, j);
 	db_record_result(m, j, r, now);
 	if (r->status == DB_LOST) {
 		if (!r->sent)
@@ -279,21 +292,6 @@
 		db_record_response_time(m, now - r->sent_at);
 }
 
-/* Fails all waiting jobs; their sessions can start them elsewhere. */
-static void db_fail_queue(struct db_member *m, struct db_result r)
-{
-	struct db_job *j = m->queue;
-
-	m->queue = NULL;
-	m->nqueue = 0;
-	while (j) {
-		struct db_job *next = j->next;
-
-		db_end_job(j, &r);
-		j = next;
-	}
-}
-
 void db_connect_failed(struct db_member *m, clk_ms now)
 {
 	cnt_add(CNT_backend_connect_failures, 1);
@@ -302,7 +300,7 @@
 	m->backoff *= 2;
 	if (m->backoff > DB_BACKOFF_MAX_MS)
 		m->backoff = DB_BACKOFF_MAX_MS;
-	db_fail_queue(m, (struct db_result){.status = DB_LOST});
+	db_fail_queue(m, (struct db_result){.status = DB_LOST}, now);
 }
 
 void db_forget_conn(struct db_conn *c)
@@ -317,74 +315,6 @@
 	}
 }
 
-/* Returns an idle connection, preferably one that already has the session
- * values of the job, or else one without any; NULL if none is idle. */
-static struct db_conn *db_choose_idle(struct db_member *m,
-				      const struct db_job *j)
-{
-	struct db_conn *best = NULL;
-	int best_cost = 0;
-
-	for (int i = 0; i < m->nconns; i++) {
-		struct db_conn *c = m->conns[i];
-		int cost = 0;
-
-		if (c->phase != DB_IDLE)
-			continue;
-		if (c->values_hash != j->ctx->session_values_hash)
-			cost = c->values_hash ? 2 : 1;
-		/* Prefer the one used last, so that surplus connections stay
-		 * idle and are closed. */
-		if (!best || cost < best_cost ||
-		    (cost == best_cost && c->phase_since > best->phase_since)) {
-			best = c;
-			best_cost = cost;
-		}
-	}
-	return best;
-}
-
-/*
- * Returns the job to run next. If the oldest of the most urgent jobs has waited
- * for half of its latency objective, the newest is taken first: in the order of
- * arrival all of them would miss the objective.
- */
-struct db_job **db_next_job(struct db_member *m, clk_ms now)
-{
-	struct db_job **p = &m->queue;
-	struct db_job **newest;
-	const struct db_job *first;
-
-	while (*p && (*p)->held)
-		p = &(*p)->next;
-	first = *p;
-	if (!first)
-		return NULL;
-	if (!first->objective_ms ||
-	    now - first->queued_at < first->objective_ms / 2)
-		return p;
-	newest = p;
-	for (; *p && (*p)->priority == first->priority; p = &(*p)->next)
-		if (!(*p)->held)
-			newest = p;
-	return newest;
-}
-
-static void db_enqueue(struct db_member *m, struct db_job *j, clk_ms now)
-{
-	struct db_job **p = &m->queue;
-
-	while (*p && (*p)->priority <= j->priority)
-		p = &(*p)->next;
-	j->next = *p;
-	*p = j;
-	j->member = m;
-	j->queued_at = now;
-	j->held = false;
-	j->opened_conn = false;
-	m->nqueue++;
-}
-
 int db_own_connections(const struct db_member *m)
 {
 	return m->own_conns_percent >= 100 ? m->own_conns_percent / 100 : 1;
@@ -396,140 +326,41 @@
 	       m->response_ms > DB_OVERLOADED_FACTOR * m->unloaded_response_ms;
 }
 
-bool db_may_run(const struct db_member *m, clk_ms now)
-{
-	int all = DB_STATEMENTS_PER_SLOT * (int)m->info.slots;
-	/* Where tenants share connections, many are opened anew, and each
-	 * occupies a slot meanwhile. */
-	int used = m->running + (m->by_tenant ? m->opening : 0);
-
-	if (all < m->sharing_proxies && !db_is_overloaded(m, now))
-		return true;
-	if (m->by_tenant &&
-	    used < DB_TENANT_STATEMENTS_PER_SLOT * (int)m->info.slots &&
-	    !db_is_overloaded(m, now))
-		return true;
-	return !m->running || used * m->sharing_proxies < all;
-}
-
-/* Returns whether a connection may be opened. After a refusal, only one at a
- * time is tried. */
-static bool db_may_open(const struct db_member *m, clk_ms now)
-{
-	int wanted = m->conn_limit_reached ? 1 : m->nqueue;
-
-	/*
-	 * A busy connection often becomes free before a new one is established.
-	 * A new one occupies a slot for some ms, and if this proxy keeps all
-	 * slots busy already, no statement is served sooner by it.
-	 */
-	if (m->nconns && (now - m->queue->queued_at < DB_OPEN_DELAY_MS ||
-			  m->running >= m->info.slots))
-		return false;
-	return m->nconns < db_own_connections(m) + DB_EXTRA_CONNS &&
-	       m->opening < wanted && now >= m->conn_limit_until &&
-	       now >= m->fail_until;
-}
-
-bool db_has_lease(const struct db_member *m, const struct db_job *j, clk_ms now)
+/* True if a limit would be less than one statement for each proxy, so that none
+ * applies now. */
+static bool db_is_unlimited(const struct db_member *m, clk_ms now)
 {
-	return !j->needs_lease || now < m->lease_until;
+	return DB_STATEMENTS_PER_SLOT * m->info.slots < m->sharing_proxies &&
+	       !db_is_overloaded(m, now);
 }
 
-/* Ends a job that waited until the lease of its member had ended. */
-static void db_refuse_without_lease(struct db_job *j, clk_ms now)
+int db_limit(const struct db_member *m, clk_ms now)
 {
-	struct db_result r = {.status = DB_REFUSED,
-			      .error = LINE_E_NOT_PRIMARY};
+	int slots = (int)m->info.slots;
+	int all = DB_STATEMENTS_PER_SLOT * slots;
+	int equal = (all + m->sharing_proxies - 1) / m->sharing_proxies;
+	int tenants = DB_TENANT_STATEMENTS_PER_SLOT * slots;
 
-	db_log_without_lease(j->member, j, now);
-	db_end_job(j, &r);
+	if (db_is_unlimited(m, now))
+		return slots;
+	if (m->by_tenant && !db_is_overloaded(m, now) && equal < tenants)
+		return tenants;
+	return equal > 0 ? equal : 1;
 }
 
-static struct db_job *db_take_from_queue(struct db_member *m,
-					 struct db_job **place)
-{
-	struct db_job *j = *place;
-
-	*place = j->next;
-	m->nqueue--;
-	return j;
-}
-
-void db_run_queued(struct db_conn *c, struct db_job **place, clk_ms now)
-{
-	db_run(c, db_take_from_queue(c->member, place), now);
-}
-
-void db_refuse_queued(struct db_job **place, clk_ms now)
-{
-	db_refuse_without_lease(db_take_from_queue((*place)->member, place),
-				now);
-}
-
-/* Assigns idle connections to waiting jobs and opens missing connections. */
-static void db_dispatch_any(struct db_member *m, clk_ms now)
-{
-	while (m->queue && db_may_run(m, now)) {
-		struct db_job **p = db_next_job(m, now);
-		bool refused = !db_has_lease(m, *p, now);
-		struct db_conn *c = refused ? NULL : db_choose_idle(m, *p);
-
-		if (!c && !refused)
-			break;
-		if (refused)
-			db_refuse_queued(p, now);
-		else
-			db_run_queued(c, p, now);
-	}
-	while (m->queue && db_may_run(m, now) && db_may_open(m, now))
-		if (!db_open(m, "", now))
-			return;
-}
-
-void db_dispatch(struct db_member *m, clk_ms now)
-{
-	if (db_uses_tenants(m))
-		db_dispatch_tenants(m, now);
-	else
-		db_dispatch_any(m, now);
-	if (m->queue && !m->nconns && now < m->conn_limit_until)
-		db_fail_queue(m,
-			      (struct db_result){.status = DB_REFUSED,
-						 .error = LINE_E_CONN_LIMIT});
-}
-
-void db_start(struct db_member *m, struct db_job *j, clk_ms now)
-{
-	db_enqueue(m, j, now);
-	db_dispatch(m, now);
-}
-
-void db_continue(struct db_conn *c, struct db_job *j, clk_ms now)
-{
-	c->on_lost = NULL;
-	db_run(c, j, now);
-}
-
-static void db_dequeue(struct db_job *j)
+bool db_may_run(const struct db_member *m, clk_ms now)
 {
-	struct db_job **p = &j->member->queue;
+	/* Where tenants share connections, many are opened anew, and each
+	 * occupies a slot meanwhile. */
+	int used = m->running + (m->by_tenant ? m->opening : 0);
 
-	while (*p != j)
-		p = &(*p)->next;
-	db_take_from_queue(j->member, p);
+	return db_is_unlimited(m, now) || !m->running ||
+	       used < db_limit(m, now);
 }
 
-void db_cancel(struct db_job *j)
+bool db_has_lease(const struct db_member *m, const struct db_job *j, clk_ms now)
 {
-	if (j->conn) {
-		j->conn->job = NULL;
-		j->conn->phase_since = clk_now();
-	} else if (j->member) {
-		db_dequeue(j);
-	}
-	j->member = NULL;
-	j->conn = NULL;
+	return !j->needs_lease || now < m->lease_until;
 }
 
 void db_on_lost(struct db_conn *c, void (*lost)(void *arg), void *arg)
@@ -554,8 +385,7 @@
 			db_conn_tick(m->conns[i], now);
 	if (m->by_tenant)
 		db_close_extra(m, now);
-	if (m->queue)
-		db_dispatch(m, now);
+	db_queue_tick(m, now);
 	if (db_should_test(m, now))
 		db_open(m, "", now);
 }
--- a/db.h
+++ b/db.h
@@ -15,6 +15,10 @@
  * Where there are tenants, a connection belongs to the tenant that it was
  * opened for and runs only jobs of that tenant (conn_choice.h).
  *
+ * Jobs that wait for a member are kept by jobq.h. With the setting pacing, one
+ * that can't end in time is refused at once, as not run (LINE_E_OVERLOAD).
+ * Statements of open transactions never wait there.
+ *
  * A connection whose job was canceled is reused only after the outstanding
  * answers have arrived; it is closed if they do not arrive in time.
  */
@@ -23,7 +27,9 @@
 #include "clock.h"
 #include "cluster.h"
 #include "freshness.h"
+#include "jobq.h"
 #include "platform/line.h"
+#include "read_fallback.h"
 #include "sctx.h"
 
 enum {
@@ -106,6 +112,9 @@
 	/* upper bound of that pause; a replica that has caught up stays unused
 	 * for up to as long */
 	DB_BEHIND_PAUSE_MAX_MS = 160,
+	/* After so long without a refusal, the log tells that a member ceased
+	 * to refuse jobs for overload. */
+	DB_REFUSALS_OVER_MS = 1000,
 	/* TCP_USER_TIMEOUT, for unacknowledged data */
 	DB_USER_TIMEOUT_MS = 1500
 };
@@ -117,6 +126,7 @@
 struct relay_pin;
 struct db_member;
 struct ev_loop;
+struct settings;
 
 enum db_status {
 	DB_DONE, /* the statement succeeded */
@@ -141,6 +151,8 @@
 	/* in a transaction: the connection, kept for its session */
 	struct db_conn *conn;
 	struct relay_pin *pin; /* the same if another proxy ran the job */
+	/* with LINE_E_OVERLOAD: after how long the caller should come back */
+	clk_ms retry_ms;
 };
 
 struct db_job {
@@ -169,18 +181,19 @@
 	/* When the answer must be there, or the job is of no use; 0 if unknown.
 	 */
 	clk_ms deadline;
+	/* It runs on the primary only since no replica can serve it, so with
+	 * the setting pacing it gets a bounded share (read_fallback.h). */
+	bool fallback;
 	void (*done)(struct db_job *j, const struct db_result *r);
 	void *arg;
 
 	/* Used inside the module. */
 	struct db_member *member;
 	struct db_conn *conn;
-	struct db_job *next; /* next in the member's queue */
-	clk_ms queued_at; /* when it entered the queue */
+	struct jobq_job queued; /* in the member's queue */
 	clk_ms started_at; /* when it got its connection */
-	/* it waits for a connection of its tenant; jobs behind it go on */
-	bool held;
 	bool opened_conn; /* a connection was opened for it */
+	bool counts_as_fallback; /* in fallback_reads of the member */
 	bool sent; /* the statement itself was sent */
 	/* set while another proxy runs it, see relay.h */
 	struct relay_forwarded_job *relay;
@@ -210,8 +223,16 @@
 	int nconns;
 	int opening;
 	int running;
-	struct db_job *queue;
-	int nqueue;
+	struct jobq *queue;
+	/* jobs refused for overload since the first one, with the times of the
+	 * first and the last; 0 if none was for DB_REFUSALS_OVER_MS */
+	uint64_t refusals;
+	clk_ms refused_first;
+	clk_ms refused_last;
+	/* jobs with the mark fallback, here or at the proxies that run them */
+	int fallback_reads;
+	/* Set by the user of this module, see read_fallback.h. */
+	struct rdf_lag lag;
 	double response_ms; /* moving average */
 	double unloaded_response_ms; /* the response time without load */
 	clk_ms overloaded_until;
@@ -239,7 +260,7 @@
 	clk_ms leaving_since; /* 0 if it is not leaving */
 };
 
-struct db *db_new(struct ev_loop *loop);
+struct db *db_new(struct ev_loop *loop, const struct settings *set);
 void db_free(struct db *d);
 
 /* Takes a new roster (list of backends). */
@@ -284,12 +305,22 @@
  * the result; for canceled ones the plain end is called. */
 void db_statement_started(struct db_member *m, clk_ms now);
 void db_statement_ended(struct db_member *m);
-void db_record_relayed_end(struct db_member *m, const struct db_job *j,
+void db_record_relayed_end(struct db_member *m, struct db_job *j,
 			   const struct db_result *r, clk_ms now);
 
+/* Count a job with the mark fallback, and count it no more. */
+void db_begin_fallback(struct db_member *m, struct db_job *j);
+void db_end_fallback(struct db_member *m, struct db_job *j);
+
 void db_tick(struct db *d, clk_ms now);
 size_t db_connections(const struct db *d);
 
+/* Number of jobs that wait at this proxy for the member. */
+size_t db_waiting(const struct db_member *m);
+
+/* Number of statements that this proxy may have in progress at the member. */
+int db_limit(const struct db_member *m, clk_ms now);
+
 /* Connections to a member by their state. */
 struct db_conn_counts {
 	int opening;
--- a/db_conn.c
+++ b/db_conn.c
@@ -198,6 +198,7 @@
 	struct db_member *m = c->member;
 
 	c->job = j;
+	c->priority = j->priority;
 	c->used = true;
 	j->conn = c;
 	j->member = m;
@@ -285,6 +286,8 @@
 	char code[sizeof(c->code)] = "";
 	char text[sizeof(c->text)] = "";
 
+	if (r.sent && (r.status == DB_DONE || c->error == LINE_E_OTHER))
+		db_learn(c, j, now);
 	if (r.status == DB_DONE)
 		db_record_response_time(c->member, now - c->sent_at);
 	else if (c->error == LINE_E_OTHER || c->error == LINE_E_NO_STATEMENT)
--- a/db_priv.h
+++ b/db_priv.h
@@ -1,8 +1,9 @@
 #ifndef DB_PRIV_H
 #define DB_PRIV_H
 
-/* Shared by db.c (members, queues), db_conn.c (one connection) and db_tenant.c
- * (connections that belong to tenants). */
+/* Shared by db.c (members, their load and failures), db_queue.c (jobs that
+ * wait), db_conn.c (one connection) and db_tenant.c (connections that belong to
+ * tenants). */
 
 #include "db.h"
 #include "net.h"
@@ -35,6 +36,8 @@
 	bool rollback;
 	clk_ms phase_since; /* start of the phase */
 	clk_ms sent_at;
+	int64_t priority; /* of the statement, also after its job was canceled
+			   */
 	/* hash of the session values set on the connection */
 	uint64_t values_hash;
 	/* content hashes of the prepared statements it has */
@@ -46,6 +49,8 @@
 
 struct db {
 	struct ev_loop *loop;
+	const struct settings *set;
+	struct rng *rng;
 	struct db_member **members;
 	size_t nmembers;
 };
@@ -61,16 +66,30 @@
 /* db.c */
 /* this proxy's share of connections, at least one */
 int db_own_connections(const struct db_member *m);
+
+/* db_queue.c */
 void db_dispatch(struct db_member *m, clk_ms now);
 
-/* The place in the queue of the job to run next, leaving out those that are
- * held; NULL if there is none. */
-struct db_job **db_next_job(struct db_member *m, clk_ms now);
+/* The job to run next in the round that jobq_start_round() began; NULL if there
+ * is none. */
+struct db_job *db_next_job(struct db_member *m, clk_ms now);
 
 /* Takes the job out of the queue and runs it, or refuses it if the lease is
  * missing that it needs. */
-void db_run_queued(struct db_conn *c, struct db_job **place, clk_ms now);
-void db_refuse_queued(struct db_job **place, clk_ms now);
+void db_run_queued(struct db_conn *c, struct db_job *j, clk_ms now);
+void db_refuse_queued(struct db_job *j, clk_ms now);
+
+/* Fails all waiting jobs; their sessions can start them elsewhere. */
+void db_fail_queue(struct db_member *m, struct db_result r, clk_ms now);
+
+/* Learns the service time from the answer to a statement that the member ran;
+ * j is NULL if it was canceled. */
+void db_learn(const struct db_conn *c, const struct db_job *j, clk_ms now);
+
+/* Refuses the jobs that became late, and logs when refusals are over. */
+void db_queue_tick(struct db_member *m, clk_ms now);
+
+/* db.c */
 
 /* True if one more statement may run on the member. Statements of open
  * transactions are never held back, because a waiting transaction blocks
--- a/db_tenant.c
+++ b/db_tenant.c
@@ -83,29 +83,16 @@
 {
 	struct cch_conn *conns = tenant_list_conns(m, j);
 	struct cch_pool pool = tenant_pool(m, conns, now);
-	struct cch_job job = {.tenant = j->tenant};
-	struct cch_choice choice;
-
-	for (const struct db_job *k = m->queue; k; k = k->next) {
-		if (strcmp(k->tenant, j->tenant) != 0)
-			continue;
-		job.waiting++;
-		if (now - k->queued_at > job.waited_ms)
-			job.waited_ms = now - k->queued_at;
-	}
-	choice = cch_choose(&pool, &job, now);
+	struct jobq_tenant_jobs all = jobq_jobs_of_tenant(&j->queued, now);
+	struct cch_job job = {.tenant = j->tenant,
+			      .waiting = all.n,
+			      .waited_ms = all.waited_ms};
+	struct cch_choice choice = cch_choose(&pool, &job, now);
+
 	free(conns);
 	return choice;
 }
 
-/* Leaves out the jobs of a tenant that must wait for a connection, so that they
- * don't hold up those of other tenants. */
-static void tenant_hold(struct db_member *m, const struct db_job *j)
-{
-	for (struct db_job *k = m->queue; k; k = k->next)
-		k->held |= !strcmp(k->tenant, j->tenant);
-}
-
 bool db_uses_tenants(const struct db_member *m)
 {
 	if (m->by_tenant)
@@ -113,25 +100,21 @@
 	for (int i = 0; i < m->nconns; i++)
 		if (m->conns[i]->tenant[0])
 			return true;
-	for (const struct db_job *j = m->queue; j; j = j->next)
-		if (j->tenant[0])
-			return true;
-	return false;
+	return jobq_has_tenants(m->queue);
 }
 
-/* Runs the job at a place of the queue, or opens a connection for it, or holds
- * its tenant's jobs. Returns false if the member can't be reached. */
-static bool tenant_advance(struct db_member *m, struct db_job **place,
-			   clk_ms now)
+/* Runs the job or opens a connection for it. The jobs of a tenant that must
+ * wait for a connection are left out of this round, so that they don't hold up
+ * those of other tenants. Returns false if the member can't be reached. */
+static bool tenant_advance(struct db_member *m, struct db_job *j, clk_ms now)
 {
-	struct db_job *j = *place;
 	struct cch_choice choice = tenant_choose(m, j, now);
 
 	switch (choice.action) {
 	case CCH_USE:
 		if (!j->opened_conn)
 			cnt_add(CNT_backend_conn_found, 1);
-		db_run_queued(m->conns[choice.conn], place, now);
+		db_run_queued(m->conns[choice.conn], j, now);
 		return true;
 	case CCH_REPLACE:
 		/* The member counts both, so the old one is closed first. */
@@ -141,29 +124,28 @@
 	case CCH_OPEN:
 		break;
 	case CCH_WAIT:
-		tenant_hold(m, j);
+		jobq_skip_tenant(m->queue, &j->queued);
 		return true;
 	}
 	j->opened_conn = true;
-	tenant_hold(m, j);
+	jobq_skip_tenant(m->queue, &j->queued);
 	/* If this fails, it ends all waiting jobs. */
 	return db_open(m, j->tenant, now) != NULL;
 }
 
 void db_dispatch_tenants(struct db_member *m, clk_ms now)
 {
-	struct db_job **place;
+	struct db_job *j;
 	bool reachable = true;
 
+	jobq_start_round(m->queue);
 	while (reachable && db_may_run(m, now) &&
-	       (place = db_next_job(m, now)) != NULL) {
-		if (db_has_lease(m, *place, now))
-			reachable = tenant_advance(m, place, now);
+	       (j = db_next_job(m, now)) != NULL) {
+		if (db_has_lease(m, j, now))
+			reachable = tenant_advance(m, j, now);
 		else
-			db_refuse_queued(place, now);
+			db_refuse_queued(j, now);
 	}
-	for (struct db_job *j = m->queue; j; j = j->next)
-		j->held = false;
 }
 
 void db_close_extra(struct db_member *m, clk_ms now)
--- a/front.c
+++ b/front.c
@@ -4,8 +4,10 @@
 #include "hist.h"
 #include "log.h"
 #include "relay.h"
+#include "rng.h"
 #include "settings.h"
 
+#include <sodium.h>
 #include <stdlib.h>
 #include <utlist.h>
 
@@ -127,17 +129,22 @@
 	}
 	front_report_suspects(f, now);
 	front_cap_tick(f, now);
+	front_fallback_tick(f, now);
 }
 
 struct front_server *front_new(struct ev_loop *loop, const struct settings *set)
 {
 	struct front_server *f = calloc(1, sizeof(*f));
+	uint64_t seed = (uint64_t)set->seed;
 
 	if (!f)
 		abort();
 	f->loop = loop;
 	f->set = set;
-	f->db = db_new(loop);
+	f->db = db_new(loop, set);
+	if (!seed)
+		randombytes_buf(&seed, sizeof(seed));
+	f->rng = rng_new(seed);
 	f->key_lease.duration_ms = set->key_lease_ms;
 	f->latency = hist_new();
 	f->hedge_budget.tokens = FRONT_HEDGES_INITIAL;
@@ -165,6 +172,7 @@
 	free(f->proxy_list);
 	rt_unref(f->routes);
 	front_cap_free(f);
+	rng_free(f->rng);
 	hist_free(f->latency);
 	free(f);
 }
@@ -275,7 +283,7 @@
 		const char *id = list[i]->info.id;
 		struct db_conn_counts c = db_count_conns(list[i]);
 
-		if (!list[i]->nconns)
+		if (!list[i]->nconns && !db_waiting(list[i]))
 			continue;
 		listed++;
 		buf_addf(
@@ -285,8 +293,9 @@
 			"member_connections{member=\"%s\",state=\"idle\"} %d\n"
 			"member_connections{member=\"%s\",state=\"busy\"} %d\n"
 			"member_connections{member=\"%s\",state=\"in_txn\"} %d\n"
-			"member_tenants{member=\"%s\"} %d\n",
+			"member_tenants{member=\"%s\"} %d\n"
+			"member_waiting{member=\"%s\"} %zu\n",
 			id, c.opening, id, c.idle, id, c.busy, id, c.in_txn, id,
-			c.tenants);
+			c.tenants, id, db_waiting(list[i]));
 	}
 }
--- a/front_choose_member.c
+++ b/front_choose_member.c
@@ -19,12 +19,31 @@
 	return m && now < m->lease_until ? m : NULL;
 }
 
+static bool place_has_refused(const struct db_member *m,
+			      const struct front_session *s)
+{
+	for (int i = 0; i < s->run.nrefused; i++)
+		if (!strcmp(s->run.refused_by[i], m->info.id))
+			return true;
+	return false;
+}
+
+/* True if a read that was refused elsewhere could not end there in time. */
+static bool place_is_late(const struct db_member *m,
+			  const struct front_session *s, clk_ms now)
+{
+	return s->run.nrefused &&
+	       now + (clk_ms)m->response_ms > s->run.deadline;
+}
+
 static bool place_is_usable(const struct db_member *m,
 			    const struct front_session *s, bool primary,
 			    struct pos need, clk_ms now)
 {
 	if (!primary && db_is_behind(m, need, now))
 		return false;
+	if (place_has_refused(m, s) || place_is_late(m, s, now))
+		return false;
 	return m->in_roster && !m->info.leaving && now >= m->fail_until &&
 	       now >= m->busy_until && !db_is_unresponsive(m, now) &&
 	       (m->nconns || now >= m->conn_limit_until) &&
@@ -47,7 +66,7 @@
 			 const struct front_session *s,
 			 const struct db_member *m, bool primary)
 {
-	double cost = m->response_ms * (1 + m->nqueue);
+	double cost = m->response_ms * (1 + (double)db_waiting(m));
 
 	if (m->running > 1)
 		cost += m->response_ms * 0.5 * (m->running - 1);
@@ -86,3 +105,23 @@
 	}
 	return best;
 }
+
+bool front_is_fallback(struct front_server *f, const struct front_session *s,
+		       struct pos need, clk_ms now)
+{
+	const struct front_group *g = front_find_group(f, s->group);
+	const struct db_member *primary = front_leased_primary(g, now);
+	bool lacking = false;
+
+	for (size_t i = 0; i < g->nmembers; i++) {
+		const struct db_member *m = g->members[i];
+
+		if (m == primary)
+			continue;
+		if (place_is_usable(m, s, false, need, now))
+			return false;
+		lacking |= m->in_roster && (db_is_behind(m, need, now) ||
+					    place_has_refused(m, s));
+	}
+	return lacking;
+}
--- a/front_priv.h
+++ b/front_priv.h
@@ -85,6 +85,12 @@
 	/* added to the cost of a read on the primary, which alone can serve
 	 * writes; divided by its slots */
 	FRONT_PRIMARY_COST_MS = 60,
+	/* members that a read is moved away from after they refused it for
+	 * overload; groups have three members */
+	FRONT_REFUSALS_MAX = 2,
+	/* after so long without a read that no replica could serve, the log
+	 * tells that they are over */
+	FRONT_FALLBACK_OVER_MS = 1000,
 	/* TCP_USER_TIMEOUT of connections of callers */
 	FRONT_CALLER_TIMEOUT_MS = 20000
 };
@@ -124,6 +130,13 @@
 	clk_ms min_age_ms;
 	/* when a read last went to the primary because no position was known */
 	clk_ms primary_read_at;
+	/* Reads that no replica could serve since the first of them: how many
+	 * were sent to the primary and how many refused; times of the first and
+	 * the last, or 0. */
+	uint64_t fallback_sent;
+	uint64_t fallback_refused;
+	clk_ms fallback_first;
+	clk_ms fallback_last;
 };
 
 /* The statement that a session currently runs. */
@@ -142,6 +155,11 @@
 	int tries;
 	bool sent; /* some try was sent and got no answer */
 	char avoid_member[ID_LEN]; /* the member that failed last */
+	bool placed; /* the last try was a read that any member may serve */
+	/* members that refused it for overload, and when to come back */
+	char refused_by[FRONT_REFUSALS_MAX][ID_LEN];
+	int nrefused;
+	clk_ms retry_ms;
 	/* bypass the runner, which can't reach the member */
 	bool bypass_runner;
 	bool hedge_denied; /* a hedge was denied by the budget */
@@ -245,6 +263,7 @@
 	clk_ms suspect_reported;
 	clk_ms early_ask_at; /* when on_urgent was last called for a position */
 	int early_asks;
+	struct rng *rng; /* spreads the times to come back */
 	/* for reads sent again without an answer */
 	struct retry_budget hedge_budget;
 	struct hist *latency; /* latency of statements at backends in us */
@@ -292,6 +311,10 @@
 /* Answers the statement with an error of this proxy. */
 void front_run_refuse(struct front_session *s, enum res r, const char *member);
 
+/* The same with the time after which the caller should come back. */
+void front_run_refuse_retry(struct front_session *s, enum res r,
+			    const char *member, clk_ms retry_ms);
+
 /* Has the statement tried again after a pause. */
 void front_run_retry(struct front_session *s, clk_ms pause, enum res reason);
 
@@ -304,6 +327,23 @@
 /* Refuses the statement since its tenant has reached its rate limit. */
 void front_run_refuse_rate(struct front_session *s, clk_ms retry_ms);
 
+/* front_fallback.c: records how far the replica that answered is behind. */
+void front_record_lag(struct front_session *s, const struct db_result *r);
+
+/*
+ * Decides about a read for which the primary was chosen, or no position is
+ * known. Returns true if it may run there; otherwise it waits or was refused.
+ * Without the setting pacing it always may.
+ */
+bool front_admit_fallback(struct front_session *s, struct pos need, clk_ms now);
+bool front_admit_without_position(struct front_session *s, clk_ms now);
+
+/* Counts a read that no replica could serve. */
+void front_count_fallback(struct front_group *g, bool sent, clk_ms now);
+
+/* Logs which groups' replicas can serve reads again. */
+void front_fallback_tick(struct front_server *f, clk_ms now);
+
 /* Gives up the statement under way and answers it. */
 void front_run_expire(struct front_session *s);
 
@@ -386,4 +426,9 @@
 				   const struct front_session *s,
 				   struct pos need, clk_ms now);
 
+/* True if no replica can serve the read, since they lack the position or
+ * refused it for overload. */
+bool front_is_fallback(struct front_server *f, const struct front_session *s,
+		       struct pos need, clk_ms now);
+
 #endif
--- a/front_run.c
+++ b/front_run.c
@@ -188,6 +188,7 @@
 		/* The key is checked again, and may be valid for longer now. */
 		front_run_retry(s, 0, RES_KEY_UNCONFIRMED);
 		return true;
+	case LINE_E_OVERLOAD: /* see run_overloaded() */
 	case LINE_E_OTHER:
 		break;
 	}
@@ -199,6 +200,40 @@
 	return true;
 }
 
+/*
+ * Handles that a member's queue refused the statement, which was not run. The
+ * same member is not tried again: it would be refused again, or be late. A read
+ * may go to another one.
+ */
+static void run_overloaded(struct front_session *s, const struct db_result *r,
+			   const char *member)
+{
+	struct front_run *run = &s->run;
+	clk_ms now = clk_now();
+	bool may_move = run->placed && !s->job.fallback &&
+			run->nrefused < FRONT_REFUSALS_MAX;
+
+	if (!run->nrefused || r->retry_ms < run->retry_ms)
+		run->retry_ms = r->retry_ms;
+	if (may_move)
+		snprintf(run->refused_by[run->nrefused++], ID_LEN, "%s",
+			 member);
+	if (may_move &&
+	    front_place_read(s->server, s, s->job.required_pos, now)) {
+		cnt_add(CNT_reads_moved, 1);
+		front_run_retry(s, 0, RES_OVERLOAD);
+		return;
+	}
+	if (s->job.fallback)
+		front_count_fallback(front_find_group(s->server, s->group),
+				     false, now);
+	front_run_refuse_retry(s,
+			       s->job.fallback && !run->nrefused
+				       ? RES_NO_REPLICA
+				       : RES_OVERLOAD,
+			       member, run->retry_ms);
+}
+
 /* Handles a refused statement: it is tried again, or the caller gets the
  * backend's error. */
 static void run_refused(struct front_session *s, const struct db_result *r,
@@ -219,6 +254,10 @@
 				 member);
 		return;
 	}
+	if (s->txn != FRONT_OPEN && !r->sent && r->error == LINE_E_OVERLOAD) {
+		run_overloaded(s, r, member);
+		return;
+	}
 	if (run_retry_refused(s, r, member)) {
 		/* A transaction that has to begin again does so on a newly
 		 * chosen connection; release this one. */
@@ -386,6 +425,7 @@
 	s->job_runs = false;
 	if (r->sent)
 		front_cap_sent(s);
+	front_record_lag(s, r);
 	switch (r->status) {
 	case DB_DONE:
 		run_succeeded(s, r);
@@ -411,6 +451,7 @@
 	run->sent = false;
 	run->primary_read = false;
 	run->avoid_member[0] = '\0';
+	run->nrefused = 0;
 	run->bypass_runner = false;
 	run->hedge_denied = false;
 	run->answer_held = false;
@@ -444,7 +485,8 @@
 		front_try(s, now);
 }
 
-void front_run_refuse_rate(struct front_session *s, clk_ms retry_ms)
+void front_run_refuse_retry(struct front_session *s, enum res r,
+			    const char *member, clk_ms retry_ms)
 {
 	char text[64];
 
@@ -454,7 +496,12 @@
 	}
 	snprintf(text, sizeof(text), "retry after %lld ms",
 		 (long long)retry_ms);
-	run_refuse_with(s, RES_RATE_LIMIT, "", text);
+	run_refuse_with(s, r, member, text);
+}
+
+void front_run_refuse_rate(struct front_session *s, clk_ms retry_ms)
+{
+	front_run_refuse_retry(s, RES_RATE_LIMIT, "", retry_ms);
 }
 
 void front_run_expire(struct front_session *s)
--- a/front_try.c
+++ b/front_try.c
@@ -117,6 +117,8 @@
 		front_run_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_REPLICA);
 		return;
 	}
+	if (!front_admit_without_position(s, now))
+		return;
 	g->primary_read_at = now;
 	try_on_primary(s, now);
 }
@@ -130,14 +132,17 @@
 	struct db_member *m = front_place_read(s->server, s, need, now);
 	const struct db_member *primary = front_leased_primary(g, now);
 
-	if (!known && (!m || m != primary))
+	s->run.placed = true;
+	if (s->run.nrefused && (!m || !known))
+		front_run_refuse_retry(s, RES_OVERLOAD, "", s->run.retry_ms);
+	else if (!known && (!m || m != primary))
 		try_without_position(s, g, now);
 	else if (!m)
 		front_run_retry(s, FRONT_RETRY_PAUSE_MS, RES_NO_REPLICA);
-	else if (m == primary)
-		try_on_primary(s, now);
-	else
+	else if (m != primary)
 		try_on_replica(s, m, need, now);
+	else if (front_admit_fallback(s, need, now))
+		try_on_primary(s, now);
 }
 
 /* Runs a statement of an open transaction, at the member that has it. */
@@ -183,6 +188,8 @@
 		s->txn == FRONT_BEGUN ? s->txn_read_only : s->run.is_read;
 
 	s->run.retry_at = 0;
+	s->run.placed = false;
+	s->job.fallback = false;
 	if (!try_key_is_valid(s, now))
 		return;
 	if (s->txn == FRONT_OPEN) {
--- a/jobq.c
+++ b/jobq.c
@@ -62,6 +62,34 @@
 	return q->n;
 }
 
+const struct jobq_job *jobq_oldest(const struct jobq *q)
+{
+	for (const struct jobq_class *c = q->classes; c; c = c->next)
+		if (c->n)
+			return c->flows->jobs;
+	return NULL;
+}
+
+struct jobq_tenant_jobs jobq_jobs_of_tenant(const struct jobq_job *j,
+					    clk_ms now)
+{
+	const struct jobq_tenant *t = j->flow->tenant;
+	struct jobq_tenant_jobs out = {.n = (int)t->nwaiting};
+
+	for (const struct jobq_flow *f = t->flows; f; f = f->tenant_next)
+		if (f->n && now - f->jobs->arrived > out.waited_ms)
+			out.waited_ms = now - f->jobs->arrived;
+	return out;
+}
+
+bool jobq_has_tenants(const struct jobq *q)
+{
+	for (const struct jobq_tenant *t = q->tenants; t; t = t->hh.next)
+		if (t->nwaiting && t->name[0])
+			return true;
+	return false;
+}
+
 /* Returns the class, and makes it if it is new. */
 struct jobq_class *jobq_class_of(struct jobq *q, int64_t priority)
 {
--- a/jobq.h
+++ b/jobq.h
@@ -152,12 +152,13 @@
  * NULL if there is none. It is not in the queue any more. */
 struct jobq_job *jobq_pop_refused(struct jobq *q, clk_ms now, clk_ms *retry_ms);
 
-/* Learns from the answer to a job that was taken, ms after it was sent. */
+/* Learns from the answer to a job, ms after it was sent, and counts its time
+ * for its tenant. The job was taken, or has passed the queue and is zero but
+ * for its priority and tenant. */
 void jobq_answered(struct jobq *q, const struct jobq_job *j, clk_ms ms,
 		   clk_ms now);
 
-/* Learns from the answer to a statement whose job is gone, or was not queued.
- */
+/* Learns from the answer to a statement whose job is gone. */
 void jobq_learn(struct jobq *q, int64_t priority, clk_ms ms, clk_ms now);
 
 /* Time that the work ahead of a new job of this priority needs beside later
@@ -168,6 +169,22 @@
 /* Jobs that wait, without the refused ones. */
 size_t jobq_waiting(const struct jobq *q);
 
+/* The oldest of the most urgent jobs that wait, of the tenant that is served
+ * first; NULL if none waits. */
+const struct jobq_job *jobq_oldest(const struct jobq *q);
+
+/* The waiting jobs of the tenant of a job that waits. */
+struct jobq_tenant_jobs {
+	int n;
+	clk_ms waited_ms; /* by the oldest of them */
+};
+
+struct jobq_tenant_jobs jobq_jobs_of_tenant(const struct jobq_job *j,
+					    clk_ms now);
+
+/* True if a job of a tenant waits. */
+bool jobq_has_tenants(const struct jobq *q);
+
 /* Mean service time in ms of a class, for metrics; 0 if unknown. */
 double jobq_service_ms(const struct jobq *q, int64_t priority, clk_ms now);
 
--- a/msg.c
+++ b/msg.c
@@ -343,7 +343,9 @@
 	LIST(msg_job, session_settings, session_setting, value_fields),
 	BOOL(msg_job, needs_lease),
 	STR(msg_job, tenant),
-	INT(msg_job, authorized_ms)};
+	INT(msg_job, authorized_ms),
+	INT(msg_job, answer_timeout_ms),
+	BOOL(msg_job, fallback)};
 
 static const struct msg_field job_end_fields[] = {
 	INT(msg_job_end, job_number),
@@ -356,7 +358,8 @@
 	INT(msg_job_end, term),
 	INT(msg_job_end, position),
 	INT(msg_job_end, txn_status_char),
-	INT(msg_job_end, kept_conn_id)};
+	INT(msg_job_end, kept_conn_id),
+	INT(msg_job_end, retry_ms)};
 
 static const struct msg_field rate_demand_fields[] = {
 	STR(rate_demand, tenant),      INT(rate_demand, tokens),
--- a/msg.h
+++ b/msg.h
@@ -541,6 +541,10 @@
 	int64_t authorized_ms; /* how much longer the tenant's API key may be
 				* used; 0 without a limit, negative if it may
 				* not */
+	/* how much longer its answer is of use; 0 if this is not known, and
+	 * then send_timeout_ms counts */
+	int64_t answer_timeout_ms;
+	bool fallback; /* see struct db_job */
 };
 
 /* Result of a job; see struct db_result. */
@@ -557,6 +561,7 @@
 	int64_t txn_status_char; /* transaction status: 'I', 'T' or 'E' */
 	int64_t kept_conn_id; /* connection kept for the transaction; 0 if none
 			       */
+	int64_t retry_ms; /* with LINE_E_OVERLOAD: when to come back */
 };
 
 /*
--- a/relay.c
+++ b/relay.c
@@ -80,7 +80,8 @@
 				.text = relay_span(&m->member_error_text),
 				.answer = relay_span(&m->answer),
 				.pos = {.term = m->term, .number = m->position},
-				.txn = (char)m->txn_status_char};
+				.txn = (char)m->txn_status_char,
+				.retry_ms = m->retry_ms};
 	struct relay_forwarded_job *job;
 
 	HASH_FIND(hh, g->jobs, &m->job_number, sizeof(m->job_number), job);
@@ -415,6 +416,11 @@
 	out->authorized_ms = j->authorized_until
 				     ? relay_ms_left(j->authorized_until, now)
 				     : 0;
+	out->answer_timeout_ms =
+		j->deadline ? relay_ms_left(
+				      j->deadline - RELAY_RETURN_MARGIN_MS, now)
+			    : 0;
+	out->fallback = j->fallback;
 	out->job_request_id = relay_blob(j->id);
 	out->text = relay_blob(j->text);
 	out->prepared = j->prepared;
@@ -432,6 +438,7 @@
 	j->started_at = now;
 	j->sent = true;
 	db_statement_started(m, now);
+	db_begin_fallback(m, j);
 	cnt_add(CNT_forwarded, 1);
 	link_send(g->link, &msg);
 	free(out->session_settings);
@@ -492,6 +499,7 @@
 	m.u.job_cancel.job_number = job->number;
 	link_send(job->runner->link, &m);
 	db_statement_ended(job->member);
+	db_end_fallback(job->member, j);
 	if (job->pin)
 		relay_forget_pin(job->pin);
 	relay_forget_job(job);
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -97,6 +97,7 @@
 	end->term = r->pos.term;
 	end->position = r->pos.number;
 	end->txn_status_char = r->txn;
+	end->retry_ms = r->retry_ms;
 	end->kept_conn_id = serve_keep_conn(run, r->conn);
 	link_send(run->client->link, &m);
 	if (end->kept_conn_id && run->client->relay->ends_kept)
@@ -141,7 +142,10 @@
 		(struct pos){.term = m->min_term, .number = m->min_position};
 	j->priority = m->priority;
 	j->objective_ms = m->objective_ms;
-	j->deadline = run->limit;
+	/* Proxies of earlier versions don't tell. */
+	j->deadline =
+		m->answer_timeout_ms ? now + m->answer_timeout_ms : run->limit;
+	j->fallback = m->fallback;
 	memcpy(j->tenant, m->tenant, ID_LEN);
 	if (m->authorized_ms)
 		j->authorized_until = now + m->authorized_ms;
--- a/t/unit_db_tenant.cc
+++ b/t/unit_db_tenant.cc
@@ -11,6 +11,7 @@
 extern "C" {
 #include "counter.h"
 #include "db_priv.h"
+#include "settings.h"
 }
 
 namespace
@@ -172,6 +173,7 @@
 	std::string text;
 	bool done = false;
 	enum db_status status = DB_LOST;
+	clk_ms retry_ms = 0;
 	struct db_conn *conn = nullptr;
 
 	Job(const char *tenant, const char *what) : text(what)
@@ -185,6 +187,7 @@
 
 			self->done = true;
 			self->status = r->status;
+			self->retry_ms = r->retry_ms;
 			self->conn = r->conn;
 		};
 		job.arg = this;
@@ -213,7 +216,8 @@
 struct DbTenant : testing::Test {
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
 	Member member;
-	struct db *db = db_new(loop);
+	struct settings set = {};
+	struct db *db = db_new(loop, &set);
 	struct db_member *m = nullptr;
 	std::deque<Job> jobs;
 
@@ -478,3 +482,77 @@
 	m->sharing_proxies = 1;
 	EXPECT_EQ(12, max_running()) << "alone it uses as much as before";
 }
+
+/* Guards against a tenant with many waiting jobs that holds up another one of
+ * the same priority. */
+TEST_F(DbTenant, TenantsTakeTurns)
+{
+	m->own_conns_percent = 800;
+	m->sharing_proxies = 12; /* one statement at a time while overloaded */
+	m->overloaded_until = clk_now() + 60000;
+	run("b");
+	member.holds = true;
+	start("a", "READ first");
+	ASSERT_TRUE(run_until([&] { return member.ran.size() == 2; }));
+	for (int i = 0; i < 4; i++)
+		start("a", "READ more");
+	Job &b = start("b", "READ other");
+	member.release();
+	ASSERT_TRUE(run_until([&] { return b.done; }));
+	EXPECT_LE(member.ran.size(), 4u) << "one of a's at most came before";
+}
+
+/* Guards against a job that waits for nothing until its limit: as soon as
+ * answers are known to take longer, also those to canceled jobs, it is refused.
+ * Without the setting, none is. */
+TEST_F(DbTenant, AJobThatCannotEndInTimeIsRefused)
+{
+	m->sharing_proxies = 12;
+	m->overloaded_until = clk_now() + 60000;
+	for (bool pacing : {true, false}) {
+		set.pacing = pacing;
+		member.holds = true;
+		Job &held = start("a");
+		size_t n = member.ran.size();
+		ASSERT_TRUE(run_until([&] { return member.ran.size() > n; }));
+		jobs.emplace_back("a", "READ late");
+		Job &waits = jobs.back();
+		waits.job.deadline = clk_now() + 1000;
+		db_start(m, &waits.job, clk_now());
+		for (int i = 0; i < JOBQ_MIN_ANSWERS; i++)
+			jobq_learn(m->queue, 0, 3000, clk_now());
+		settle();
+		db_tick(db, clk_now());
+		EXPECT_EQ(pacing, waits.done);
+		EXPECT_EQ(pacing, waits.retry_ms >= JOBQ_RETRY_MIN_MS);
+		db_cancel(&held.job);
+		member.release();
+		EXPECT_TRUE(run_until([&] { return waits.done; }));
+		EXPECT_EQ(pacing ? DB_REFUSED : DB_DONE, waits.status);
+	}
+	EXPECT_EQ(1, std::count(member.ran.begin(), member.ran.end(),
+				"a READ late"));
+}
+
+/* Guards against an estimate without the long answers, whose callers gave up.
+ */
+TEST_F(DbTenant, AnswersToCanceledJobsCount)
+{
+	for (bool by_tenant : {false, true}) {
+		m->by_tenant = by_tenant;
+		for (int i = 0; i < JOBQ_MIN_ANSWERS; i++) {
+			size_t n = member.ran.size();
+
+			member.holds = true;
+			start("");
+			ASSERT_TRUE(run_until(
+				[&] { return member.ran.size() > n; }));
+			usleep(2000);
+			db_cancel(&jobs.back().job);
+			member.release();
+			ASSERT_TRUE(run_until([&] { return !m->running; }));
+		}
+		EXPECT_EQ(by_tenant,
+			  jobq_service_ms(m->queue, 0, clk_now()) > 1);
+	}
+}
--- a/t/unit_relay.cc
+++ b/t/unit_relay.cc
@@ -159,7 +159,7 @@
 		set_identity(&proxy_settings, "p1", "za");
 		set_identity(&near.settings, "p2", "za");
 		set_identity(&far.settings, "p3", "zb");
-		db = db_new(loop);
+		db = db_new(loop, &proxy_settings);
 		for (int i = 0; i < 2; i++) {
 			snprintf(b[i].id, ID_LEN, "m%d", i);
 			snprintf(b[i].zone, ID_LEN, i ? "zb" : "za");
