--- a/counter.h
+++ b/counter.h
@@ -17,7 +17,8 @@
 	X(callers_accepted) X(callers_closed) X(statements) \
 	X(reads_replica) X(reads_primary) X(reads_replica_eligible) \
 	X(reads_eligible_primary) X(writes) X(forwarded) X(config_applied) X(config_ignored_older) \
-	X(lease_granted) X(backend_connects) \
+	X(lease_granted) X(backend_connects) X(backend_conn_found) \
+	X(backend_conn_replaced) \
 	X(backend_connect_failures) X(backend_full) \
 	X(backend_silent) X(late_answers) \
 	X(token_lost) X(dedup_hits) X(links_refused) \
@@ -28,7 +29,11 @@
 	X(log_synced) X(log_torn) X(cfg_conflicts) X(cfg_resends) \
 	X(backends_announced) X(backends_silenced) X(bad_input) \
 	X(http_evicted) X(held_up) X(slow_syncs) X(positions_contradicted) \
-	X(samples_ahead)
+	X(samples_ahead) X(key_expired_unsent) X(key_lease_ended) \
+	X(key_withdrawn_txns) X(rate_asks) \
+	X(queue_refused_arrived) X(queue_refused_waiting) \
+	X(queue_refused_fallback) X(reads_moved) \
+	X(reads_fallback) X(reads_fallback_refused)
 /* clang-format on */
 
 enum cnt {
--- a/db_conn.c
+++ b/db_conn.c
@@ -32,7 +32,7 @@
 	c->failed = false;
 }
 
-struct db_conn *db_open(struct db_member *m, clk_ms now)
+struct db_conn *db_open(struct db_member *m, const char *tenant, clk_ms now)
 {
 	struct db_conn *c = calloc(1, sizeof(*c));
 	struct net_handler h = {
@@ -44,6 +44,7 @@
 	if (!c || !m->conns)
 		abort();
 	c->member = m;
+	snprintf(c->tenant, ID_LEN, "%s", tenant);
 	c->net = net_connect(m->db->loop, m->info.addr, &h, &e);
 	if (!c->net) {
 		log_warn("db", "event=connect_failed member=%s error=\"%s\"",
@@ -58,7 +59,8 @@
 	db_phase(c, DB_CONNECTING, now);
 	c->ready_expected = 1;
 	cnt_add(CNT_backend_connects, 1);
-	line_put_startup(net_output(c->net), m->info.group, m->info.id);
+	line_put_startup(net_output(c->net), m->info.group, c->tenant,
+			 m->info.id);
 	return c;
 }
 
@@ -126,13 +128,29 @@
 	cnt_add(CNT_retry_no_lease, 1);
 }
 
-/* Ends a job before its statement was sent, because the lease of the member
- * ended while the connection was prepared. */
-static void db_refuse_unsent(struct db_conn *c, clk_ms now)
+static bool db_is_authorized(const struct db_job *j, clk_ms now)
+{
+	return !j->authorized_until || now < j->authorized_until;
+}
+
+static void db_log_key_expired(const struct db_member *m,
+			       const struct db_job *j, clk_ms now)
+{
+	log_info("db",
+		 "event=key_expired member=%s tenant=%s id=%.*s ended_ms=%lld",
+		 m->info.id, j->tenant, (int)j->id.len, j->id.p,
+		 (long long)(now - j->authorized_until));
+	cnt_add(CNT_key_expired_unsent, 1);
+}
+
+/* Ends a job before its statement was sent, because the lease of the member or
+ * the time for which the caller's API key may be used ended while the job
+ * waited or the connection was prepared. */
+static void db_refuse_unsent(struct db_conn *c, enum line_error error,
+			     clk_ms now)
 {
-	db_log_without_lease(c->member, c->job, now);
 	c->failed = true;
-	c->error = LINE_E_NOT_PRIMARY;
+	c->error = error;
 	c->code[0] = '\0';
 	c->text[0] = '\0';
 	db_answered(c, now);
@@ -145,7 +163,13 @@
 	struct pos wait = {0};
 
 	if (!db_has_lease(c->member, j, now)) {
-		db_refuse_unsent(c, now);
+		db_log_without_lease(c->member, j, now);
+		db_refuse_unsent(c, LINE_E_NOT_PRIMARY, now);
+		return;
+	}
+	if (!db_is_authorized(j, now)) {
+		db_log_key_expired(c->member, j, now);
+		db_refuse_unsent(c, LINE_E_KEY_EXPIRED, now);
 		return;
 	}
 	j->sent = true;
@@ -174,6 +198,8 @@
 	struct db_member *m = c->member;
 
 	c->job = j;
+	c->priority = j->priority;
+	c->used = true;
 	j->conn = c;
 	j->member = m;
 	j->started_at = now;
@@ -260,6 +286,8 @@
 	char code[sizeof(c->code)] = "";
 	char text[sizeof(c->text)] = "";
 
+	if (r.sent && (r.status == DB_DONE || c->error == LINE_E_OTHER))
+		db_learn(c, j, now);
 	if (r.status == DB_DONE)
 		db_record_response_time(c->member, now - c->sent_at);
 	else if (c->error == LINE_E_OTHER || c->error == LINE_E_NO_STATEMENT)
@@ -337,7 +365,7 @@
 		cnt_add(CNT_backend_full, 1);
 		m->conn_limit_reached = true;
 		m->conn_limit_until =
-			now + (m->own_conns_percent < 200
+			now + (m->by_tenant || m->own_conns_percent < 200
 				       ? DB_SCARCE_CONN_LIMIT_PAUSE_MS
 				       : DB_CONN_LIMIT_PAUSE_MS);
 		db_conn_free(c);
@@ -468,6 +496,8 @@
 		return DB_LEAVING_IDLE_MS;
 	if (m->own_conns_percent < 200)
 		return (clk_ms)m->own_conns_percent * DB_SCARCE_IDLE_MS / 100;
+	if (m->by_tenant)
+		return DB_IDLE_MS; /* see db_close_extra() */
 	if (m->nconns > db_own_connections(m))
 		return DB_EXTRA_IDLE_MS;
 	return m->nconns > DB_LONG_IDLE_CONNS ? DB_SPARE_IDLE_MS : DB_IDLE_MS;
--- a/db_priv.h
+++ b/db_priv.h
@@ -1,7 +1,9 @@
 #ifndef DB_PRIV_H
 #define DB_PRIV_H
 
-/* Shared by db.c (members, queues) and db_conn.c (one connection). */
+/* Shared by db.c (members, their load and failures), db_queue.c (jobs that
+ * wait), db_conn.c (one connection) and db_tenant.c (connections that belong to
+ * tenants). */
 
 #include "db.h"
 #include "net.h"
@@ -17,6 +19,8 @@
 
 struct db_conn {
 	struct db_member *member;
+	char tenant[ID_LEN]; /* as in struct db_job; never changes */
+	bool used; /* it has run a statement */
 	struct net_conn *net;
 	enum db_phase phase;
 	struct db_job *job; /* NULL if it was canceled */
@@ -32,6 +36,8 @@
 	bool rollback;
 	clk_ms phase_since; /* start of the phase */
 	clk_ms sent_at;
+	int64_t priority; /* of the statement, also after its job was canceled
+			   */
 	/* hash of the session values set on the connection */
 	uint64_t values_hash;
 	/* content hashes of the prepared statements it has */
@@ -43,12 +49,14 @@
 
 struct db {
 	struct ev_loop *loop;
+	const struct settings *set;
+	struct rng *rng;
 	struct db_member **members;
 	size_t nmembers;
 };
 
 /* db_conn.c */
-struct db_conn *db_open(struct db_member *m, clk_ms now);
+struct db_conn *db_open(struct db_member *m, const char *tenant, clk_ms now);
 void db_run(struct db_conn *c, struct db_job *j, clk_ms now);
 void db_conn_free(struct db_conn *c);
 void db_conn_tick(struct db_conn *c, clk_ms now);
@@ -58,8 +66,31 @@
 /* db.c */
 /* this proxy's share of connections, at least one */
 int db_own_connections(const struct db_member *m);
+
+/* db_queue.c */
 void db_dispatch(struct db_member *m, clk_ms now);
 
+/* The job to run next in the round that jobq_start_round() began; NULL if there
+ * is none. */
+struct db_job *db_next_job(struct db_member *m, clk_ms now);
+
+/* Takes the job out of the queue and runs it, or refuses it if the lease is
+ * missing that it needs. */
+void db_run_queued(struct db_conn *c, struct db_job *j, clk_ms now);
+void db_refuse_queued(struct db_job *j, clk_ms now);
+
+/* Fails all waiting jobs; their sessions can start them elsewhere. */
+void db_fail_queue(struct db_member *m, struct db_result r, clk_ms now);
+
+/* Learns the service time from the answer to a statement that the member ran;
+ * j is NULL if it was canceled. */
+void db_learn(const struct db_conn *c, const struct db_job *j, clk_ms now);
+
+/* Refuses the jobs that became late, and logs when refusals are over. */
+void db_queue_tick(struct db_member *m, clk_ms now);
+
+/* db.c */
+
 /* True if one more statement may run on the member. Statements of open
  * transactions are never held back, because a waiting transaction blocks
  * others. */
@@ -73,4 +104,12 @@
 void db_record_response_time(struct db_member *m, clk_ms ms);
 void db_end_job(struct db_job *j, struct db_result *r);
 
+/* db_tenant.c: the same as in db.c where connections belong to tenants. */
+bool db_uses_tenants(const struct db_member *m);
+void db_dispatch_tenants(struct db_member *m, clk_ms now);
+
+/* Closes connections beyond this proxy's share that were idle for
+ * DB_EXTRA_IDLE_MS, the least useful first. */
+void db_close_extra(struct db_member *m, clk_ms now);
+
 #endif
--- a/front.h
+++ b/front.h
@@ -42,6 +42,19 @@
 void front_take_routes(struct front_server *f, struct route_table *r);
 const struct route_table *front_routes(const struct front_server *f);
 
+/*
+ * Tells that a control leader that may act answered an ask, which was sent at
+ * asked_at, and named this version as the newest configuration. Where there are
+ * tenants and key_lease_ms is set, API keys are used only while such an answer
+ * is recent enough, see apikey.h.
+ */
+void front_confirm_config(struct front_server *f, int64_t version,
+			  clk_ms asked_at);
+
+/* How much longer API keys may be used, negative if they may not be any more;
+ * CLK_NEVER without a limit. */
+clk_ms front_key_lease_left(const struct front_server *f, clk_ms now);
+
 /* Starts to run jobs for other proxies, on the link address. */
 enum res front_link(struct front_server *f, int64_t uuid, struct err *e);
 
@@ -86,6 +99,20 @@
  * missing or was just learned. */
 void front_on_urgent(struct front_server *f, void (*fn)(void *arg), void *arg);
 
+/*
+ * Rate limits of tenants (ratelim.h). Sets the function that sends an ask to
+ * the control leader and returns false if none is known, and takes the leader's
+ * grant.
+ */
+void front_on_rate_ask(struct front_server *f,
+		       bool (*send)(void *arg, const struct msg_rate_ask *ask),
+		       void *arg);
+void front_take_rate_grant(struct front_server *f,
+			   const struct msg_rate_grant *g);
+
+/* Appends the metrics of the tenants. */
+void front_put_tenant_metrics(struct front_server *f, struct buf *text);
+
 /* Closes each session once it is idle, until called with false. */
 void front_drain(struct front_server *f, bool drain);
 
@@ -115,4 +142,8 @@
 size_t front_load(const struct front_server *f);
 size_t front_connections(const struct front_server *f);
 
+/* Appends metrics of the connections to members, for at most
+ * FRONT_LISTED_MEMBERS members that have any. */
+void front_put_connections(const struct front_server *f, struct buf *text);
+
 #endif
--- a/front_priv.h
+++ b/front_priv.h
@@ -3,16 +3,20 @@
 
 /*
  * Shared by front.c (connections of callers), front_session.c (what a session
- * answers itself), front_run.c (one statement at the backends), front_send.c
- * (running a job here or by another proxy), front_choose_member.c (choice of
- * the member) and front_control.c (state received from control and reported to
- * it).
+ * answers itself), front_run.c (one statement at the backends), front_try.c
+ * (one try of it), front_fallback.c (reads that no replica can serve),
+ * front_send.c (running a job here or by another proxy), front_choose_member.c
+ * (choice of the member), front_key.c (API keys of callers), front_cap.c (rate
+ * limits of tenants) and front_control.c (state received from control and
+ * reported to it).
  */
 
+#include "apikey.h"
 #include "db.h"
 #include "freshness.h"
 #include "front.h"
 #include "net.h"
+#include "ratelim.h"
 #include "retry.h"
 
 #include <ev.h>
@@ -31,9 +35,14 @@
 	/* connections of a runner (relay.h) to a member, so that its
 	 * transactions leave some for other jobs */
 	FRONT_RUNNER_CONNECTIONS = 4,
+	/* the same where there are tenants, each of which needs connections of
+	 * its own: a runner then keeps those of most of its tenants open */
+	FRONT_TENANT_RUNNER_CONNECTIONS = 16,
 	/* share of a member's connections for runners; the rest is for proxies
 	 * that can't reach a runner */
 	FRONT_RUNNER_PERCENT = 90,
+	/* members whose connections the metrics list */
+	FRONT_LISTED_MEMBERS = 256,
 	/* a group counts as recently read for so long; with many proxies, each
 	 * reads a group every few seconds */
 	FRONT_GROUP_READ_MS = 15000,
@@ -76,6 +85,12 @@
 	/* added to the cost of a read on the primary, which alone can serve
 	 * writes; divided by its slots */
 	FRONT_PRIMARY_COST_MS = 60,
+	/* members that a read is moved away from after they refused it for
+	 * overload; groups have three members */
+	FRONT_REFUSALS_MAX = 2,
+	/* after so long without a read that no replica could serve, the log
+	 * tells that they are over */
+	FRONT_FALLBACK_OVER_MS = 1000,
 	/* TCP_USER_TIMEOUT of connections of callers */
 	FRONT_CALLER_TIMEOUT_MS = 20000
 };
@@ -115,6 +130,13 @@
 	clk_ms min_age_ms;
 	/* when a read last went to the primary because no position was known */
 	clk_ms primary_read_at;
+	/* Reads that no replica could serve since the first of them: how many
+	 * were sent to the primary and how many refused; times of the first and
+	 * the last, or 0. */
+	uint64_t fallback_sent;
+	uint64_t fallback_refused;
+	clk_ms fallback_first;
+	clk_ms fallback_last;
 };
 
 /* The statement that a session currently runs. */
@@ -133,6 +155,11 @@
 	int tries;
 	bool sent; /* some try was sent and got no answer */
 	char avoid_member[ID_LEN]; /* the member that failed last */
+	bool placed; /* the last try was a read that any member may serve */
+	/* members that refused it for overload, and when to come back */
+	char refused_by[FRONT_REFUSALS_MAX][ID_LEN];
+	int nrefused;
+	clk_ms retry_ms;
 	/* bypass the runner, which can't reach the member */
 	bool bypass_runner;
 	bool hedge_denied; /* a hedge was denied by the budget */
@@ -155,6 +182,11 @@
 	struct buf held_answer;
 	struct pos held_pos;
 	enum res reason; /* why it was not run so far */
+	/* Rate limit of the tenant, see front_cap.c. */
+	struct rl_token token; /* for the next try; held until it is sent */
+	bool token_asked; /* it was counted */
+	bool token_waits; /* waits for a grant of tokens, until: */
+	clk_ms token_wait_until;
 };
 
 struct front_session {
@@ -169,6 +201,10 @@
 	bool closing;
 	clk_ms last_activity;
 	char database[RT_DATABASE_NAME_LEN];
+	char key_hash[RT_KEY_HASH_HEX]; /* of the API key; empty if none */
+	/* whom the current or last transaction or statement runs for; empty if
+	 * for no tenant */
+	char tenant[ID_LEN];
 	char group[ID_LEN]; /* group of the current transaction or statement */
 	/* route of the current transaction or statement */
 	struct rt_database route;
@@ -200,6 +236,7 @@
 	struct front_session *busy_sessions;
 	size_t count;
 	struct route_table *routes;
+	struct akey_lease key_lease;
 	struct db *db;
 	struct relay *relay;
 	struct proxy_info *proxy_list;
@@ -216,10 +253,17 @@
 	bool refuse_without_lease;
 	void (*on_urgent)(void *arg);
 	void *arg;
+	/* Rate limits of tenants; NULL if there are none. */
+	struct rl_client *caps;
+	ev_prepare caps_prepare; /* sends asks once per turn of the loop */
+	clk_ms caps_logged_at;
+	bool (*on_rate_ask)(void *arg, const struct msg_rate_ask *ask);
+	void *rate_arg;
 	/* when on_urgent was last called for a suspected primary */
 	clk_ms suspect_reported;
 	clk_ms early_ask_at; /* when on_urgent was last called for a position */
 	int early_asks;
+	struct rng *rng; /* spreads the times to come back */
 	/* for reads sent again without an answer */
 	struct retry_budget hedge_budget;
 	struct hist *latency; /* latency of statements at backends in us */
@@ -245,14 +289,67 @@
 void front_refuse(struct front_session *s, enum res r, const char *text);
 void front_process_input(struct front_session *s);
 
+/* front_key.c: keeps the hash of a caller's API key and overwrites the key. */
+void front_take_key(struct front_session *s, char *key, size_t len);
+
+/*
+ * Decides whether the session's key permits a statement now, and sets the
+ * tenant of the session and its job. An open transaction stays with its tenant.
+ * A refused one has to be rolled back by the caller of this function.
+ */
+enum res front_check_key(struct front_session *s, clk_ms now);
+
+/* Rolls back idle transactions whose key was withdrawn or given to another
+ * tenant; to be called with a new configuration. */
+void front_end_withdrawn(struct front_server *f, clk_ms now);
+
 /* front_run.c */
 void front_start_statement(struct front_session *s, clk_ms now);
 void front_run_tick(struct front_session *s, clk_ms now);
 void front_run_abort(struct front_session *s);
 
+/* Answers the statement with an error of this proxy. */
+void front_run_refuse(struct front_session *s, enum res r, const char *member);
+
+/* The same with the time after which the caller should come back. */
+void front_run_refuse_retry(struct front_session *s, enum res r,
+			    const char *member, clk_ms retry_ms);
+
+/* Has the statement tried again after a pause. */
+void front_run_retry(struct front_session *s, clk_ms pause, enum res reason);
+
+/* Returns the error for a statement that was sent and got no answer. */
+enum res front_run_lost_reason(const struct front_session *s);
+
+/* Tries a statement again that waits for a token. */
+void front_run_on_token(struct front_session *s, clk_ms now);
+
+/* Refuses the statement since its tenant has reached its rate limit. */
+void front_run_refuse_rate(struct front_session *s, clk_ms retry_ms);
+
+/* front_fallback.c: records how far the replica that answered is behind. */
+void front_record_lag(struct front_session *s, const struct db_result *r);
+
+/*
+ * Decides about a read for which the primary was chosen, or no position is
+ * known. Returns true if it may run there; otherwise it waits or was refused.
+ * Without the setting pacing it always may.
+ */
+bool front_admit_fallback(struct front_session *s, struct pos need, clk_ms now);
+bool front_admit_without_position(struct front_session *s, clk_ms now);
+
+/* Counts a read that no replica could serve. */
+void front_count_fallback(struct front_group *g, bool sent, clk_ms now);
+
+/* Logs which groups' replicas can serve reads again. */
+void front_fallback_tick(struct front_server *f, clk_ms now);
+
 /* Gives up the statement under way and answers it. */
 void front_run_expire(struct front_session *s);
 
+/* front_try.c: starts one try of the session's statement. */
+void front_try(struct front_session *s, clk_ms now);
+
 /* front_send.c: runs a job here or by a proxy of the member's zone. */
 int front_slice(const struct front_server *f, const char *group);
 int front_count_slices(const struct front_server *f, int largest_zone);
@@ -288,6 +385,31 @@
  */
 void front_give_up_kept(struct front_session *s);
 
+/* front_cap.c */
+void front_cap_init(struct front_server *f);
+void front_cap_free(struct front_server *f);
+void front_cap_tick(struct front_server *f, clk_ms now);
+void front_cap_take_routes(struct front_server *f);
+
+/* Starts a statement without a token. */
+void front_cap_start(struct front_session *s);
+
+/*
+ * Takes the token for sending the first statement of an operation, unless the
+ * session holds one. If there is none, the statement has been refused or waits
+ * for one, and false is returned.
+ */
+bool front_cap_take(struct front_session *s, clk_ms now);
+
+/* True if another token can be taken, for sending the statement again. */
+bool front_cap_may_repeat(const struct front_session *s, clk_ms now);
+
+/* The statement was sent and may have run: its token is used up. */
+void front_cap_sent(struct front_session *s);
+
+/* The statement has ended; a token that was not used goes back. */
+void front_cap_end(struct front_session *s, clk_ms now);
+
 /* front_choose_member.c */
 struct db_member *front_primary(const struct front_group *g);
 
@@ -298,4 +420,9 @@
 				   const struct front_session *s,
 				   struct pos need, clk_ms now);
 
+/* True if no replica can serve the read, since they lack the position or
+ * refused it for overload. */
+bool front_is_fallback(struct front_server *f, const struct front_session *s,
+		       struct pos need, clk_ms now);
+
 #endif
--- a/msg.c
+++ b/msg.c
@@ -343,7 +343,9 @@
 	LIST(msg_job, session_settings, session_setting, value_fields),
 	BOOL(msg_job, needs_lease),
 	STR(msg_job, tenant),
-	INT(msg_job, authorized_ms)};
+	INT(msg_job, authorized_ms),
+	INT(msg_job, answer_timeout_ms),
+	BOOL(msg_job, fallback)};
 
 static const struct msg_field job_end_fields[] = {
 	INT(msg_job_end, job_number),
@@ -356,7 +358,27 @@
 	INT(msg_job_end, term),
 	INT(msg_job_end, position),
 	INT(msg_job_end, txn_status_char),
-	INT(msg_job_end, kept_conn_id)};
+	INT(msg_job_end, kept_conn_id),
+	INT(msg_job_end, retry_ms)};
+
+static const struct msg_field rate_demand_fields[] = {
+	STR(rate_demand, tenant),      INT(rate_demand, tokens),
+	INT(rate_demand, waiting),     INT(rate_demand, demand_milli),
+	INT(rate_demand, share_milli), INT(rate_demand, share_burst)};
+
+static const struct msg_field rate_ask_fields[] = {
+	INT(msg_rate_ask, seq),
+	LIST(msg_rate_ask, demands, rate_demand, rate_demand_fields)};
+
+static const struct msg_field rate_grant_entry_fields[] = {
+	STR(rate_grant, tenant),      INT(rate_grant, tokens),
+	INT(rate_grant, wait_ms),     INT(rate_grant, valid_ms),
+	INT(rate_grant, share_milli), INT(rate_grant, share_burst)};
+
+static const struct msg_field rate_grant_fields[] = {
+	INT(msg_rate_grant, seq), INT(msg_rate_grant, res),
+	LIST(msg_rate_grant, grants, rate_grant, rate_grant_entry_fields),
+	INT(msg_rate_grant, ask_interval_ms)};
 
 static const struct msg_field job_cancel_fields[] = {
 	INT(msg_job_cancel, job_number)};
@@ -395,7 +417,8 @@
 	LAYOUT(CONFIG, config),	    LAYOUT(PUBLISH, publish),
 	LAYOUT(ROUTES, routes),	    LAYOUT(JOB, job),
 	LAYOUT(JOB_END, job_end),   LAYOUT(JOB_CANCEL, job_cancel),
-	LAYOUT(PIN_END, pin_end),   LAYOUT(PIN_LOST, pin_lost)};
+	LAYOUT(PIN_END, pin_end),   LAYOUT(PIN_LOST, pin_lost),
+	LAYOUT(RATE_ASK, rate_ask), LAYOUT(RATE_GRANT, rate_grant)};
 
 static const struct msg_layout *msg_find_layout(int64_t type)
 {
--- a/t/sys_platform_soak.cc
+++ b/t/sys_platform_soak.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <thread>
 
+#include "lib_keys.h"
 #include "lib_platform.h"
 
 using namespace platform;
@@ -25,6 +26,9 @@
  *   The configuration that is read back is not older than the last one
  *   acknowledged.
  *   Service is restored within 7 s of the last fault.
+ *   With tenants: nothing that was sent with an API key later than the bound
+ *   after the key's withdrawal was acknowledged was committed, and a key that
+ * is in force is not denied.
  *
  * Two threads inject faults at the same time, so that their faults overlap:
  * one into the control instances and their disks, the other into proxies,
@@ -59,6 +63,8 @@
 	std::string item;
 	Outcome outcome;
 	int64_t answered_at;
+	std::string key; /* API key of the session */
+	int64_t sent_at; /* when its last statement was sent */
 };
 
 Outcome outcome_of(const std::string &answer)
@@ -67,7 +73,7 @@
 		return ACKNOWLEDGED;
 	for (const char *p :
 	     {"ERROR BUSY", "ERROR ABORTED", "ERROR LAGGING", "ERROR READONLY",
-	      "ERROR NODB", "ERROR MALFORMED"})
+	      "ERROR NODB", "ERROR MALFORMED", "ERROR DENIED"})
 		if (answer.rfind(p, 0) == 0)
 			return NOT_RUN;
 	return UNKNOWN;
@@ -79,6 +85,12 @@
 constexpr int CONNECTIONS_PER_MEMBER = 5; /* limit for odd seeds */
 /* In seeds that this divides, a replaced primary goes on. */
 constexpr int GOES_ON_EVERY = 3;
+/* Seeds with this remainder have tenants whose API keys are withdrawn. None of
+ * KEPT_SEEDS is one of them, so that they still run as when they failed. */
+constexpr int TENANTS_EVERY = 5;
+constexpr int TENANTS_REMAINDER = 2;
+constexpr int KEY_LEASE_MS = 1500; /* also the bound after a withdrawal */
+constexpr int KEY_CHANGE_MS = 300; /* pause between two withdrawals */
 
 struct Soak {
 	Deployment d{3, PROXIES, 3};
@@ -97,14 +109,55 @@
 	std::atomic<int> possible_promotions{0};
 	std::atomic<int> acknowledged_version{1};
 	int acknowledged_writes = 0;
+	bool with_tenants;
+	std::mutex publish_lock;
+	int attempted_version = 1;
+	Keys keys{CALLERS};
+	std::atomic<int> denied_wrongly{0};
+
+	explicit Soak(uint64_t n)
+	    : rng(n), soak_seed(n),
+	      with_tenants(n % TENANTS_EVERY == TENANTS_REMAINDER)
+	{
+	}
+
+	std::string key_of(int caller)
+	{
+		return with_tenants ? keys.key_of(caller) : LASTING_KEY;
+	}
+
+	/* Publishes a configuration with another key for a caller. An attempt
+	 * without an answer may have succeeded, so the next version is higher.
+	 */
+	void change_key(int caller)
+	{
+		std::lock_guard<std::mutex> publishing(publish_lock);
+		int v = ++attempted_version;
+
+		keys.replace(caller);
+		d.set_tenants(keys.tenants());
+		if (d.publish_config(d.config_document(v)).status != 200)
+			return;
+		keys.acknowledged();
+		acknowledged_version = v;
+	}
 
-	explicit Soak(uint64_t n) : rng(n), soak_seed(n)
+	void change_keys(uint64_t seed)
 	{
+		std::mt19937_64 r(seed);
+
+		while (!stop_callers) {
+			change_key((int)(r() % CALLERS));
+			usleep(KEY_CHANGE_MS * 1000);
+		}
 	}
 
-	/* Writes one item, in a transaction or as a single statement. */
-	std::string write(Session &s, const std::string &item, bool txn)
+	/* Writes one item, in a transaction or as a single statement. Sets when
+	 * the last statement was sent. */
+	std::string write(Session &s, const std::string &item, bool txn,
+			  int64_t *sent_at)
 	{
+		*sent_at = now_ms();
 		if (!txn)
 			return s.query("WRITE " + item + " " + item);
 		std::string a = s.query("BEGIN");
@@ -116,6 +169,7 @@
 			s.query("ROLLBACK");
 			return "ERROR ABORTED";
 		}
+		*sent_at = now_ms();
 		return s.query("COMMIT");
 	}
 
@@ -124,6 +178,8 @@
 		std::mt19937_64 r(seed);
 		Session s;
 		bool open = false;
+		std::string key = key_of(caller);
+		int64_t sent_at;
 
 		for (int i = 0; !stop_callers; i++) {
 			std::string item = "w" + std::to_string(caller) + "-" +
@@ -132,16 +188,18 @@
 			if (!open)
 				open = s.open(
 					d.client_addr((int)(r() % QUIET_PROXY)),
-					"tickets");
+					"tickets", key);
+			if (with_tenants && !open && r() % 20 == 0)
+				key = key_of(caller);
 			if (!open) {
 				usleep(20000);
 				continue;
 			}
-			std::string a = write(s, item, r() % 3 == 0);
+			std::string a = write(s, item, r() % 3 == 0, &sent_at);
 			{
 				std::lock_guard<std::mutex> g(lock);
-				writes.push_back(
-					{item, outcome_of(a), now_ms()});
+				writes.push_back({item, outcome_of(a), now_ms(),
+						  key, sent_at});
 				acknowledged_writes +=
 					outcome_of(a) == ACKNOWLEDGED;
 			}
@@ -149,6 +207,10 @@
 				read_back(s, item);
 			open = a != "closed" &&
 			       a.find("READY I") != std::string::npos;
+			/* A withdrawn key is tried for longer than the bound.
+			 */
+			if (a.rfind("ERROR DENIED", 0) == 0 && r() % 400 == 0)
+				open = false;
 			usleep((useconds_t)(r() % 8000));
 		}
 	}
@@ -222,6 +284,7 @@
 			if (item.empty())
 				continue;
 			answer = s.query("READ " + item);
+			denied_wrongly += answer.rfind("ERROR DENIED", 0) == 0;
 			aged_reads += answer.rfind("DATAROW ", 0) == 0;
 			if (answer.rfind("DATAROW none", 0) == 0 &&
 			    is_kept(item) && !too_old_reads++)
@@ -243,8 +306,11 @@
 
 	void publish(FaultThread &r)
 	{
+		std::lock_guard<std::mutex> publishing(publish_lock);
 		int v = acknowledged_version + 1 + r.pick(3);
 
+		if (with_tenants)
+			v = attempted_version += 1 + r.pick(3);
 		if (d.publish_config(d.config_document(v)).status == 200)
 			acknowledged_version = v;
 	}
@@ -450,6 +516,31 @@
 		}
 	}
 
+	/* Nothing was committed for a key that was withdrawn too long ago. */
+	void check_withdrawn_keys()
+	{
+		int late = 0;
+
+		for (const Write &w : writes) {
+			int64_t at = keys.withdrawn_at(w.key);
+
+			if (at < 0 || w.sent_at <= at + KEY_LEASE_MS)
+				continue;
+			late++;
+			EXPECT_EQ("0",
+				  d.send_platform_command("ever " + w.item))
+				<< w.item << " sent " << w.sent_at - at
+				<< " ms after its key was withdrawn";
+			EXPECT_NE(ACKNOWLEDGED, w.outcome) << w.item;
+		}
+		EXPECT_EQ(0, denied_wrongly);
+		EXPECT_EQ(std::string::npos,
+			  d.send_platform_command("tenants").find("key-"))
+			<< "members are told no keys";
+		printf("%zu keys withdrawn, %d writes later than the bound\n",
+		       keys.withdrawn(), late);
+	}
+
 	void run()
 	{
 		std::vector<std::thread> callers;
@@ -459,6 +550,8 @@
 		/* Acknowledged writes of a replaced primary count as lost. */
 		if (soak_seed % GOES_ON_EVERY == 0)
 			d.let_replaced_primaries_go_on();
+		if (with_tenants)
+			d.use_tenants(keys.tenants(), KEY_LEASE_MS);
 		d.use_relay();
 		ASSERT_TRUE(d.start());
 		for (int i = 0; i < CALLERS; i++)
@@ -470,6 +563,9 @@
 				[this, n = rng()] { hold_transactions(n); });
 		for (int i = 0; i < PROXIES; i++)
 			callers.emplace_back([this, i] { read_aged(i); });
+		if (with_tenants)
+			callers.emplace_back(
+				[this, n = rng()] { change_keys(n); });
 		FaultThread control{std::mt19937_64(rng())};
 		FaultThread service{std::mt19937_64(rng())};
 		int64_t end = now_ms() + FAULT_MS;
@@ -502,6 +598,8 @@
 		for (std::thread &t : callers)
 			t.join();
 		check_writes();
+		if (with_tenants)
+			check_withdrawn_keys();
 		EXPECT_EQ(0, stale_reads) << "own reads that missed a write";
 		EXPECT_EQ(0, too_old_reads) << "of " << aged_reads;
 		std::string doc = d.read_config().body;
--- a/uplink.c
+++ b/uplink.c
@@ -225,6 +225,7 @@
 	if (u->cfg.quota)
 		quota_client_apply_answer(u->cfg.quota, a, ask_sent_at);
 	upl_apply_routes(u, a);
+	upl_confirm_config(u, a, ask_sent_at);
 	upl_apply_samples(u, control, a, ask_sent_at);
 	if (upl_lists_version(u) != lists) {
 		cnt_add(CNT_config_applied, 1);
@@ -328,6 +329,11 @@
 		else if (m->u.answer.res == RES_OK)
 			upl_apply_push(c->uplink, &m->u.answer);
 		break;
+	case MSG_RATE_GRANT:
+		if (c->uplink->cfg.on_rate_grant)
+			c->uplink->cfg.on_rate_grant(c->uplink->cfg.arg,
+						     &m->u.rate_grant);
+		break;
 	case MSG_ROWS:
 		upl_finish_request(c->uplink, m->u.rows.seq,
 				   (enum res)m->u.rows.res, m);
@@ -456,6 +462,17 @@
 	uplink_report_soon(u);
 }
 
+bool uplink_ask_rate(struct uplink *u, const struct msg_rate_ask *ask)
+{
+	int leader = ask_leader(u->ask);
+	struct msg m = {.type = MSG_RATE_ASK, .u.rate_ask = *ask};
+
+	if (leader < 0)
+		return false;
+	link_send(u->controls[leader].link, &m);
+	return true;
+}
+
 void uplink_announce(struct uplink *u, const struct backend_info *b)
 {
 	const struct backend_info *known = view_backend(u->cfg.view, b->id);
--- a/uplink.h
+++ b/uplink.h
@@ -89,9 +89,21 @@
 	 * struct msg_ask. */
 	void (*append_wanted_groups)(void *arg, struct buf *out, clk_ms now);
 
+	/* A grant of the leader for an ask of uplink_ask_rate(). */
+	void (*on_rate_grant)(void *arg, const struct msg_rate_grant *g);
+
 	/* Receives a published configuration that is newer than the one held.
 	 */
 	void (*on_new_routes)(void *arg, struct route_table *r);
+
+	/*
+	 * A control leader that may act answered an ask, which was sent at
+	 * asked_at, and named this version as the newest configuration. Called
+	 * after on_new_routes(). Answers sent on the leader's own initiative
+	 * prove nothing and are not reported.
+	 */
+	void (*on_config_confirmed)(void *arg, int64_t version,
+				    clk_ms asked_at);
 };
 
 struct uplink *uplink_new(const struct uplink_config *cfg);
@@ -112,6 +124,10 @@
  */
 void uplink_add_controls(struct uplink *u, const struct settings *set);
 
+/* Sends an ask for tokens (ratelim.h) to the control instance that last
+ * answered as the leader; false if there is none. */
+bool uplink_ask_rate(struct uplink *u, const struct msg_rate_ask *ask);
+
 /* Reports to the leader that a backend announced itself or that it leaves. */
 void uplink_announce(struct uplink *u, const struct backend_info *b);
 
