--- a/db.c
+++ b/db.c
@@ -5,7 +5,6 @@
 #include "rng.h"
 #include "settings.h"
 
-#include <math.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,7 +45,6 @@
 			db_conn_free(m->conns[m->nconns - 1]);
 		free(m->conns);
 		jobq_free(m->queue);
-		db_pace_free(m);
 		free(m);
 	}
 	rng_free(d->rng);
@@ -104,7 +102,6 @@
 	m->response_ms = DB_FIRST_RESPONSE_MS;
 	m->unloaded_response_ms = DB_FIRST_RESPONSE_MS;
 	m->backoff = DB_BACKOFF_MS;
-	db_pace_init(m, clk_now());
 	d->members[d->nmembers++] = m;
 	return m;
 }
@@ -133,9 +130,7 @@
 		    strcmp(m->info.addr, list[i].addr) != 0) {
 			db_close_idle(m);
 			m->fail_until = 0;
-			db_pace_restart(m, clk_now());
 		}
-		db_pace_take_slots(m, list[i].slots);
 		m->info = list[i];
 		m->in_roster = true;
 		if (!m->info.leaving)
@@ -164,8 +159,6 @@
 
 bool db_is_failing(const struct db_member *m, clk_ms now)
 {
-	if (m->paced)
-		return pace_state(&m->pace, now) == PACE_STATEMENTS_FAIL;
 	return m->failures >= DB_FAILURES &&
 	       m->failed_last - m->failed_first >= DB_SUSPECT_MS &&
 	       now - m->failed_last < DB_FAILURES_EXPIRE_MS;
@@ -181,7 +174,7 @@
 	m->failed_last = now;
 	if (!db_is_failing(m, now))
 		return;
-	if (now >= m->fail_until && !m->paced)
+	if (now >= m->fail_until)
 		log_info("db", "event=member_fails id=%s failures=%d ms=%lld",
 			 m->info.id, m->failures,
 			 (long long)(now - m->failed_first));
@@ -348,8 +341,6 @@
 	int equal = (all + m->sharing_proxies - 1) / m->sharing_proxies;
 	int tenants = DB_TENANT_STATEMENTS_PER_SLOT * slots;
 
-	if (m->paced)
-		return (int)ceil(pace_limit(&m->pace));
 	if (db_is_unlimited(m, now))
 		return slots;
 	if (m->by_tenant && !db_is_overloaded(m, now) && equal < tenants)
@@ -363,8 +354,6 @@
 	 * occupies a slot meanwhile. */
 	int used = m->running + (m->by_tenant ? m->opening : 0);
 
-	if (m->paced)
-		return pace_may_send(&m->pace, now);
 	return db_is_unlimited(m, now) || !m->running ||
 	       used < db_limit(m, now);
 }
@@ -384,9 +373,9 @@
  * which this proxy reports does not outlast the actual one. */
 static bool db_should_test(const struct db_member *m, clk_ms now)
 {
-	return m->in_roster && !m->info.leaving &&
+	return m->down && m->in_roster && !m->info.leaving &&
 	       !m->info.announcements_stopped && !m->opening &&
-	       db_is_trial_due(m, now) && now >= m->conn_limit_until;
+	       now >= m->fail_until && now >= m->conn_limit_until;
 }
 
 static void db_tick_member(struct db_member *m, clk_ms now)
--- a/db.h
+++ b/db.h
@@ -19,10 +19,6 @@
  * that can't end in time is refused at once, as not run (LINE_E_OVERLOAD).
  * Statements of open transactions never wait there.
  *
- * With the setting pacing, pace.h decides how many statements the member gets
- * at a time and when it is tried again after failures; else the constants below
- * do.
- *
  * A connection whose job was canceled is reused only after the outstanding
  * answers have arrived; it is closed if they do not arrive in time.
  */
@@ -32,7 +28,6 @@
 #include "cluster.h"
 #include "freshness.h"
 #include "jobq.h"
-#include "pace.h"
 #include "platform/line.h"
 #include "read_fallback.h"
 #include "sctx.h"
@@ -111,10 +106,6 @@
 	 */
 	DB_OVERLOADED_MS = 500,
 	DB_OVERLOADED_FACTOR = 3,
-	/* From so many proxies on that send without runners, the fixed rule
-	 * applies also with the setting pacing: under low load, shares far
-	 * below one statement make statements wait for nothing. */
-	DB_PACE_SENDERS = 30,
 	/* pause after a replica had not reached a position, for reads that need
 	 * this position or a later one; doubled each time */
 	DB_BEHIND_PAUSE_MS = 20,
@@ -129,7 +120,6 @@
 };
 
 struct db;
-struct ev_timer;
 struct db_conn;
 struct db_job;
 struct relay_forwarded_job;
@@ -224,10 +214,6 @@
 	/* Set by the user of this module: there are tenants, so connections
 	 * are kept for each of them. */
 	bool by_tenant;
-	/* pace.h decides: pacing is set, and this proxy holds connections. The
-	 * following are set by db_set_senders(). */
-	bool paced;
-	bool is_primary;
 	int sharing_proxies; /* proxies that use the member, this one included
 			      */
 	/* Set by the user of this module: until when it may be used as the
@@ -247,9 +233,6 @@
 	int fallback_reads;
 	/* Set by the user of this module, see read_fallback.h. */
 	struct rdf_lag lag;
-	struct pace pace;
-	struct ev_timer *pace_timer; /* for the next statement of the limit */
-	bool limit_in_use; /* jobs wait, and pace holds them back */
 	double response_ms; /* moving average */
 	double unloaded_response_ms; /* the response time without load */
 	clk_ms overloaded_until;
@@ -285,19 +268,6 @@
 size_t db_members(const struct db *d, struct db_member ***out);
 struct db_member *db_find(const struct db *d, const char *id);
 
-/* Who sends to a member. */
-struct db_senders {
-	int n; /* proxies, this one included */
-	int rank; /* of this one among them, from 0, in an order that all know
-		   */
-	bool are_runners; /* they send what other proxies hold, too */
-	bool hold_connections; /* this proxy is one of them */
-	bool primary; /* the member is the primary of its group */
-};
-
-void db_set_senders(struct db_member *m, const struct db_senders *s,
-		    clk_ms now);
-
 /* Runs the job on a member. Its done callback is called once, perhaps before
  * this function returns. */
 void db_start(struct db_member *m, struct db_job *j, clk_ms now);
@@ -326,10 +296,6 @@
  * health. */
 bool db_is_failing(const struct db_member *m, clk_ms now);
 
-/* Whether a statement may be sent to the member, for all that is known of its
- * failures and refusals for want of a slot. */
-bool db_is_usable(const struct db_member *m, clk_ms now);
-
 /* True if a replica recently had not reached this position or an earlier
  * one. */
 bool db_is_behind(const struct db_member *m, struct pos need, clk_ms now);
@@ -355,9 +321,6 @@
 /* Number of statements that this proxy may have in progress at the member. */
 int db_limit(const struct db_member *m, clk_ms now);
 
-/* The same for metrics; with pace.h it need not be whole. */
-double db_metric_limit(const struct db_member *m, clk_ms now);
-
 /* Connections to a member by their state. */
 struct db_conn_counts {
 	int opening;
--- a/db_conn.c
+++ b/db_conn.c
@@ -14,8 +14,6 @@
 {
 	struct db_member *m = c->member;
 
-	db_pace_open_ended(c, PACE_OPEN_REFUSED, clk_now());
-	db_pace_ended(c, NULL, clk_now());
 	if (c->phase == DB_CONNECTING)
 		m->opening--;
 	if (c->phase == DB_PREPARING || c->phase == DB_RUNNING)
@@ -46,13 +44,11 @@
 	if (!c || !m->conns)
 		abort();
 	c->member = m;
-	db_pace_open_started(c, now);
 	snprintf(c->tenant, ID_LEN, "%s", tenant);
 	c->net = net_connect(m->db->loop, m->info.addr, &h, &e);
 	if (!c->net) {
 		log_warn("db", "event=connect_failed member=%s error=\"%s\"",
 			 m->info.id, e.text);
-		db_pace_open_ended(c, PACE_OPEN_FAILED, now);
 		free(c);
 		db_connect_failed(m, now);
 		return NULL;
@@ -209,7 +205,6 @@
 	j->started_at = now;
 	j->sent = false;
 	db_statement_started(m, now);
-	db_pace_sent(c, now);
 	buf_free(&c->answer);
 	db_phase(c, DB_PREPARING, now);
 	c->ready_expected = db_put_values(c, j->ctx);
@@ -307,7 +302,6 @@
 					 .len = buf_len(&answer)};
 	}
 	db_statement_ended(c->member);
-	db_pace_ended(c, &r, now);
 	c->answer = (struct buf)BUF_INIT;
 	c->job = NULL;
 	r.conn = keep ? c : NULL;
@@ -325,7 +319,6 @@
 	switch (c->phase) {
 	case DB_CONNECTING:
 		m->opening--;
-		db_pace_open_ended(c, PACE_OPENED, now);
 		m->backoff = DB_BACKOFF_MS;
 		m->conn_limit_reached = false;
 		db_make_idle(c, now);
@@ -379,7 +372,6 @@
 		db_dispatch(m, now);
 		return;
 	}
-	db_pace_open_ended(c, PACE_OPEN_FAILED, now);
 	db_conn_free(c);
 	db_connect_failed(m, now);
 }
@@ -435,24 +427,20 @@
 	void (*lost)(void *arg) = c->phase == DB_KEPT ? c->on_lost : NULL;
 	void *arg = c->lost_arg;
 	clk_ms now = clk_now();
-	/* An overloaded member may leave a new connection unanswered while it
-	 * answers on others; this is not a failure of the member. */
-	bool overloaded = m->last_received > since;
 
 	if (c->phase != DB_IDLE)
 		log_info("db",
 			 "event=connection_lost member=%s phase=%d ms=%lld",
 			 m->info.id, c->phase,
 			 (long long)(now - c->phase_since));
-	db_pace_open_ended(c, overloaded ? PACE_OPEN_REFUSED : PACE_OPEN_FAILED,
-			   now);
-	db_pace_ended(c, j ? &r : NULL, now);
 	db_conn_free(c);
 	if (j)
 		db_end_job(j, &r);
 	if (lost)
 		lost(arg);
-	if (connecting && overloaded)
+	/* An overloaded member may leave a new connection unanswered while it
+	 * answers on others; this is not a failure of the member. */
+	if (connecting && m->last_received > since)
 		m->conn_limit_until = now + DB_CONN_LIMIT_PAUSE_MS;
 	else if (connecting)
 		db_connect_failed(m, now);
--- a/db_priv.h
+++ b/db_priv.h
@@ -2,8 +2,8 @@
 #define DB_PRIV_H
 
 /* Shared by db.c (members, their load and failures), db_queue.c (jobs that
- * wait), db_conn.c (one connection), db_tenant.c (connections that belong to
- * tenants) and db_pace.c (use of pace.h). */
+ * wait), db_conn.c (one connection) and db_tenant.c (connections that belong to
+ * tenants). */
 
 #include "db.h"
 #include "net.h"
@@ -45,11 +45,6 @@
 	size_t nprepared;
 	void (*on_lost)(void *arg);
 	void *lost_arg;
-	/* It counts in the struct pace of the member, as being opened or with
-	 * a statement since paced_at. */
-	bool pace_counts_open;
-	bool pace_counts_statement;
-	clk_ms paced_at;
 };
 
 struct db {
@@ -109,34 +104,6 @@
 void db_record_response_time(struct db_member *m, clk_ms ms);
 void db_end_job(struct db_job *j, struct db_result *r);
 
-/* db_pace.c */
-void db_pace_init(struct db_member *m, clk_ms now);
-void db_pace_free(struct db_member *m);
-/* The member started anew. */
-void db_pace_restart(struct db_member *m, clk_ms now);
-/* Called before the slots in the member's info are replaced. */
-void db_pace_take_slots(struct db_member *m, int64_t slots);
-
-void db_pace_open_started(struct db_conn *c, clk_ms now);
-void db_pace_sent(struct db_conn *c, clk_ms now);
-/* The opening or the statement ended; only the first call counts. r is NULL if
- * no answer is awaited any more. */
-void db_pace_open_ended(struct db_conn *c, enum pace_open_result r, clk_ms now);
-void db_pace_ended(struct db_conn *c, const struct db_result *r, clk_ms now);
-
-/* Notes whether jobs wait for the limit, and has db_dispatch() called when it
- * allows the next one. */
-void db_pace_dispatched(struct db_member *m, clk_ms now);
-
-/* True if the member fails and its next trial is yet to come, so that jobs
- * that wait should be started elsewhere. */
-bool db_pace_fails_queue(const struct db_member *m, clk_ms now);
-
-/* Whether failures allow a connection to be opened, and whether one is to be
- * opened without a job. */
-bool db_may_connect(const struct db_member *m, clk_ms now);
-bool db_is_trial_due(const struct db_member *m, clk_ms now);
-
 /* db_tenant.c: the same as in db.c where connections belong to tenants. */
 bool db_uses_tenants(const struct db_member *m);
 void db_dispatch_tenants(struct db_member *m, clk_ms now);
--- a/db_queue.c
+++ b/db_queue.c
@@ -173,7 +173,7 @@
 		return false;
 	return m->nconns < db_own_connections(m) + DB_EXTRA_CONNS &&
 	       m->opening < wanted && now >= m->conn_limit_until &&
-	       db_may_connect(m, now);
+	       now >= m->fail_until;
 }
 
 /* Assigns idle connections to waiting jobs and opens missing connections. */
@@ -198,8 +198,10 @@
 			return;
 }
 
-static void db_dispatch_waiting(struct db_member *m, clk_ms now)
+void db_dispatch(struct db_member *m, clk_ms now)
 {
+	if (!db_waiting(m))
+		return;
 	if (db_uses_tenants(m))
 		db_dispatch_tenants(m, now);
 	else
@@ -212,13 +214,6 @@
 			      now);
 }
 
-void db_dispatch(struct db_member *m, clk_ms now)
-{
-	if (db_waiting(m))
-		db_dispatch_waiting(m, now);
-	db_pace_dispatched(m, now);
-}
-
 /* Bounds the reads that no replica can serve, also those of other proxies. */
 static enum res db_admit_fallback(struct db_member *m, const struct db_job *j,
 				  clk_ms now, clk_ms *retry_ms)
@@ -316,8 +311,6 @@
 		jobq_expire(m->queue, now);
 		db_end_refused(m, now);
 	}
-	if (db_waiting(m) && db_pace_fails_queue(m, now))
-		db_fail_queue(m, (struct db_result){.status = DB_LOST}, now);
 	db_dispatch(m, now);
 	db_log_refusals_over(m, now);
 }
--- a/db_tenant.c
+++ b/db_tenant.c
@@ -64,7 +64,7 @@
 				   const struct cch_conn *conns, clk_ms now)
 {
 	int own = db_own_connections(m);
-	bool may_open = now >= m->conn_limit_until && db_may_connect(m, now);
+	bool may_open = now >= m->conn_limit_until && now >= m->fail_until;
 
 	return (struct cch_pool){
 		.conns = conns,
--- a/front.c
+++ b/front.c
@@ -278,7 +278,6 @@
 	struct db_member **list;
 	size_t n = db_members(f->db, &list);
 	int listed = 0;
-	clk_ms now = clk_now();
 
 	for (size_t i = 0; i < n && listed < FRONT_LISTED_MEMBERS; i++) {
 		const char *id = list[i]->info.id;
@@ -298,11 +297,5 @@
 			"member_waiting{member=\"%s\"} %zu\n",
 			id, c.opening, id, c.idle, id, c.busy, id, c.in_txn, id,
 			c.tenants, id, db_waiting(list[i]));
-		if (f->set->pacing)
-			buf_addf(text,
-				 "member_limit{member=\"%s\"} %.2f\n"
-				 "member_slowdown{member=\"%s\"} %.2f\n",
-				 id, db_metric_limit(list[i], now), id,
-				 pace_slowdown(&list[i]->pace));
 	}
 }
--- a/front_choose_member.c
+++ b/front_choose_member.c
@@ -44,8 +44,8 @@
 		return false;
 	if (place_has_refused(m, s) || place_is_late(m, s, now))
 		return false;
-	return m->in_roster && !m->info.leaving && db_is_usable(m, now) &&
-	       !db_is_unresponsive(m, now) &&
+	return m->in_roster && !m->info.leaving && now >= m->fail_until &&
+	       now >= m->busy_until && !db_is_unresponsive(m, now) &&
 	       (m->nconns || now >= m->conn_limit_until) &&
 	       strcmp(m->info.group, s->group) == 0;
 }
--- a/front_send.c
+++ b/front_send.c
@@ -74,31 +74,19 @@
  * cut off send none: if they counted, the proxies that take over their callers
  * would leave slots of the member idle.
  */
-static struct db_senders send_users(const struct front_server *f,
-				    const struct backend_info *b, bool primary)
+static int send_users(const struct front_server *f,
+		      const struct backend_info *b, bool primary)
 {
-	int slice = front_slice(f, b->group);
-	struct db_senders s = {.are_runners = f->slice_count > 0,
-			       .hold_connections = true,
-			       .primary = primary};
-
-	if (f->slice_count) {
-		s.n = relay_count_live_runners(f->relay, b->zone, slice);
-		s.rank = relay_rank(f->relay, b->zone, slice);
-		s.hold_connections = relay_runs_here(f->relay, b->zone, slice);
-	}
-	for (size_t i = 0; !f->slice_count && i < f->nlist; i++) {
-		const struct proxy_info *p = &f->proxy_list[i];
+	int users = 0;
 
-		if (!p->alive ||
-		    (!primary && strcmp(p->zone, f->set->zone) != 0))
-			continue;
-		s.rank += strcmp(p->id, f->set->id) < 0;
-		s.n++;
-	}
-	if (!s.n)
-		s.n = 1;
-	return s;
+	if (f->slice_count)
+		users = relay_count_live_runners(f->relay, b->zone,
+						 front_slice(f, b->group));
+	for (size_t i = 0; !f->slice_count && i < f->nlist; i++)
+		users += f->proxy_list[i].alive &&
+			 (primary ||
+			  !strcmp(f->proxy_list[i].zone, f->set->zone));
+	return users > 0 ? users : 1;
 }
 
 void front_assign_shares(struct front_server *f)
@@ -109,10 +97,9 @@
 		for (size_t j = 0; j < g->nmembers; j++) {
 			struct db_member *m = g->members[j];
 			bool primary = !strcmp(g->primary, m->info.id);
-			struct db_senders s = send_users(f, &m->info, primary);
 
 			m->own_conns_percent = send_share(f, &m->info, primary);
-			db_set_senders(m, &s, clk_now());
+			m->sharing_proxies = send_users(f, &m->info, primary);
 			m->by_tenant = f->routes && f->routes->has_tenants;
 		}
 	}
--- a/front_try.c
+++ b/front_try.c
@@ -83,7 +83,7 @@
 		try_without_lease(s, m);
 		return;
 	}
-	if (!db_is_usable(m, now) ||
+	if (now < m->fail_until || now < m->busy_until ||
 	    (now < m->conn_limit_until && !m->nconns)) {
 		front_run_retry(s, FRONT_RETRY_PAUSE_MS, RES_UNREACHABLE);
 		return;
--- a/relay.c
+++ b/relay.c
@@ -358,17 +358,6 @@
 	return p && p->runs_here;
 }
 
-int relay_rank(const struct relay *r, const char *zone, int slice)
-{
-	const struct relay_slice_zone *p =
-		relay_find_slice_zone(r, zone, slice);
-
-	for (int i = 0; p && i < p->live_runners; i++)
-		if (!strcmp(p->live[i].id, r->set->id))
-			return i;
-	return 0;
-}
-
 static void relay_put_values(const struct sctx *ctx, struct msg_job *m)
 {
 	m->session_settings =
--- a/relay.h
+++ b/relay.h
@@ -63,10 +63,6 @@
 			     int slice);
 bool relay_runs_here(const struct relay *r, const char *zone, int slice);
 
-/* Rank of this proxy among those that are alive, by id; 0 if it is none of
- * them. */
-int relay_rank(const struct relay *r, const char *zone, int slice);
-
 /* Has a job run by the runner of the member's zone and slice. Returns false if
  * it is to be run here: this proxy is the runner, or none can be reached. limit
  * is the time by which the answer must have arrived here. */
--- a/t/unit_front_overload.cc
+++ b/t/unit_front_overload.cc
@@ -165,7 +165,6 @@
 TEST_F(FrontOverload, JobsThatWaitAtARunnerEndWithIt)
 {
 	start_sender();
-	m0->paced = false; /* pace.h would allow another after 500 ms */
 	m0->sharing_proxies = 10; /* one statement at a time */
 	overload(m0, 10);
 	send("QUERY 1 WRITE waits");
