--- a/settings.h
+++ b/settings.h
@@ -124,8 +124,9 @@
 	clk_ms rate_window_ms;
 	double rate_excess;
 	int64_t rate_slack;
-	bool pacing; /* the number of statements sent to a member at a time
-		      * follows its answers */
+	/* Statements that can't be answered in time are refused at once, and
+	 * reads that no replica can serve get a part of the primary. */
+	bool pacing;
 	clk_ms replace_ms; /* time without an answer after which a voting
 			    * control instance is replaced, or removed where
 			    * enough others vote; 0: never */
