--- a/ratelim.h
+++ b/ratelim.h
@@ -40,14 +40,15 @@
  *    together are refilled with at most R, and what is taken in an interval of
  *    the length W + V is at most R * (W + V) plus what the buckets held at its
  *    start, which is at most B + K.
- *  - S and K: a share ends RL_SHARE_MS after its ask was sent, the leader
- * counts it until RL_SHARE_MS after it received the ask. While a proxy may have
- *    either its old or its new share, the larger one counts. Which one it has
- * is told by its next ask: a proxy that sends an ask never applies the grant of
- *    an earlier one. A larger share is only given from what is not counted.
+ *  - S and K: a share ends RL_SHARE_MS after its ask was sent; the leader
+ *    counts it until RL_SHARE_MS after it received the ask. While a proxy may
+ *    have either its old or its new share, the larger one counts. Which one it
+ *    has is told by its next ask: a proxy that sends an ask never applies the
+ *    grant of an earlier one. A larger share is only given from what is not
+ *    counted.
  *  - Lost messages: a lost ask changes nothing. Tokens of a lost grant are not
- *    given again. A share of a lost grant goes on to count until the next ask
- * or its end.
+ *    given again. A share of a lost grant goes on to count until the next
+ *    ask or its end.
  *  - Duplicate and late messages: the leader ignores asks that are not newer
  *    than the last one of the same process, and a proxy takes only the grant of
  *    its newest ask, once, and up to RL_ASK_LOST_MS after it was sent.
@@ -58,11 +59,12 @@
  *    shares and renews those that proxies report. A proxy reports a share only
  *    if that is valid for at least RL_ASK_LOST_MS more. So it was still valid,
  *    and not given to another proxy, when the newer leader renewed it in a
- * grant that the proxy accepts.
+ *    grant that the proxy accepts.
  *  - Restart of a proxy: it starts with nothing. The leader knows it under
  *    another uuid, and the share of the former process counts until its end.
- *  - Suspended process: its clock goes on, so tokens and shares end meanwhile.
- * A suspended leader may send a grant late; its tokens end no later.
+ *  - Suspended process: its clock goes on, so tokens and shares end
+ *    meanwhile. A suspended leader may send a grant late; its tokens end no
+ *    later.
  *  - Lowered limit: a proxy that takes it drops the tokens and the share that
  *    it holds and ignores the grant that is on its way. Only operations that
  *    have their token already are paid by the higher limit, for V at most.
