--- a/review/8/case.c
+++ b/review/8/case.c
@@ -64,7 +64,7 @@
 			w_end(2);
 	w_sleep_until(begin + 7500);
 	if (w_trouble())
-		w_cut(0, 2);
+		w_cut(0, 2, true);
 	w_sleep_until(begin + 12500);
 	if (w_trouble())
 		w_heal(0);
--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -57,6 +57,7 @@
 static int late_resume_ms[W_MEMBERS]; /* 0 once used */
 static bool is_cut[W_MEMBERS];
 static int cut_proxies[W_MEMBERS];
+static bool cut_control[W_MEMBERS];
 
 /* Open connections to members, so that a crash can end them. */
 static struct {
@@ -451,13 +452,14 @@
 	return true;
 }
 
-void w_cut(int m, int proxies)
+void w_cut(int m, int proxies, bool control)
 {
 	w_lock();
 	is_cut[m] = true;
 	cut_proxies[m] = proxies;
-	w_log("%s is cut off from control and %d of %d proxies",
-	      w_members[m].id, proxies, w.proxies);
+	cut_control[m] = control;
+	w_log("%s is cut off from %s%d of %d proxies", w_members[m].id,
+	      control ? "control and " : "", proxies, w.proxies);
 	w_unlock();
 }
 
@@ -536,7 +538,8 @@
 
 		w_lock();
 		held = is_cut[member] &&
-		       (proxy < 0 || proxy < cut_proxies[member]);
+		       (proxy < 0 ? cut_control[member]
+				  : proxy < cut_proxies[member]);
 		w_unlock();
 		if (!held)
 			return;
@@ -1022,7 +1025,8 @@
 		bool over;
 
 		w_lock();
-		due = m->running && !is_cut[m - w_members] &&
+		due = m->running &&
+		      !(is_cut[m - w_members] && cut_control[m - w_members]) &&
 		      (m->beat_now || w_now() - last >= w.beat_ms);
 		over = m->running && m->draining && m->leave_acked_ms &&
 		       w_now() - m->leave_acked_ms >= w.drain_ms + 500;
@@ -1297,10 +1301,26 @@
 	kill(pid, sig);
 }
 
-void w_reap(void)
+void w_kill_all(void)
 {
-	while (waitpid(-1, NULL, WNOHANG) > 0)
-		;
+	w_log("all proxies and control instances are killed");
+	for (int i = 0; i < w.controls; i++)
+		kill(control_pids[i], SIGKILL);
+	for (int i = 0; i < w.proxies; i++)
+		kill(proxy_pids[i], SIGKILL);
+	for (int i = 0; i < w.controls; i++)
+		waitpid(control_pids[i], NULL, 0);
+	for (int i = 0; i < w.proxies; i++)
+		waitpid(proxy_pids[i], NULL, 0);
+}
+
+void w_start_all(void)
+{
+	w_log("all proxies and control instances start again");
+	for (int i = 0; i < w.controls; i++)
+		w_start_control(i, false);
+	for (int i = 0; i < w.proxies; i++)
+		w_start_proxy(i);
 }
 
 static void on_alarm(int sig)
--- a/review/lib-2/world.h
+++ b/review/lib-2/world.h
@@ -86,7 +86,8 @@
 pid_t w_proxy_pid(int i);
 void w_signal(pid_t pid, int sig);
 void w_start_proxy(int i); /* again */
-void w_reap(void);
+void w_kill_all(void); /* all proxies and control instances */
+void w_start_all(void);
 
 /* HTTP; returns the status, 0 if there was none. Follows redirects twice. */
 int w_http(const char *addr, const char *method, const char *path,
@@ -112,9 +113,9 @@
 /* The first RESUME that the member gets is left unanswered and carried out ms
  * later. */
 void w_late_resume(int m, int ms);
-/* Cuts the member off from all control instances and the first n proxies; what
- * they send is held up until the cut ends. */
-void w_cut(int m, int proxies);
+/* Cuts the member off from the first n proxies and, if control is true, from all
+ * control instances; what they send is held up until the cut ends. */
+void w_cut(int m, int proxies, bool control);
 void w_heal(int m);
 
 /* Consumers. */
