--- a/review/6/case.c
+++ b/review/6/case.c
@@ -1,6 +1,6 @@
 /*
  * Case 6. A service with sync_replicas 1. One replica (i-1) receives nothing for
- * 6.5 s, the other one (i-2) is being replaced and drains; then the primary
+ * 6.5 s, the other one (i-2) drains before a planned shutdown; then the primary
  * crashes. The draining replica has every acknowledged commit.
  */
 #include "../lib-2/world.h"
--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -315,7 +315,7 @@
 
 const char *w_control_addr(int i)
 {
-	static char addrs[W_CONTROLS][64];
+	static _Thread_local char addrs[W_CONTROLS][64];
 
 	snprintf(addrs[i], sizeof(addrs[i]), "127.%d.1.%d:%d", net_a, i + 1,
 		 api_port);
@@ -892,6 +892,7 @@
 static void member_stop(struct w_member *m)
 {
 	m->running = false;
+	m->led = m->leads;
 	m->leads = false;
 	shutdown(m->listen_fd, SHUT_RDWR);
 	close(m->listen_fd);
@@ -925,6 +926,9 @@
 	member_listen(&w_members[i]);
 	w_lock();
 	member_up(&w_members[i]);
+	/* A primary comes back as such unless another member was promoted. */
+	w_members[i].leads = w_members[i].led && w_primary() < 0;
+	w_members[i].led = false;
 	w_log("%s is back", w_members[i].id);
 	w_unlock();
 }
@@ -1070,6 +1074,8 @@
 			w_members[p].leads = false;
 			w_members[p].beat_now = true;
 		}
+		for (int k = 0; k < W_MEMBERS; k++)
+			w_members[k].led = false;
 		m->leads = true;
 		m->paused = false;
 		m->term = term + 1;
--- a/review/lib-2/world.h
+++ b/review/lib-2/world.h
@@ -38,6 +38,7 @@
 	bool deaf; /* receives nothing */
 	bool paused; /* by PAUSE */
 	bool leads;
+	bool led; /* when it crashed, and none was promoted since */
 	int term; /* that it counts */
 	struct w_entry *log;
 	int received;
