--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -910,6 +910,25 @@
 	w_unlock();
 }
 
+void w_crash_in_flight(int i, int replica)
+{
+	for (int n = 0; n < 2000; n++) {
+		w_lock();
+		if (w_members[i].received > w_members[replica].received) {
+			w_log("%s crashes, %d commits in its log, %d at %s",
+			      w_members[i].id, w_members[i].received,
+			      w_members[replica].received,
+			      w_members[replica].id);
+			member_stop(&w_members[i]);
+			w_unlock();
+			return;
+		}
+		w_unlock();
+		usleep(200);
+	}
+	w_crash(i);
+}
+
 static void member_up(struct w_member *m)
 {
 	m->running = true;
--- a/review/lib-2/world.h
+++ b/review/lib-2/world.h
@@ -103,6 +103,8 @@
 void w_lock(void);
 void w_unlock(void);
 void w_crash(int m); /* it comes back with w_restart() */
+/* Crashes under load, with a commit on its way to the replica. */
+void w_crash_in_flight(int m, int replica);
 void w_restart(int m); /* with its log, as a replica */
 void w_leave(int m); /* drains, sends DELETE and exits; see w_successor() */
 bool w_has(int m, const char *id); /* its log has the write */
