--- a/review/8/case.c
+++ b/review/8/case.c
@@ -38,7 +38,7 @@
 			w_sleep_until(w_now() + 20);
 			w_open(&s, proxy, "orders");
 		}
-		w_sleep_until(w_now() + 30);
+		w_sleep_until(w_now() + 100);
 	}
 	return NULL;
 }
