--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -11,6 +11,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -1237,6 +1238,9 @@
 	if (!pid) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+		/* Ends with this program, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+
 		dup2(fd, 1);
 		dup2(fd, 2);
 		execl(program, program, "--settings", settings, (char *)NULL);
