promote: choose a member that holds every acknowledged commit

Cause: pro_has_all_commits() counted answers, and pro_best_candidate() chose by whether a promotion had discarded anything of a log. The first primary, back with a commit that its successor lacked, counted as discarded, and the replica that had received nothing as the only log that was kept. Ruled out: that too few members had answered; both had.

The new module cover owns the question: a member may lead if its log ends no earlier than all but as many logs as there are synchronous replicas. Replicas that a change paused receive again when it is given up since no member covers the others.

--- /dev/null
+++ b/cover.c
@@ -0,0 +1,45 @@
+#include "cover.h"
+
+bool cov_holds_all(const struct cov_group *g, int log)
+{
+	const struct cov_log *c = &g->logs[log];
+	int covered = 0;
+
+	if (!c->known)
+		return false;
+	for (int i = 0; i < g->n; i++)
+		covered += g->logs[i].known &&
+			   pos_cmp(g->logs[i].end, c->end) <= 0;
+	return covered >= g->n - g->sync_replicas;
+}
+
+bool cov_stays_complete(const struct cov_group *g, int log)
+{
+	int free_to_receive = 0;
+
+	for (int i = 0; i < g->n; i++)
+		free_to_receive += i != log && !g->logs[i].held;
+	return free_to_receive <= g->sync_replicas;
+}
+
+static bool cov_is_better(const struct cov_log *a, const struct cov_log *than)
+{
+	if (a->last_resort != than->last_resort)
+		return a->last_resort < than->last_resort;
+	return pos_cmp(a->end, than->end) > 0;
+}
+
+int cov_choose(const struct cov_group *g, bool final)
+{
+	int best = COV_NONE;
+
+	for (int i = 0; i < g->n; i++) {
+		if (!g->logs[i].may_lead || !cov_holds_all(g, i) ||
+		    (final && !cov_stays_complete(g, i)))
+			continue;
+		if (best == COV_NONE ||
+		    cov_is_better(&g->logs[i], &g->logs[best]))
+			best = i;
+	}
+	return best;
+}
--- /dev/null
+++ b/cover.h
@@ -0,0 +1,61 @@
+#ifndef COVER_H
+#define COVER_H
+
+/*
+ * Which logs of a group together hold every acknowledged commit, and which
+ * member may lead without the loss of one (prefix cov_). For groups whose
+ * commits wait for synchronous replicas. No I/O, no clock, no memory of its
+ * own: the caller describes all logs of the group.
+ *
+ * Invariant: each acknowledged commit is held by more logs than there are
+ * synchronous replicas: by that of the primary which acknowledged it, and by as
+ * many others as the commit waited for. Hence all logs but that many hold it
+ * between them, whichever these are. For this to be true, the caller describes
+ * each log that may have received a commit, also those of members that don't
+ * answer, and of members that have ended.
+ *
+ * Logs are compared by their last commit, first its term, then its number. Of
+ * two logs, the one that ends later holds all acknowledged commits of the
+ * other: each primary began with all that was acknowledged before its term, and
+ * a commit is only acknowledged in its own term. So a log that ends no earlier
+ * than enough others holds them all (cov_holds_all()), even if it also has
+ * commits that an earlier promotion discarded; no caller was told of those.
+ *
+ * A commit may be acknowledged after the logs were compared. That takes a
+ * member that leads and others that receive. The promoted member misses none if
+ * it is among those that must receive, which is so if no more others than
+ * synchronous replicas may lead or receive (cov_stays_complete()).
+ */
+
+#include "stmt.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum { COV_NONE = -1 };
+
+struct cov_log {
+	struct pos end; /* position of its last commit, if known */
+	bool known; /* its position was read, and it does not lead */
+	bool held; /* neither leads nor receives until a member is promoted */
+	bool may_lead; /* can be promoted */
+	int last_resort; /* among equals, a lower number is promoted first */
+};
+
+struct cov_group {
+	const struct cov_log *logs; /* all logs of the group */
+	int n;
+	int64_t sync_replicas;
+};
+
+/* True if a log holds every commit that was acknowledged before the positions
+ * were read. */
+bool cov_holds_all(const struct cov_group *g, int log);
+
+/* True if no commit can be acknowledged that this log does not receive. */
+bool cov_stays_complete(const struct cov_group *g, int log);
+
+/* The log to promote, or COV_NONE. With final set it also stays complete. */
+int cov_choose(const struct cov_group *g, bool final);
+
+#endif
--- a/promote.c
+++ b/promote.c
@@ -334,6 +334,12 @@
 	       m->status.primary;
 }
 
+bool pro_is_replica(const struct pro_member *m)
+{
+	return m && !m->awaiting_reply && m->reply == PRO_OK &&
+	       !m->status.primary;
+}
+
 static bool pro_answered(const struct pro_member *m)
 {
 	return m && !m->awaiting_reply && m->reply != PRO_FAILED;
@@ -388,6 +394,30 @@
 	return unheard || pro_many_suspect(p, g, 0, now);
 }
 
+/* The primary leads, and no change is wanted. */
+static void pro_keep_primary(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	if (pro_tracks_late_calls(p, g) && pro_late_call_pending(g, now)) {
+		pro_hold_replicas(p, g, now);
+		return;
+	}
+	pro_resume(p, g, now);
+	pro_back_off(g, now, "primary answers");
+	if (g->maybe_paused)
+		g->next_change_at = now + PRO_HOLD_CHECK_MS;
+}
+
+/* No member can be promoted. Replicas that a change has paused receive again
+ * meanwhile, since one of them may lack what another one has. */
+void pro_rest_without_candidate(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	for (int i = 0; i < g->nmembers; i++)
+		g->members[i].rejected_by_promoter = false;
+	if (!pro_tracks_late_calls(p, g) || !pro_late_call_pending(g, now))
+		pro_resume(p, g, now);
+	pro_back_off(g, now, pro_why_no_candidate(g));
+}
+
 /* Decides what to do once all members have answered or timed out, where the
  * promoter deposes the old primary. */
 static void pro_decide(struct pro *p, struct pro_group *g, clk_ms now)
@@ -395,30 +425,22 @@
 	struct pro_member *primary = pro_find_member(g, g->old_primary);
 	struct pro_member *best = pro_safe_candidate(p, g, now);
 	struct pro_member *other = pro_other_primary(g);
-	bool lasting;
+	bool replace;
 
-	lasting = pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now);
+	replace = g->planned ||
+		  pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now);
 	if (other && !(pro_is_primary(primary) &&
 		       primary->status.term >= other->status.term)) {
 		pro_record_primary(p, g, other->id, other->status.term, now);
-	} else if (pro_is_primary(primary) && !g->planned && !lasting &&
-		   pro_tracks_late_calls(p, g) &&
-		   pro_late_call_pending(g, now)) {
-		pro_hold_replicas(p, g, now);
+	} else if (pro_is_primary(primary) && !replace) {
+		pro_keep_primary(p, g, now);
 	} else if (!best) {
-		for (int i = 0; i < g->nmembers; i++)
-			g->members[i].rejected_by_promoter = false;
-		pro_back_off(g, now, pro_why_no_candidate(g));
-	} else if (pro_is_primary(primary) && (g->planned || lasting) &&
+		pro_rest_without_candidate(p, g, now);
+	} else if (pro_is_primary(primary) &&
 		   !pro_late_call_matters(p, g, now)) {
 		pro_step_down(p, g, primary, now);
-	} else if (pro_is_primary(primary) && (g->planned || lasting)) {
+	} else if (pro_is_primary(primary)) {
 		pro_start_promotion(p, g, best, now);
-	} else if (pro_answered(primary) && pro_is_primary(primary)) {
-		pro_resume(p, g, now);
-		pro_back_off(g, now, "primary answers");
-		if (g->maybe_paused)
-			g->next_change_at = now + PRO_HOLD_CHECK_MS;
 	} else if (pro_answered(primary) && primary->reply == PRO_BUSY) {
 		pro_back_off(g, now, "primary is busy");
 	} else if (!primary || pro_answered(primary) || g->planned ||
@@ -490,7 +512,7 @@
 	if (pro_awaits_replies(g, now))
 		return;
 	best = pro_choose(p, g, now);
-	if (best && pro_has_all_commits(g))
+	if (best)
 		pro_promote(p, g, best, now);
 	else
 		pro_back_off(g, now, "too few replicas were paused");
--- a/promote.h
+++ b/promote.h
@@ -41,20 +41,24 @@
  *    that of the old one. Its record ends the change.
  *
  * A member that was cut off during a promotion, and has not heard of it, may
- * hold commits that this promotion discarded: unless its log ends before the
- * new term began, the discarded commits would come back with it, and those of
- * the new term would be lost. It is promoted only if no other member is left
- * that may have joined the new term, or if none came back for
- * PRO_DISCARDED_LOG_WAIT_MS. To know such a member, the record of a group has
- * the term that its primary counts, or an earlier bound, and how many commits
- * the log had when that term began. Terms are those of the members; control's
- * record has a term of its own.
+ * hold commits that this promotion discarded. Without synchronous replicas,
+ * unless its log ends before the new term began, the discarded commits would
+ * come back with it, and those of the new term would be lost. It is promoted
+ * only if no other member is left that may have joined the new term, or if none
+ * came back for PRO_DISCARDED_LOG_WAIT_MS. To know such a member, the record of
+ * a group has the term that its primary counts, or an earlier bound, and how
+ * many commits the log had when that term began. Terms are those of the members;
+ * control's record has a term of its own.
  *
  * With synchronous replicas (pro_set_sync_replicas()), a commit is acknowledged
  * once that many replicas hold it, and the promoted member must hold every
- * acknowledged commit. Enough replicas must answer to be sure that one of them
- * has all these commits. They are paused: from before their positions are
- * compared until the promotion they receive nothing more.
+ * acknowledged commit. cover.h tells which member does, from the positions of
+ * all members: those that don't answer count as missing. The replicas are
+ * paused: from before their positions are compared until the promotion they
+ * receive nothing more. The rule on discarded logs does not apply: a member
+ * that is known to hold all acknowledged commits may lead, whatever else it
+ * holds. If none is known, the group waits for the members that don't answer,
+ * and the log says so (event=rest).
  *
  * A call to the promoter that got no answer may be carried out later, when the
  * change was given up because the old primary answers again. The member must
--- a/promote_candidate.c
+++ b/promote_candidate.c
@@ -1,11 +1,66 @@
 #include "promote_priv.h"
 
+#include "cover.h"
 #include "log.h"
 
 #include <string.h>
 
 /* Which member the promoter is asked to promote, see promote.h. */
 
+/* True if the member has confirmed in this change that it is paused. */
+static bool pro_is_held(const struct pro_member *m)
+{
+	return pro_is_replica(m) && m->request_type == PRO_PAUSE;
+}
+
+/* Describes the group's logs to cover.h; list has room for PRO_MAX_MEMBERS. */
+static struct cov_group pro_describe_logs(const struct pro_group *g,
+					  struct cov_log *list)
+{
+	for (int i = 0; i < g->nmembers; i++) {
+		const struct pro_member *m = &g->members[i];
+		bool old = !strcmp(m->id, g->old_primary);
+
+		list[i] = (struct cov_log){
+			.end = m->status.received_pos,
+			.known = pro_is_replica(m),
+			.held = pro_is_held(m),
+			/* The old primary is not asked again while others
+			 * receive the rest of its log. */
+			.may_lead = pro_is_replica(m) &&
+				    !m->rejected_by_promoter &&
+				    !(old && g->phase == PRO_DRAINING),
+			.last_resort = 2 * old + m->leaving,
+		};
+	}
+	return (struct cov_group){.logs = list,
+				  .n = g->nmembers,
+				  .sync_replicas = g->sync_replicas};
+}
+
+/* The promotion is the next step only after a pause, and after the primary has
+ * stepped down, when nobody acknowledges commits any more. */
+static struct pro_member *pro_covering_candidate(struct pro_group *g)
+{
+	struct cov_log list[PRO_MAX_MEMBERS];
+	struct cov_group logs = pro_describe_logs(g, list);
+	int best = cov_choose(&logs, g->phase == PRO_PAUSING);
+
+	return best == COV_NONE ? NULL : &g->members[best];
+}
+
+/* True if the promotion of this member loses no acknowledged commit. */
+static bool pro_covers(const struct pro_group *g, const struct pro_member *m)
+{
+	struct cov_log list[PRO_MAX_MEMBERS];
+	struct cov_group logs = pro_describe_logs(g, list);
+	int i = (int)(m - g->members);
+
+	return !g->sync_replicas ||
+	       (cov_holds_all(&logs, i) &&
+		(g->phase != PRO_PAUSING || cov_stays_complete(&logs, i)));
+}
+
 /* The newest term of the members' own that control knows of. A former primary
  * may count its step down as a term. */
 static int64_t pro_known_term(const struct group_info *info,
@@ -72,6 +127,8 @@
 	struct pro_member *kept = NULL;
 	struct pro_member *discarded = NULL;
 
+	if (g->sync_replicas)
+		return pro_covering_candidate(g);
 	for (int i = 0; i < g->nmembers; i++) {
 		struct pro_member *m = &g->members[i];
 		struct pro_member **best =
@@ -105,14 +162,18 @@
 	if (!pro_late_call_pending(g, now))
 		return best;
 	called = pro_find_member(g, g->called_member);
-	if (!best || !called || !pro_may_be_called(g, called) ||
-	    pos_cmp(called->status.received_pos, best->status.received_pos) < 0)
-		return NULL;
-	return called;
+	return best && pro_may_be_promoted(g, called) ? called : NULL;
+}
+
+bool pro_may_be_promoted(const struct pro_group *g, const struct pro_member *m)
+{
+	return m && pro_may_be_called(g, m) && pro_covers(g, m);
 }
 
 const char *pro_why_no_candidate(const struct pro_group *g)
 {
+	if (g->sync_replicas)
+		return "no member is known to hold all commits";
 	return g->only_discarded_since
 		       ? "only members answer whose log was discarded"
 		       : "no member can be promoted";
--- a/promote_change.c
+++ b/promote_change.c
@@ -73,7 +73,7 @@
 	if (!g->maybe_paused)
 		return;
 	for (int i = 0; i < g->nmembers; i++)
-		if (strcmp(g->members[i].id, g->old_primary) != 0)
+		if (pro_is_replica(&g->members[i]))
 			pro_send_command(p, g, &g->members[i], PRO_RESUME, 0,
 					 now);
 	log_info("promote", "event=resume group=%s", g->name);
@@ -84,7 +84,7 @@
 	for (int i = 0; i < g->nmembers; i++) {
 		const struct pro_member *m = &g->members[i];
 
-		if (strcmp(m->id, g->old_primary) != 0 &&
+		if (!pro_is_primary(m) &&
 		    (m->request_type != PRO_RESUME || m->awaiting_reply ||
 		     m->reply != PRO_OK))
 			return;
@@ -103,31 +103,15 @@
 	return term;
 }
 
-/* True if so many replicas answered that one of them must hold every
- * acknowledged commit: all but less than the number of synchronous replicas. */
-bool pro_has_all_commits(const struct pro_group *g)
-{
-	int replicas = 0;
-	int answered = 0;
-
-	for (int i = 0; i < g->nmembers; i++) {
-		const struct pro_member *m = &g->members[i];
-
-		if (!strcmp(m->id, g->old_primary))
-			continue;
-		replicas++;
-		answered += !m->awaiting_reply && m->reply == PRO_OK;
-	}
-	return answered >= replicas - g->sync_replicas + 1;
-}
-
 void pro_pause(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	int64_t term = pro_newest_term(g) + 1;
 
 	g->maybe_paused = true;
+	/* An old primary that has stepped down may receive, too. */
 	for (int i = 0; i < g->nmembers; i++)
-		if (strcmp(g->members[i].id, g->old_primary) != 0)
+		if (strcmp(g->members[i].id, g->old_primary) != 0 ||
+		    pro_is_replica(&g->members[i]))
 			pro_send_command(p, g, &g->members[i], PRO_PAUSE, term,
 					 now);
 	pro_set_phase(g, PRO_PAUSING, now);
@@ -135,19 +119,15 @@
 		 (long long)term);
 }
 
-/* Promotes the best member, with synchronous replicas only after a pause in
- * which it is known to hold every acknowledged commit. With leases they are
- * waited for first, and the member is chosen after that. */
+/* Promotes the best member, with synchronous replicas only after a pause, in
+ * which it is chosen again. With leases they are waited for first. */
 void pro_start_promotion(struct pro *p, struct pro_group *g,
 			 struct pro_member *best, clk_ms now)
 {
 	if (p->use_leases)
 		pro_begin_change(p, g, now);
-	else if (!g->sync_replicas)
-		pro_call_promoter(p, g, best, now);
-	else if (pro_has_all_commits(g))
+	else if (g->sync_replicas)
 		pro_pause(p, g, now);
 	else
-		pro_back_off(g, now,
-			     "too few replicas answer to cover all commits");
+		pro_call_promoter(p, g, best, now);
 }
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -103,8 +103,7 @@
 	pro_note_earlier_calls(p, g);
 	m = now >= g->late_call_until ? pro_best_candidate(p, g, now)
 				      : pro_find_member(g, g->called_member);
-	if (!m || m->awaiting_reply || m->reply != PRO_OK ||
-	    !strcmp(m->id, g->old_primary))
+	if (!pro_may_be_promoted(g, m))
 		return NULL;
 	if (!pro_must_step_down_first(p, g, m))
 		return m;
@@ -183,11 +182,8 @@
 		pro_back_off(g, now, pro_why_no_candidate(g));
 	} else if (!g->sync_replicas) {
 		pro_name_candidate(p, g, best, now);
-	} else if (pro_has_all_commits(g)) {
-		pro_pause(p, g, now);
 	} else {
-		pro_back_off(g, now,
-			     "too few replicas answer to cover all commits");
+		pro_pause(p, g, now);
 	}
 }
 
@@ -273,9 +269,7 @@
 		if (paused)
 			g->next_change_at = now + PRO_HOLD_CHECK_MS;
 	} else if (!best) {
-		for (int i = 0; i < g->nmembers; i++)
-			g->members[i].rejected_by_promoter = false;
-		pro_back_off(g, now, pro_why_no_candidate(g));
+		pro_rest_without_candidate(p, g, now);
 	} else if (!named && pro_is_primary(primary) &&
 		   pro_step_down_counts(g, now)) {
 		pro_step_down(p, g, primary, now);
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -125,12 +125,16 @@
 void pro_record_primary(struct pro *p, struct pro_group *g, const char *member,
 			int64_t member_term, clk_ms now);
 bool pro_is_primary(const struct pro_member *m);
+/* True if the member answered and says that it does not lead. */
+bool pro_is_replica(const struct pro_member *m);
 bool pro_many_suspect(const struct pro *p, const struct pro_group *g,
 		      clk_ms long_ms, clk_ms now);
 
 /* True if the proxies' reports show that the primary, which does not answer
  * control, has failed. */
 bool pro_primary_failed(struct pro *p, struct pro_group *g, clk_ms now);
+/* Gives up the change, since no member can be promoted. */
+void pro_rest_without_candidate(struct pro *p, struct pro_group *g, clk_ms now);
 void pro_keep_probing(struct pro *p, struct pro_group *g, clk_ms now);
 struct pro_action *pro_queue_act(struct pro *p, const struct pro_group *g,
 				 enum pro_action_type type);
@@ -140,9 +144,10 @@
 
 /* promote_candidate.c */
 
-/* The reachable member with the newest log of which no promotion has discarded
- * anything; members that leave only if there is no other. See promote.h for
- * when others are taken. */
+/* The member to promote. With synchronous replicas one that holds every
+ * acknowledged commit (cover.h). Without, the reachable member with the newest
+ * log of which no promotion has discarded anything; members that leave only if
+ * there is no other. See promote.h for when others are taken. */
 struct pro_member *pro_best_candidate(const struct pro *p, struct pro_group *g,
 				      clk_ms now);
 
@@ -152,6 +157,9 @@
 				      clk_ms now);
 const char *pro_why_no_candidate(const struct pro_group *g);
 
+/* True if the member, chosen before, can still be promoted. */
+bool pro_may_be_promoted(const struct pro_group *g, const struct pro_member *m);
+
 /* Fills in what a record of a primary tells of its own term; member_term is 0
  * if that is not known yet. */
 void pro_fill_member_term(const struct pro *p, const struct pro_group *g,
@@ -162,7 +170,6 @@
 void pro_learn_term(struct pro *p, struct pro_group *g, clk_ms now);
 
 /* promote_change.c */
-bool pro_has_all_commits(const struct pro_group *g);
 void pro_step_down(struct pro *p, struct pro_group *g, struct pro_member *m,
 		   clk_ms now);
 /* Tells all replicas to receive again. The group counts as paused, and they are
--- a/t/lib_promote.h
+++ b/t/lib_promote.h
@@ -49,14 +49,18 @@
 		buf_free(cmd);
 	}
 
-	void announce_member(const char *id, bool primary, bool leaving = false)
+	/* The address is "10.0.0.1:" and a port for each first letter, so that
+	 * "b2" succeeds "b" at its address. */
+	void announce_member(const char *id, bool primary, bool leaving = false,
+			     int64_t incarnation = 0)
 	{
 		struct backend_info b = {};
 		struct buf cmd = BUF_INIT;
 
 		strcpy(b.id, id);
 		strcpy(b.group, "orders");
-		strcpy(b.addr, "10.0.0.1:1");
+		snprintf(b.addr, ADDR_LEN, "10.0.0.1:%d", id[0]);
+		b.incarnation = incarnation;
 		b.announced_primary = primary;
 		b.leaving = leaving;
 		state_cmd_backend(&cmd, &b);
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -369,6 +369,34 @@
 	EXPECT_STREQ(calls[0].member, "b");
 }
 
+/* Guards against a member that lacks commits and is promoted because the log of
+ * the only other one counts as discarded (review/10): "b" is promoted and
+ * fails, "a" is back with a commit that "b" did not have, and "c" has received
+ * nothing for a while. */
+TEST_F(PromoteSync, ALogThatEndsTooEarlyIsNotTheOnlyOneKept)
+{
+	lose_primary(192, 97);
+	answer("b", false, 192);
+	answer("c", false, 97);
+	run(40);
+	ASSERT_EQ(1u, calls.size());
+	pro_on_promoter_reply(pro, calls[0].action_id, 200, now);
+	announce_member("a", false);
+	announce_member("b", true);
+	run(PRO_RETRY_MS + 40);
+	suspect(6, "b");
+	for (int i = 0; i < 200 && calls.size() < 2; i++) {
+		suspect(6, "b");
+		run(20);
+		if (requests.count("a"))
+			answer("a", false, 193);
+		if (requests.count("c"))
+			answer("c", false, 97);
+	}
+	ASSERT_EQ(2u, calls.size());
+	EXPECT_STREQ("a", calls[1].member);
+}
+
 TEST_F(PromoteSync, DoesNotCallWithHalfOfThemPaused)
 {
 	lose_primary(10, 12);
--- /dev/null
+++ b/t/unit_promote_troubles.cc
@@ -0,0 +1,67 @@
+#include "lib_promote_world.h"
+
+/*
+ * Random troubles that overlap. No promotion may lose an acknowledged commit,
+ * and in the end there is service again. Each test adds one class of trouble to
+ * primaries that fail or are cut off from control.
+ */
+struct PromoteTroubles : PromoteWorld {
+	static constexpr int ROUNDS = 12;
+
+	PromoteTroubles()
+	{
+		exact_acknowledgements = true;
+	}
+
+	/* The primary fails, or is cut off from control and some proxies. */
+	void lose_the_primary()
+	{
+		disturb(primary(), pick(3) ? &Member::dark : &Member::cut,
+			500 + pick(7000));
+	}
+
+	void lose_the_next_primary()
+	{
+		Member *before = primary();
+
+		for (int i = 0; i < 500 && primary() == before; i++)
+			run_for(10);
+		run_for(pick(1000));
+		if (primary() != before)
+			lose_the_primary();
+	}
+
+	void change_control_leader()
+	{
+		if (pick(4) == 0)
+			pro_start_leading(pro, ++control_term, now);
+	}
+
+	template <class F> void play(F trouble)
+	{
+		run_for(1000);
+		for (int i = 0; i < ROUNDS && !HasFailure(); i++) {
+			trouble();
+			run_for(pick(2500));
+			change_control_leader();
+			lose_the_primary();
+			if (pick(2))
+				lose_the_next_primary();
+			run_for(pick(4000));
+			change_control_leader();
+			run_for(pick(10000));
+		}
+		expect_service();
+	}
+};
+
+/* Guards against a member that lacks part of the log and is promoted for it
+ * being "kept", or for a higher term: replicas receive nothing for a while, and
+ * the next primary fails, too (review/10). */
+TEST_P(PromoteTroubles, ReplicasThatReceiveNothing)
+{
+	play([&] { disturb(any_replica(), &Member::deaf, 1000 + pick(6000)); });
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, PromoteTroubles,
+			 testing::Range(1, 1 + promote_seeds()));
