promote: a refused pause is no pause

Callers could lose an acknowledged write of a service with a synchronous replica. A member pauses only for a term above the newest that it knows, and answers with the same row otherwise. One that heard of a new term after it was asked for its status refused, went on receiving, and the old primary acknowledged commits that the promoted member lacks.

A pause counts now only if the member's own term is below that of the order; otherwise the change starts again, with a higher one.

PromoteSync.ARefusedPauseIsNoPause fails without the change.

--- a/promote.h
+++ b/promote.h
@@ -47,8 +47,8 @@
  * only if no other member is left that may have joined the new term, or if none
  * came back for PRO_DISCARDED_LOG_WAIT_MS. To know such a member, the record of
  * a group has the term that its primary counts, or an earlier bound, and how
- * many commits the log had when that term began. Terms are those of the members;
- * control's record has a term of its own.
+ * many commits the log had when that term began. Terms are those of the
+ * members; control's record has a term of its own.
  *
  * With synchronous replicas (pro_set_sync_replicas()), a commit is acknowledged
  * once that many replicas hold it, and the promoted member must hold every
--- a/promote_candidate.c
+++ b/promote_candidate.c
@@ -7,10 +7,12 @@
 
 /* Which member the promoter is asked to promote, see promote.h. */
 
-/* True if the member has confirmed in this change that it is paused. */
+/* True if the member has confirmed in this change that it is paused. It answers
+ * in the same way if it refused, since it counts that term or a later one. */
 static bool pro_is_held(const struct pro_member *m)
 {
-	return pro_is_replica(m) && m->request_type == PRO_PAUSE;
+	return pro_is_replica(m) && m->request_type == PRO_PAUSE &&
+	       m->status.term < m->request_term;
 }
 
 /* Describes the group's logs to cover.h; list has room for PRO_MAX_MEMBERS. */
--- a/promote_change.c
+++ b/promote_change.c
@@ -53,6 +53,7 @@
 	a->term = term;
 	m->request_number = a->action_id;
 	m->request_type = type;
+	m->request_term = term;
 	m->awaiting_reply = true;
 	m->request_sent_at = now;
 }
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -39,6 +39,7 @@
 	bool rejected_by_promoter; /* the promoter refused it in this change */
 	int64_t request_number; /* of the last request */
 	enum pro_action_type request_type;
+	int64_t request_term; /* STEP_DOWN, PAUSE: the term ordered */
 	clk_ms request_sent_at;
 	enum pro_reply reply;
 	struct pro_status status;
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -397,6 +397,30 @@
 	EXPECT_STREQ("a", calls[1].member);
 }
 
+/* Guards against taking a refused pause for one: the replica has heard of a new
+ * term since it was asked, and goes on receiving. */
+TEST_F(PromoteSync, ARefusedPauseIsNoPause)
+{
+	lose_primary(10, 12);
+	int64_t term = requests["b"].term;
+	answer("b", false, 14, term);
+	answer("c", false, 15);
+	run(40);
+	EXPECT_TRUE(calls.empty());
+	suspect(6, "a");
+	run(PRO_RETRY_MS + 40);
+	answer("b", false, 16, term);
+	answer("c", false, 15);
+	suspect(6, "a");
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	EXPECT_GT(requests["b"].term, term);
+	answer("b", false, 17, term);
+	answer("c", false, 15);
+	run(40);
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("b", calls[0].member);
+}
+
 TEST_F(PromoteSync, DoesNotCallWithHalfOfThemPaused)
 {
 	lose_primary(10, 12);
