promote: an old announcement of the called member is no promotion

Callers could lose an acknowledged write of a service with a synchronous replica. A member that led, was replaced while it was dark and has not announced itself since is still announced as primary. When it was called again, that counted as the promotion: it was recorded at once, the call was forgotten, the replicas received again, and the call was carried out 2 s later.

A member that is announced as primary when it is called must now answer with a term above the one it had. A call that is still on its way when its member is recorded is remembered like one without an answer.

Promote.AnOldAnnouncementOfTheTargetIsNoPromotion fails without the change.

--- a/promote.c
+++ b/promote.c
@@ -223,10 +223,15 @@
 void pro_record_primary(struct pro *p, struct pro_group *g, const char *member,
 			int64_t member_term, clk_ms now)
 {
-	int64_t term = pro_propose_primary(
+	int64_t term;
+
+	/* Any of the calls for it may be the one that was carried out. */
+	if (g->phase == PRO_CALLING && pro_tracks_late_calls(p, g) &&
+	    !strcmp(g->target, member))
+		pro_note_unanswered_call(g, now);
+	term = pro_propose_primary(
 		p, g, member, member_term,
 		now < g->late_call_until ? g->called_member : "", now);
-
 	log_info("promote",
 		 "event=primary group=%s member=%s term=%lld member_term=%lld",
 		 g->name, member, (long long)term, (long long)member_term);
@@ -542,17 +547,39 @@
 		pro_back_off(g, now, "step down was not answered");
 }
 
-/* Records the target as the primary if it leads; returns true if it does. */
+bool pro_claims_to_lead(const struct pro *p, const char *member)
+{
+	const struct backend_info *b = state_backend(p->state, member);
+
+	return b && b->announced_primary;
+}
+
+/* Records the target as the primary if it leads; returns true if it does. The
+ * announcement of an earlier lead, which the member has lost without hearing of
+ * it, is no proof: then it is asked for its term. */
 static bool pro_check_target(struct pro *p, struct pro_group *g, clk_ms now)
 {
-	const struct backend_info *b = state_backend(p->state, g->target);
+	struct pro_member *m = pro_find_member(g, g->target);
 
 	if (p->use_leases)
 		return pro_check_leased_target(p, g, now);
-	if (!b || !b->announced_primary)
+	if (!pro_claims_to_lead(p, g->target)) {
+		g->target_claimed = false;
 		return false;
-	pro_record_primary(p, g, g->target, 0, now);
-	return true;
+	}
+	if (!g->target_claimed) {
+		pro_record_primary(p, g, g->target, 0, now);
+		return true;
+	}
+	if (pro_is_primary(m) && m->status.term > g->target_term) {
+		pro_record_primary(p, g, g->target, m->status.term, now);
+		return true;
+	}
+	if (m && now - m->request_sent_at >= (m->awaiting_reply
+						      ? PRO_STATUS_TIMEOUT_MS
+						      : PRO_DRAIN_POLL_MS))
+		pro_request_status(p, g, m, now);
+	return false;
 }
 
 static void pro_tick_settle(struct pro *p, struct pro_group *g, clk_ms now)
--- a/promote_change.c
+++ b/promote_change.c
@@ -20,6 +20,7 @@
 		g->target_term = m->status.term;
 	}
 	a->promoter_token = g->fencing_token;
+	g->target_claimed = pro_claims_to_lead(p, m->id);
 	g->call_number = a->action_id;
 	memcpy(g->target, m->id, ID_LEN);
 	pro_set_phase(g, PRO_CALLING, now);
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -70,6 +70,9 @@
 	char target[ID_LEN]; /* member to promote */
 	int64_t target_held; /* commits that it held before the first call */
 	int64_t target_term; /* its own term then */
+	/* It was announced as primary when it was called, and is since; that is
+	 * not due to the call. */
+	bool target_claimed;
 	/* since when a change finds only members whose log was discarded; 0
 	 * while it finds others, or none is needed */
 	clk_ms only_discarded_since;
@@ -117,6 +120,9 @@
 			struct pro_member *m, clk_ms now);
 void pro_load_members(struct pro *p, struct pro_group *g);
 
+/* True if the member's last announcement says that it is the primary. */
+bool pro_claims_to_lead(const struct pro *p, const char *member);
+
 /* Proposes the record of a primary; returns its term. late_call is the member
  * for which a call may still be carried out, or empty. pro_record_primary()
  * also ends the change. */
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -171,6 +171,45 @@
 	EXPECT_EQ(calls.size(), 1u);
 }
 
+/* Guards against taking the last announcement of an earlier lead for that of
+ * the new one: "b" led, was replaced while it was dark, and is called before it
+ * announces itself again. */
+TEST_F(Promote, AnOldAnnouncementOfTheTargetIsNoPromotion)
+{
+	run(300);
+	lose_primary(10);
+	pro_on_promoter_reply(pro, calls[0].action_id, 200, now);
+	announce_member("a", false);
+	announce_member("b", true);
+	run(40);
+	suspect(6, "b");
+	run(PRO_RETRY_MS + 40);
+	answer("a", false, 12, 2);
+	answer("c", false, 11, 2);
+	suspect(6, "b");
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	ASSERT_EQ(2u, calls.size());
+	pro_on_promoter_reply(pro, calls[1].action_id, 200, now);
+	announce_member("a", true);
+	run(40);
+	ASSERT_EQ("a", recorded.back());
+	suspect(6, "a");
+	run(PRO_RETRY_MS + 40);
+	answer("b", false, 13, 3);
+	answer("c", false, 12, 3);
+	suspect(6, "a");
+	run(PRO_STATUS_TIMEOUT_MS + 40);
+	ASSERT_EQ(3u, calls.size());
+	ASSERT_STREQ("b", calls[2].member);
+	run(40);
+	EXPECT_EQ("a", recorded.back());
+	pro_on_promoter_reply(pro, calls[2].action_id, 200, now);
+	run(100);
+	answer("b", true, 13, 4);
+	run(40);
+	EXPECT_EQ("b", recorded.back());
+}
+
 /* The promoter carried out a call late and its answer was lost: the member is
  * the primary, but control got no confirmation. */
 TEST_F(Promote, RecordsAMemberThatLeadsWithAHigherTerm)
