promote: hand a leaving primary over to a replica that receives

A leaving member that is promoted for its log must hand over before it ends. It stepped down for any replica that answered, also one that received nothing, and then no member led. With another member silent it would now not have stepped down at all. Its own log counts from now on, with the position of the probe before: a replica that has reached it receives. If none catches up, the old primary is promoted again.

--- a/promote.c
+++ b/promote.c
@@ -434,6 +434,7 @@
 
 	replace = g->planned ||
 		  pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now);
+	pro_note_primary_end(g, replace);
 	if (other && !(pro_is_primary(primary) &&
 		       primary->status.term >= other->status.term)) {
 		pro_record_primary(p, g, other->id, other->status.term, now);
--- a/promote_candidate.c
+++ b/promote_candidate.c
@@ -15,6 +15,16 @@
 	       m->status.term < m->request_term;
 }
 
+/* A primary that leads can step down, and then its position is known, too. What
+ * it held before is used for it, since a replica never quite reaches what a
+ * primary holds while it commits. */
+static void pro_expect_step_down(const struct pro_group *g, struct cov_log *log)
+{
+	log->known = true;
+	if (!pos_is_none(g->primary_end))
+		log->end = g->primary_end;
+}
+
 /* Describes the group's logs to cover.h; list has room for PRO_MAX_MEMBERS. */
 static struct cov_group pro_describe_logs(const struct pro_group *g,
 					  struct cov_log *list)
@@ -34,12 +44,22 @@
 				    !(old && g->phase == PRO_DRAINING),
 			.last_resort = 2 * old + m->leaving,
 		};
+		if (old && g->phase == PRO_PROBING && pro_is_primary(m))
+			pro_expect_step_down(g, &list[i]);
 	}
 	return (struct cov_group){.logs = list,
 				  .n = g->nmembers,
 				  .sync_replicas = g->sync_replicas};
 }
 
+void pro_note_primary_end(struct pro_group *g, bool replace)
+{
+	const struct pro_member *m = pro_find_member(g, g->old_primary);
+
+	g->primary_end = replace && pro_is_primary(m) ? m->status.received_pos
+						      : (struct pos){0};
+}
+
 /* The promotion is the next step only after a pause, and after the primary has
  * stepped down, when nobody acknowledges commits any more. */
 static struct pro_member *pro_covering_candidate(struct pro_group *g)
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -251,6 +251,7 @@
 	struct pro_member *best = pro_next_candidate(p, g, now);
 	bool lasting = pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now);
 
+	pro_note_primary_end(g, g->planned || lasting);
 	if (candidate && pro_leads_newly(p, g, candidate)) {
 		pro_record_primary(p, g, candidate->id, candidate->status.term,
 				   now);
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -80,6 +80,9 @@
 	/* Term of control's record of the primary whose own term is known. */
 	int64_t confirmed_term;
 	struct pos drain_position; /* position that a replica must reach */
+	/* What the primary held in the probe before this one, if it is to be
+	 * replaced. A replica that holds as much by now receives. */
+	struct pos primary_end;
 	int64_t call_number;
 	int64_t fencing_token; /* of the calls for target; 0 before the first */
 	int unanswered_calls; /* consecutive calls without an answer */
@@ -164,6 +167,10 @@
 				      clk_ms now);
 const char *pro_why_no_candidate(const struct pro_group *g);
 
+/* To be called for each probe once its candidate was chosen; replace is true if
+ * a primary that leads is to be replaced. See primary_end. */
+void pro_note_primary_end(struct pro_group *g, bool replace);
+
 /* True if the member, chosen before, can still be promoted. */
 bool pro_may_be_promoted(const struct pro_group *g, const struct pro_member *m);
 
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -468,6 +468,85 @@
 	EXPECT_TRUE(calls.empty());
 }
 
+/* Guards against the loss of commits that only a leaving replica has received,
+ * because the other one does not leave (review/6). */
+TEST_F(PromoteSync, ALeavingMemberLeadsIfOnlyItHoldsAllCommits)
+{
+	announce_member("c", false, true);
+	lose_primary(10, 70);
+	answer("b", false, 10);
+	answer("c", false, 70);
+	run(40);
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("c", calls[0].member);
+}
+
+/* A leaving primary whose replica "c" is silent. */
+struct PromoteHandOver : PromoteSync {
+	void SetUp() override
+	{
+		PromoteSync::SetUp();
+		announce_member("a", true, true);
+	}
+
+	/* Answers probes with what "a" and "b" hold, until "a" steps down. */
+	bool steps_down(int64_t held, int64_t held_b, clk_ms ms)
+	{
+		for (clk_ms end = now + ms; now < end; run(20)) {
+			for (const char *id : {"a", "b", "c"}) {
+				if (!requests.count(id))
+					continue;
+				if (requests[id].type == PRO_STEP_DOWN)
+					return true;
+				if (id[0] == 'c')
+					fail(id);
+				else
+					answer(id, id[0] == 'a',
+					       id[0] == 'a' ? held : held_b);
+			}
+		}
+		return false;
+	}
+};
+
+/* Guards against a primary that steps down for nobody: the only replica that
+ * answers receives nothing, and no member leads for as long. */
+TEST_F(PromoteHandOver, WaitsForAReplicaThatReceives)
+{
+	EXPECT_FALSE(steps_down(20, 15, 3000));
+	EXPECT_TRUE(calls.empty());
+}
+
+/* Guards against a primary that ends without a successor, since not all others
+ * answer: what it holds itself is known once it has stepped down. */
+TEST_F(PromoteHandOver, HandsOverToTheReplicaThatReceives)
+{
+	ASSERT_FALSE(steps_down(20, 15, 1000));
+	ASSERT_TRUE(steps_down(24, 22, 1000));
+	answer("a", false, 25);
+	run(100);
+	answer("b", false, 25);
+	run(40);
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("b", calls[0].member);
+}
+
+/* Guards against a group without a primary after a step down, if the replica
+ * does not catch up after all: the old primary leads again. */
+TEST_F(PromoteHandOver, TheOldPrimaryLeadsAgainIfNoneCatchesUp)
+{
+	ASSERT_TRUE(steps_down(20, 20, 1000));
+	answer("a", false, 25);
+	for (int i = 0; i < 300 && calls.empty(); i++) {
+		run(20);
+		for (const char *id : {"a", "b", "c"})
+			if (requests.count(id) && id[0] != 'c')
+				answer(id, false, id[0] == 'a' ? 25 : 20);
+	}
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("a", calls[0].member);
+}
+
 /* Guards against replicas that stay paused after a change was abandoned because
  * the primary answered. */
 TEST_F(PromoteSync, ResumesReplicasWhenThePrimaryAnswers)
--- a/t/unit_promote_troubles.cc
+++ b/t/unit_promote_troubles.cc
@@ -63,5 +63,25 @@
 	play([&] { disturb(any_replica(), &Member::deaf, 1000 + pick(6000)); });
 }
 
+/* Guards against a member that is promoted for not leaving, though it lacks
+ * what a leaving one holds, and against a leaving primary that hands over to
+ * nobody (review/6). */
+TEST_P(PromoteTroubles, MembersThatLeave)
+{
+	play([&] {
+		Member *m = &members[(size_t)pick(3)];
+
+		disturb(any_replica(), &Member::deaf, 1000 + pick(6000));
+		if (m->leaving)
+			return;
+		m->leaving = true;
+		announce(*m);
+		after(2000 + pick(7000), [=] {
+			m->leaving = false;
+			m->incarnation++;
+		});
+	});
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PromoteTroubles,
 			 testing::Range(1, 1 + promote_seeds()));
