promote: wait for the log of a replica that has ended

Cause: the members that must answer were those registered now. DELETE took the only member away that held these commits, and so fewer answers were needed.

The replicated state now keeps a record of a removed member's log until a member of the group registers at its address, which has the log, or until the leader has seen that the primary and enough replicas hold as much. Such a log counts as one that is not known. Members that register during a change are paused at once and start it again, and calls are not repeated then.

--- a/cluster.h
+++ b/cluster.h
@@ -62,6 +62,19 @@
 	bool announced_primary; /* announced that it is the primary */
 };
 
+/* The log of a backend that was removed. It may be the only one beside the
+ * primary's that holds some acknowledged commit. */
+struct ended_log {
+	char id[ID_LEN]; /* of the backend */
+	char group[ID_LEN];
+	char addr[ADDR_LEN]; /* empty in a command that removes the record */
+	bool moves; /* the next backend at its address has the log */
+	bool silent; /* removed since it was silent; it may go on for a while */
+	/* Its acknowledged commits are also held by the primary and by as many
+	 * others as a commit needs. */
+	bool covered;
+};
+
 struct proxy_info {
 	char id[ID_LEN];
 	char addr[ADDR_LEN]; /* of the link between proxies */
--- a/control.c
+++ b/control.c
@@ -157,6 +157,7 @@
 		break;
 	case PRO_RECORD_PRIMARY: /* struct ctl itself proposes the records */
 	case PRO_RECORD_CHANGE:
+	case PRO_RECORD_ENDED:
 		break;
 	case PRO_GET_STATUS:
 	case PRO_STEP_DOWN:
--- a/cover.c
+++ b/cover.c
@@ -10,18 +10,28 @@
 	for (int i = 0; i < g->n; i++)
 		covered += g->logs[i].known &&
 			   pos_cmp(g->logs[i].end, c->end) <= 0;
-	return covered >= g->n - g->sync_replicas;
+	return covered >= g->n + g->others - g->sync_replicas;
 }
 
 bool cov_stays_complete(const struct cov_group *g, int log)
 {
-	int free_to_receive = 0;
+	int free_to_receive = g->others;
 
 	for (int i = 0; i < g->n; i++)
 		free_to_receive += i != log && !g->logs[i].held;
 	return free_to_receive <= g->sync_replicas;
 }
 
+bool cov_is_covered(const struct cov_group *g, struct pos end)
+{
+	int64_t holders = 0;
+
+	for (int i = 0; i < g->n; i++)
+		holders +=
+			g->logs[i].known && pos_cmp(g->logs[i].end, end) >= 0;
+	return holders >= g->sync_replicas;
+}
+
 static bool cov_is_better(const struct cov_log *a, const struct cov_log *than)
 {
 	if (a->last_resort != than->last_resort)
--- a/cover.h
+++ b/cover.h
@@ -24,7 +24,13 @@
  * A commit may be acknowledged after the logs were compared. That takes a
  * member that leads and others that receive. The promoted member misses none if
  * it is among those that must receive, which is so if no more others than
- * synchronous replicas may lead or receive (cov_stays_complete()).
+ * synchronous replicas may lead or receive (cov_stays_complete()). The log of a
+ * member that has ended counts among those, too, as long as another member may
+ * start with it.
+ *
+ * A log that is gone must be waited for until it is covered: until the primary
+ * and as many others as there are synchronous replicas hold what it may have
+ * had (cov_is_covered()). Then the invariant is true without it.
  */
 
 #include "stmt.h"
@@ -43,8 +49,9 @@
 };
 
 struct cov_group {
-	const struct cov_log *logs; /* all logs of the group */
+	const struct cov_log *logs;
 	int n;
+	int others; /* further logs, of which nothing is known */
 	int64_t sync_replicas;
 };
 
@@ -55,6 +62,10 @@
 /* True if no commit can be acknowledged that this log does not receive. */
 bool cov_stays_complete(const struct cov_group *g, int log);
 
+/* True if a log that is not described and ends no later than end can be left
+ * out: enough of the others hold as much. The primary has held it. */
+bool cov_is_covered(const struct cov_group *g, struct pos end);
+
 /* The log to promote, or COV_NONE. With final set it also stays complete. */
 int cov_choose(const struct cov_group *g, bool final);
 
--- a/ctl_core.c
+++ b/ctl_core.c
@@ -450,6 +450,10 @@
 	memcpy(g.name, a->promoter.group, ID_LEN);
 	memcpy(g.late_call, a->promoter.late_call, ID_LEN);
 	switch (a->promoter.type) {
+	case PRO_RECORD_ENDED:
+		state_cmd_ended_log(&cmd, &a->promoter.ended_log);
+		ctl_propose(c, &cmd);
+		return false;
 	case PRO_RECORD_PRIMARY:
 		g.term = a->promoter.term;
 		g.member_term = a->promoter.member_term;
--- a/ctl_registry.c
+++ b/ctl_registry.c
@@ -212,6 +212,10 @@
 	log_info("control", "event=backend_left id=%s group=%s", id,
 		 have->group);
 	want.addr[0] = '\0';
+	/* Backends that crash don't say so: it has ended as planned, and its
+	 * log moves to its successor. */
+	want.leaving = true;
+	want.announcements_stopped = false;
 	return ctl_propose_backend(c, ctl_find_or_add_backend(c, id, now),
 				   &want, now);
 }
--- a/msg.c
+++ b/msg.c
@@ -106,6 +106,11 @@
 	STR(proxy_info, id), STR(proxy_info, addr), STR(proxy_info, zone),
 	BOOL(proxy_info, alive), INT(proxy_info, version)};
 
+static const struct msg_field ended_fields[] = {
+	STR(ended_log, id),	 STR(ended_log, group),
+	STR(ended_log, addr),	 BOOL(ended_log, moves),
+	BOOL(ended_log, silent), BOOL(ended_log, covered)};
+
 static const struct msg_field name_fields[] = {STR(name_entry, text)};
 
 static const struct msg_field grant_fields[] = {STR(quota_grant, customer),
@@ -153,7 +158,8 @@
 	LIST(msg_answer, controls, name_entry, name_fields),
 	INT(msg_answer, leader_clock),
 	LIST(msg_answer, samples, pos_sample, sample_fields),
-	BOOL(msg_answer, supports_lease)};
+	BOOL(msg_answer, supports_lease),
+	LIST(msg_answer, ended_logs, ended_log, ended_fields)};
 
 static const struct msg_field apply_fields[] = {
 	INT(msg_apply, seq), STR(msg_apply, request_id),
--- a/msg.h
+++ b/msg.h
@@ -227,6 +227,9 @@
 	/* With RES_NOT_LEADER: the sender is a voter without a leader. Leases
 	 * that a majority of the voters supports go on for lease_ms. */
 	bool supports_lease;
+	/* In commands and snapshots of the replicated state only. */
+	struct ended_log *ended_logs;
+	int64_t nended_logs;
 };
 
 /* Request of an operator to replace the lists of plans and customers. */
--- a/promote.c
+++ b/promote.c
@@ -22,6 +22,7 @@
 	if (!p)
 		return;
 	free(p->groups);
+	free(p->ended);
 	lse_free(&p->leases);
 	free(p->acts);
 	free(p);
@@ -40,6 +41,7 @@
 		fresh.maybe_paused = fresh.sync_replicas > 0;
 		p->groups[i] = fresh;
 	}
+	p->nended = 0;
 	p->nacts = 0;
 	p->next_act = 0;
 	p->scanned_view = -1;
@@ -82,7 +84,7 @@
 	return true;
 }
 
-static struct pro_group *pro_get_group(struct pro *p, const char *name)
+struct pro_group *pro_get_group(struct pro *p, const char *name)
 {
 	struct pro_group *g =
 		id_array_find(p->groups, p->ngroups, sizeof(*g), name);
@@ -150,7 +152,8 @@
 	for (size_t i = 0; i < n && g->nmembers < PRO_MAX_MEMBERS; i++) {
 		struct pro_member *m = &g->members[g->nmembers];
 
-		if (strcmp(b[i].group, g->name) != 0)
+		if (strcmp(b[i].group, g->name) != 0 ||
+		    pro_is_succeeded(p, &b[i]))
 			continue;
 		memset(m, 0, sizeof(*m));
 		memcpy(m->id, b[i].id, ID_LEN);
@@ -162,6 +165,7 @@
 					old[j].rejected_by_promoter;
 		g->nmembers++;
 	}
+	g->other_logs = g->sync_replicas ? pro_count_other_logs(p, g) : 0;
 }
 
 /* The member that control has recorded as the primary, or NULL if there is none
@@ -185,21 +189,37 @@
 
 /* Finds the groups and their claimants. This is done in one pass over all
  * members when they change, since each tick needs the claimants. */
-static void pro_find_claimants(struct pro *p)
+static void pro_find_claimants(struct pro *p, clk_ms now)
 {
 	size_t n;
 	const struct backend_info *b = state_backends(p->state, &n);
 
 	p->scanned_view = state_view_version(p->state);
-	for (size_t i = 0; i < p->ngroups; i++)
+	for (size_t i = 0; i < p->ngroups; i++) {
 		p->groups[i].claimant[0] = '\0';
+		p->groups[i].primary_succeeded = false;
+	}
 	for (size_t i = 0; i < n; i++) {
 		struct pro_group *g = pro_get_group(p, b[i].group);
+		const struct backend_info *primary = pro_recorded_primary(p, g);
 
+		if (primary && primary != &b[i] &&
+		    !strcmp(primary->addr, b[i].addr))
+			g->primary_succeeded = pro_is_succeeded(p, primary);
 		if (b[i].announced_primary && !b[i].announcements_stopped &&
-		    !g->claimant[0] && &b[i] != pro_recorded_primary(p, g))
+		    !g->claimant[0] && &b[i] != primary)
 			memcpy(g->claimant, b[i].id, ID_LEN);
 	}
+	for (size_t i = 0; i < p->ngroups; i++) {
+		struct pro_group *g = &p->groups[i];
+
+		if (!g->sync_replicas || !g->maybe_paused ||
+		    !pro_logs_changed(p, g))
+			continue;
+		g->next_change_at = now;
+		if (g->phase >= PRO_PAUSING || pro_late_call_pending(g, now))
+			pro_pause_newcomers(p, g);
+	}
 }
 
 int64_t pro_propose_primary(struct pro *p, struct pro_group *g,
@@ -418,8 +438,12 @@
 {
 	for (int i = 0; i < g->nmembers; i++)
 		g->members[i].rejected_by_promoter = false;
-	if (!pro_tracks_late_calls(p, g) || !pro_late_call_pending(g, now))
-		pro_resume(p, g, now);
+	pro_log_missing(p, g);
+	if (g->sync_replicas && pro_late_call_pending(g, now)) {
+		pro_hold_replicas(p, g, now);
+		return;
+	}
+	pro_resume(p, g, now);
 	pro_back_off(g, now, pro_why_no_candidate(g));
 }
 
@@ -435,6 +459,7 @@
 	replace = g->planned ||
 		  pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now);
 	pro_note_primary_end(g, replace);
+	pro_check_covered(p, g, now);
 	if (other && !(pro_is_primary(primary) &&
 		       primary->status.term >= other->status.term)) {
 		pro_record_primary(p, g, other->id, other->status.term, now);
@@ -518,7 +543,9 @@
 	if (pro_awaits_replies(g, now))
 		return;
 	best = pro_choose(p, g, now);
-	if (best)
+	if (pro_logs_changed(p, g))
+		pro_back_off(g, now, "members have come or gone");
+	else if (best)
 		pro_promote(p, g, best, now);
 	else
 		pro_back_off(g, now, "too few replicas were paused");
@@ -630,7 +657,8 @@
 	} else if (pro_claimant(p, g)) {
 		return true;
 	}
-	if (primary->leaving || g->maybe_paused)
+	if (primary->leaving || g->primary_succeeded || g->maybe_paused ||
+	    g->uncovered)
 		return true;
 	return g->nreports > 0 && !strcmp(g->suspected_member, primary->id);
 }
@@ -688,7 +716,8 @@
 	if (!p->leading)
 		return;
 	if (p->scanned_view != state_view_version(p->state))
-		pro_find_claimants(p);
+		pro_find_claimants(p, now);
+	pro_tick_ended(p, now);
 	for (size_t i = 0; i < p->ngroups; i++)
 		pro_tick_group(p, &p->groups[i], now);
 }
@@ -707,6 +736,8 @@
 			m->awaiting_reply = false;
 			m->reply = s->reply;
 			m->status = *s;
+			if (s->reply == PRO_OK && s->term > g->newest_term)
+				g->newest_term = s->term;
 			if (m->request_type == PRO_RESUME)
 				pro_on_resumed(g, now);
 			pro_tick_group(p, g, now);
@@ -737,6 +768,11 @@
 			pro_note_unanswered_call(g, now);
 		else if (!p->use_leases && now >= g->late_call_until)
 			g->late_call_until = now; /* answered: none is late */
+		/* The successor of an ended member is not paused. */
+		if (g->sync_replicas && pro_logs_changed(p, g)) {
+			pro_back_off(g, now, "members have come or gone");
+			return;
+		}
 		if (m && !status &&
 		    ++g->unanswered_calls < PRO_MAX_UNANSWERED_CALLS) {
 			pro_call_promoter(p, g, m, now);
--- a/promote.h
+++ b/promote.h
@@ -58,7 +58,21 @@
  * receive nothing more. The rule on discarded logs does not apply: a member
  * that is known to hold all acknowledged commits may lead, whatever else it
  * holds. If none is known, the group waits for the members that don't answer,
- * and the log says so (event=rest).
+ * and the log names them (event=waits_for). Nothing less is safe:
+ * each of them may hold the only copy of a commit beside the primary's. The
+ * wait ends when one of them, or the old primary, answers.
+ *
+ * The log of a member that has ended is one of these until its successor has
+ * registered at its address, which has the log, or until it is covered: control
+ * asks the primary what it holds once the member has ended for PRO_ENDED_MS,
+ * and waits until as many replicas as a commit needs hold as much. Both are
+ * recorded (struct ended_log), so that each later leader knows of the log. So a
+ * member that left for good, or a successor that never comes, matters only if
+ * the primary fails within about a second of its end. A covered log still
+ * counts for PRO_SUCCESSOR_WAIT_MS, in which its successor may start to receive
+ * unnoticed. A new member that control has not heard of yet can't be paused:
+ * one that starts within the half second of a promotion, and is no successor,
+ * is not guarded against.
  *
  * A call to the promoter that got no answer may be carried out later, when the
  * change was given up because the old primary answers again. The member must
@@ -126,7 +140,15 @@
 	PRO_LATE_CALL_MS = 13000,
 	/* Between checks of a group whose primary works and whose replicas are
 	 * held back, or have not confirmed that they receive again. */
-	PRO_HOLD_CHECK_MS = 1000
+	PRO_HOLD_CHECK_MS = 1000,
+	/* A member that says that it has ended receives nothing more after this
+	 * time: it waits so long for the answer before it exits. */
+	PRO_ENDED_MS = 1000,
+	/* The same for a leaving member that is removed since it is silent.
+	 * Backends go on for some seconds after they should have ended. */
+	PRO_SILENT_ENDED_MS = 60000,
+	/* The successor of a member that has ended has registered by then. */
+	PRO_SUCCESSOR_WAIT_MS = 5000
 };
 
 enum pro_action_type {
@@ -138,7 +160,8 @@
 	PRO_RECORD_PRIMARY, /* commit that the member is the primary of term */
 	/* Commit that the primary is being changed in term, to the member if it
 	 * is not empty. */
-	PRO_RECORD_CHANGE
+	PRO_RECORD_CHANGE,
+	PRO_RECORD_ENDED /* commit the record of an ended member's log */
 };
 
 struct pro_action {
@@ -155,6 +178,7 @@
 	char late_call[ID_LEN]; /* RECORD: member for which an earlier call may
 				 * still be carried out, or empty */
 	int64_t promoter_token; /* CALL: fencing token */
+	struct ended_log ended_log; /* RECORD_ENDED */
 };
 
 enum pro_reply { PRO_OK, PRO_BUSY, PRO_FAILED };
--- a/promote_candidate.c
+++ b/promote_candidate.c
@@ -1,6 +1,5 @@
 #include "promote_priv.h"
 
-#include "cover.h"
 #include "log.h"
 
 #include <string.h>
@@ -25,9 +24,8 @@
 		log->end = g->primary_end;
 }
 
-/* Describes the group's logs to cover.h; list has room for PRO_MAX_MEMBERS. */
-static struct cov_group pro_describe_logs(const struct pro_group *g,
-					  struct cov_log *list)
+struct cov_group pro_describe_logs(const struct pro_group *g,
+				   struct cov_log *list)
 {
 	for (int i = 0; i < g->nmembers; i++) {
 		const struct pro_member *m = &g->members[i];
@@ -49,6 +47,7 @@
 	}
 	return (struct cov_group){.logs = list,
 				  .n = g->nmembers,
+				  .others = g->other_logs,
 				  .sync_replicas = g->sync_replicas};
 }
 
--- a/promote_change.c
+++ b/promote_change.c
@@ -83,6 +83,9 @@
 
 void pro_on_resumed(struct pro_group *g, clk_ms now)
 {
+	/* A member that registers now must not receive. */
+	if (pro_late_call_pending(g, now))
+		return;
 	for (int i = 0; i < g->nmembers; i++) {
 		const struct pro_member *m = &g->members[i];
 
@@ -95,19 +98,9 @@
 	g->next_change_at = now;
 }
 
-int64_t pro_newest_term(const struct pro_group *g)
-{
-	int64_t term = 0;
-
-	for (int i = 0; i < g->nmembers; i++)
-		if (g->members[i].status.term > term)
-			term = g->members[i].status.term;
-	return term;
-}
-
 void pro_pause(struct pro *p, struct pro_group *g, clk_ms now)
 {
-	int64_t term = pro_newest_term(g) + 1;
+	int64_t term = g->newest_term + 1;
 
 	g->maybe_paused = true;
 	/* An old primary that has stepped down may receive, too. */
--- a/promote_late.c
+++ b/promote_late.c
@@ -86,9 +86,31 @@
 	       !strcmp(info->late_call, g->target);
 }
 
+void pro_pause_newcomers(struct pro *p, struct pro_group *g)
+{
+	size_t n;
+	const struct backend_info *b = state_backends(p->state, &n);
+
+	for (size_t i = 0; i < n; i++) {
+		struct pro_action *a;
+
+		if (strcmp(b[i].group, g->name) != 0 ||
+		    pro_find_member(g, b[i].id) ||
+		    !strcmp(b[i].id, g->called_member) ||
+		    pro_is_succeeded(p, &b[i]))
+			continue;
+		log_info("promote", "event=pause_newcomer group=%s member=%s",
+			 g->name, b[i].id);
+		a = pro_queue_act(p, g, PRO_PAUSE);
+		memcpy(a->member, b[i].id, ID_LEN);
+		memcpy(a->addr, b[i].addr, ADDR_LEN);
+		a->term = g->newest_term + 1;
+	}
+}
+
 void pro_hold_replicas(struct pro *p, struct pro_group *g, clk_ms now)
 {
-	int64_t term = pro_newest_term(g) + 1;
+	int64_t term = g->newest_term + 1;
 	struct pro_member *called = pro_find_member(g, g->called_member);
 	int64_t receiving = called ? 1 : 0;
 
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -64,7 +64,7 @@
 	struct pro_member *m = pro_find_member(g, g->old_primary);
 
 	if (m)
-		pro_send_command(p, g, m, PRO_STEP_DOWN, pro_newest_term(g) + 1,
+		pro_send_command(p, g, m, PRO_STEP_DOWN, g->newest_term + 1,
 				 now);
 }
 
@@ -107,7 +107,7 @@
 		return NULL;
 	if (!pro_must_step_down_first(p, g, m))
 		return m;
-	pro_send_command(p, g, m, PRO_STEP_DOWN, pro_newest_term(g) + 1, now);
+	pro_send_command(p, g, m, PRO_STEP_DOWN, g->newest_term + 1, now);
 	return NULL;
 }
 
@@ -129,7 +129,9 @@
 					     !strcmp(info->candidate, g->target)
 				   : pro_call_is_recorded(p, g);
 
-	if (m && named)
+	if (g->sync_replicas && pro_logs_changed(p, g))
+		pro_back_off(g, now, "members have come or gone");
+	else if (m && named)
 		pro_call_promoter(p, g, m, now);
 	else if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
 		pro_back_off(g, now, "the candidate was not recorded");
@@ -252,6 +254,7 @@
 	bool lasting = pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now);
 
 	pro_note_primary_end(g, g->planned || lasting);
+	pro_check_covered(p, g, now);
 	if (candidate && pro_leads_newly(p, g, candidate)) {
 		pro_record_primary(p, g, candidate->id, candidate->status.term,
 				   now);
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -6,10 +6,12 @@
  *   promote.c            watches the groups and decides on changes
  *   promote_change.c     the steps of a change
  *   promote_candidate.c  which member is promoted
+ *   promote_ended.c      logs of members that have ended
  *   promote_late.c       calls that may still be carried out
  *   promote_lease.c      changes where proxies hold leases
  */
 
+#include "cover.h"
 #include "lease.h"
 #include "promote.h"
 
@@ -61,11 +63,15 @@
 	/* When the last primary or claimant was gone; 0 while there is one. */
 	clk_ms no_primary_since;
 	char claimant[ID_LEN]; /* unrecorded member that claims to lead */
+	bool primary_succeeded; /* see pro_is_succeeded() */
 	char suspected_member[ID_LEN]; /* member that the reports name */
 	struct pro_report reports[PRO_MAX_REPORTS];
 	int nreports;
 	struct pro_member members[PRO_MAX_MEMBERS];
 	int nmembers;
+	int64_t newest_term; /* that any member has answered to this leader */
+	int other_logs; /* that are not in members, see pro_count_other_logs()
+			 */
 	char old_primary[ID_LEN]; /* primary when the change started */
 	char target[ID_LEN]; /* member to promote */
 	int64_t target_held; /* commits that it held before the first call */
@@ -89,6 +95,7 @@
 	bool planned;
 	int64_t sync_replicas; /* replicas that must hold a commit */
 	bool maybe_paused; /* some replicas may be paused */
+	bool uncovered; /* it has ended logs that are not covered yet */
 
 	/* Kept where pro_tracks_late_calls(): */
 	char called_member[ID_LEN]; /* of the last call without an answer */
@@ -99,6 +106,14 @@
 				 * change; 0 before */
 };
 
+/* What this leader knows of the log of a member that has ended. */
+struct pro_ended {
+	char id[ID_LEN]; /* of the member */
+	clk_ms seen_at; /* it had ended by then */
+	struct pos end; /* it ends no later; none if that is not known yet */
+	clk_ms proposed_at; /* when a record was last proposed */
+};
+
 struct pro {
 	const struct state *state;
 	struct pro_group *groups;
@@ -113,6 +128,8 @@
 	clk_ms leading_since;
 	int64_t last_token_number; /* within this term */
 	int64_t last_request_number;
+	struct pro_ended *ended;
+	size_t nended;
 	struct pro_action *acts;
 	size_t nacts;
 	size_t next_act; /* first action not yet taken */
@@ -148,6 +165,7 @@
 void pro_keep_probing(struct pro *p, struct pro_group *g, clk_ms now);
 struct pro_action *pro_queue_act(struct pro *p, const struct pro_group *g,
 				 enum pro_action_type type);
+struct pro_group *pro_get_group(struct pro *p, const char *name);
 struct pro_member *pro_find_member(struct pro_group *g, const char *id);
 void pro_set_phase(struct pro_group *g, enum pro_phase phase, clk_ms now);
 void pro_back_off(struct pro_group *g, clk_ms now, const char *why);
@@ -167,6 +185,10 @@
 				      clk_ms now);
 const char *pro_why_no_candidate(const struct pro_group *g);
 
+/* Describes the group's logs; list has room for PRO_MAX_MEMBERS. */
+struct cov_group pro_describe_logs(const struct pro_group *g,
+				   struct cov_log *list);
+
 /* To be called for each probe once its candidate was chosen; replace is true if
  * a primary that leads is to be replaced. See primary_end. */
 void pro_note_primary_end(struct pro_group *g, bool replace);
@@ -183,6 +205,30 @@
  * Asks for it and adds it to the record. */
 void pro_learn_term(struct pro *p, struct pro_group *g, clk_ms now);
 
+/* promote_ended.c */
+
+/* Follows the logs of ended members; sets uncovered of their groups. */
+void pro_tick_ended(struct pro *p, clk_ms now);
+
+/* Finds out whether ended logs are covered. To be called when the members of
+ * the group have answered. */
+void pro_check_covered(struct pro *p, struct pro_group *g, clk_ms now);
+
+/* True if the backend is no member of its group any more, though it is still
+ * registered: its successor has registered at its address. */
+bool pro_is_succeeded(const struct pro *p, const struct backend_info *b);
+
+/* Logs that may hold acknowledged commits beside those of the group's members:
+ * of ended members, and of members beyond PRO_MAX_MEMBERS. */
+int pro_count_other_logs(const struct pro *p, const struct pro_group *g);
+
+/* Writes a log line with the members whose logs a change waits for. */
+void pro_log_missing(const struct pro *p, const struct pro_group *g);
+
+/* True if a log has been added to the group or taken from it since its members
+ * were loaded. */
+bool pro_logs_changed(const struct pro *p, const struct pro_group *g);
+
 /* promote_change.c */
 void pro_step_down(struct pro *p, struct pro_group *g, struct pro_member *m,
 		   clk_ms now);
@@ -202,7 +248,6 @@
 			 struct pro_member *best, clk_ms now);
 void pro_send_command(struct pro *p, struct pro_group *g, struct pro_member *m,
 		      enum pro_action_type type, int64_t term, clk_ms now);
-int64_t pro_newest_term(const struct pro_group *g);
 
 /* promote_late.c */
 
@@ -233,6 +278,10 @@
 		     clk_ms now);
 bool pro_call_is_recorded(const struct pro *p, const struct pro_group *g);
 
+/* Pauses members that have registered since the others were loaded, since they
+ * receive already. The answer is not waited for. */
+void pro_pause_newcomers(struct pro *p, struct pro_group *g);
+
 /* Lets only so many replicas receive that each acknowledged commit is held by
  * the member for which a call may still be carried out. */
 void pro_hold_replicas(struct pro *p, struct pro_group *g, clk_ms now);
--- a/state.c
+++ b/state.c
@@ -29,6 +29,7 @@
 	free(s->groups);
 	free(s->backends);
 	free(s->proxies);
+	free(s->ended_logs);
 	free(s->delta_groups);
 	free(s->delta_backends);
 	free(s->delta_proxies);
@@ -94,6 +95,14 @@
 		out, &(struct msg_answer){.proxies = &copy, .nproxies = 1});
 }
 
+void state_cmd_ended_log(struct buf *out, const struct ended_log *l)
+{
+	struct ended_log copy = *l;
+
+	state_cmd_records(out, &(struct msg_answer){.ended_logs = &copy,
+						    .nended_logs = 1});
+}
+
 void state_cmd_publish(struct buf *out, const struct msg_publish *p)
 {
 	struct msg cmd = {.type = MSG_PUBLISH, .u.publish = *p};
@@ -290,12 +299,14 @@
 
 	if (!in->addr[0] || (b && state_same_backend(b, in))) {
 		if (b && !in->addr[0]) {
+			state_note_end(s, b, in);
 			id_array_remove(s->backends, &s->nbackends, sizeof(*b),
 					b);
 			s->view_version++;
 		}
 		return;
 	}
+	state_note_successor(s, in);
 	if (!b)
 		b = id_array_insert((void **)&s->backends, &s->nbackends,
 				    sizeof(*b), in->id);
@@ -337,6 +348,8 @@
 		state_merge_backend(s, &a->backends[i]);
 	for (int64_t i = 0; i < a->nproxies; i++)
 		state_merge_proxy(s, &a->proxies[i]);
+	for (int64_t i = 0; i < a->nended_logs; i++)
+		state_merge_ended_log(s, &a->ended_logs[i]);
 }
 
 void state_set_published(struct state *s, const struct msg_publish *m)
@@ -435,6 +448,12 @@
 	return id_array_find(s->proxies, s->nproxies, sizeof(*s->proxies), id);
 }
 
+const struct ended_log *state_ended_logs(const struct state *s, size_t *n)
+{
+	*n = s->nended_logs;
+	return s->ended_logs;
+}
+
 static void *state_resize_delta(void *old, size_t n, size_t size)
 {
 	void *p = realloc(old, (n ? n : 1) * size);
--- a/state.h
+++ b/state.h
@@ -25,8 +25,15 @@
  *               recorded
  *     backend,  replaces the record with that id; one without an address
  *     proxy     removes it
+ *     ended log the same, if there is a record with that id
  *   MSG_PUBLISH replaces the published configuration if its version is higher
  *
+ * The log of a backend that is removed is kept as a record of its own, since it
+ * may hold commits that others lack (cover.h). The record goes when the next
+ * backend of the group registers at the address to which the log moves, or by a
+ * command. In a command that removes a backend, "leaving" says that its log
+ * moves to the next one, and "announcements_stopped" that it was silent.
+ *
  * The view has a version, which each change raises. Each record holds the view
  * version of its last change, so that only newer records need to be sent.
  */
@@ -39,7 +46,8 @@
 enum {
 	STATE_MAX_REQUESTS = 10000, /* results of requests that are kept */
 	STATE_MAX_REVISIONS = 1000, /* accepted versions that are kept */
-	STATE_MAX_REFUSAL_BYTES = 2000 /* longer reasons are cut off */
+	STATE_MAX_REFUSAL_BYTES = 2000, /* longer reasons are cut off */
+	STATE_MAX_ENDED_LOGS = 4096 /* no more are kept; see state_logs.c */
 };
 
 /* Result of an operator's request, kept so that a repeated request gets the
@@ -82,6 +90,7 @@
 void state_cmd_group(struct buf *out, const struct group_info *g);
 void state_cmd_backend(struct buf *out, const struct backend_info *b);
 void state_cmd_proxy(struct buf *out, const struct proxy_info *p);
+void state_cmd_ended_log(struct buf *out, const struct ended_log *l);
 void state_cmd_publish(struct buf *out, const struct msg_publish *p);
 
 /*
@@ -115,6 +124,8 @@
 const struct backend_info *state_backends(const struct state *s, size_t *n);
 const struct proxy_info *state_proxies(const struct state *s, size_t *n);
 
+const struct ended_log *state_ended_logs(const struct state *s, size_t *n);
+
 /* True if two records are equal except for their versions. */
 bool state_same_backend(const struct backend_info *a,
 			const struct backend_info *b);
--- /dev/null
+++ b/state_logs.c
@@ -0,0 +1,79 @@
+#include "state_priv.h"
+
+#include "id_array.h"
+
+#include <string.h>
+
+/* The logs of backends that were removed, see state.h. */
+
+static struct ended_log *state_find_ended_log(struct state *s, const char *id)
+{
+	return id_array_find(s->ended_logs, s->nended_logs,
+			     sizeof(*s->ended_logs), id);
+}
+
+static void state_drop_ended_log(struct state *s, struct ended_log *l)
+{
+	id_array_remove(s->ended_logs, &s->nended_logs, sizeof(*l), l);
+}
+
+/* True if a backend of the group has registered at the address before the one
+ * that used it was removed. */
+static bool state_has_successor(const struct state *s,
+				const struct backend_info *have)
+{
+	for (size_t i = 0; i < s->nbackends; i++) {
+		const struct backend_info *b = &s->backends[i];
+
+		if (!strcmp(b->group, have->group) &&
+		    !strcmp(b->addr, have->addr) &&
+		    b->incarnation > have->incarnation)
+			return true;
+	}
+	return false;
+}
+
+void state_note_end(struct state *s, const struct backend_info *have,
+		    const struct backend_info *in)
+{
+	struct ended_log *l = state_find_ended_log(s, have->id);
+
+	if (in->leaving && state_has_successor(s, have))
+		return;
+	if (!l) {
+		if (s->nended_logs == STATE_MAX_ENDED_LOGS)
+			return;
+		l = id_array_insert((void **)&s->ended_logs, &s->nended_logs,
+				    sizeof(*l), have->id);
+	}
+	memcpy(l->group, have->group, ID_LEN);
+	memcpy(l->addr, have->addr, ADDR_LEN);
+	l->moves = in->leaving;
+	l->silent = in->announcements_stopped;
+	l->covered = false;
+}
+
+void state_note_successor(struct state *s, const struct backend_info *in)
+{
+	for (size_t i = 0; i < s->nended_logs; i++) {
+		struct ended_log *l = &s->ended_logs[i];
+
+		if (l->moves && !strcmp(l->group, in->group) &&
+		    !strcmp(l->addr, in->addr)) {
+			state_drop_ended_log(s, l);
+			return;
+		}
+	}
+}
+
+void state_merge_ended_log(struct state *s, const struct ended_log *in)
+{
+	struct ended_log *l = state_find_ended_log(s, in->id);
+
+	if (!l)
+		return;
+	if (in->addr[0])
+		l->covered = in->covered;
+	else
+		state_drop_ended_log(s, l);
+}
--- a/state_priv.h
+++ b/state_priv.h
@@ -21,6 +21,8 @@
 	size_t nbackends;
 	struct proxy_info *proxies;
 	size_t nproxies;
+	struct ended_log *ended_logs;
+	size_t nended_logs;
 	struct group_info
 		*delta_groups; /* arrays filled by state_fill_newer_records() */
 	struct backend_info *delta_backends;
@@ -40,6 +42,13 @@
 struct state_request_result *state_add_request(struct state *s);
 struct state_lists_revision *state_add_change(struct state *s);
 
+/* To be called before a backend's record is removed or replaced: in is the
+ * command. */
+void state_note_end(struct state *s, const struct backend_info *have,
+		    const struct backend_info *in);
+void state_note_successor(struct state *s, const struct backend_info *in);
+void state_merge_ended_log(struct state *s, const struct ended_log *in);
+
 struct group_info *state_find_or_add_group(struct state *s, const char *name);
 
 #endif
--- a/state_snapshot.c
+++ b/state_snapshot.c
@@ -40,6 +40,8 @@
 	m.u.answer.nbackends = (int64_t)s->nbackends;
 	m.u.answer.proxies = s->proxies;
 	m.u.answer.nproxies = (int64_t)s->nproxies;
+	m.u.answer.ended_logs = s->ended_logs;
+	m.u.answer.nended_logs = (int64_t)s->nended_logs;
 	msg_encode_frame(&m, out);
 }
 
@@ -142,6 +144,11 @@
 		*(struct proxy_info *)id_array_insert(
 			(void **)&s->proxies, &s->nproxies, sizeof(*s->proxies),
 			a->proxies[i].id) = a->proxies[i];
+	for (int64_t i = 0; i < a->nended_logs; i++)
+		*(struct ended_log *)id_array_insert(
+			(void **)&s->ended_logs, &s->nended_logs,
+			sizeof(*s->ended_logs), a->ended_logs[i].id) =
+			a->ended_logs[i];
 }
 
 static void load_result(struct state *s, const struct msg_applied *a)
--- a/t/lib_promote.h
+++ b/t/lib_promote.h
@@ -67,12 +67,17 @@
 		apply(&cmd);
 	}
 
-	void remove_member(const char *id)
+	/* The member has said that it ended, unless it was removed since it was
+	 * silent. Its log moves to the next one if it was leaving. */
+	void remove_member(const char *id, bool leaving = false,
+			   bool silent = false)
 	{
 		struct backend_info b = {};
 		struct buf cmd = BUF_INIT;
 
 		strcpy(b.id, id);
+		b.leaving = leaving;
+		b.announcements_stopped = silent;
 		state_cmd_backend(&cmd, &b);
 		apply(&cmd);
 	}
@@ -121,6 +126,14 @@
 		apply(&cmd);
 	}
 
+	void record_ended(const pro_action &a)
+	{
+		struct buf cmd = BUF_INIT;
+
+		state_cmd_ended_log(&cmd, &a.ended_log);
+		apply(&cmd);
+	}
+
 	void take_actions()
 	{
 		struct pro_action a;
@@ -132,6 +145,8 @@
 				record(a);
 			else if (a.type == PRO_RECORD_CHANGE)
 				record_change(a);
+			else if (a.type == PRO_RECORD_ENDED)
+				record_ended(a);
 			else
 				requests[a.member] = a;
 		}
--- a/t/lib_promote_world.h
+++ b/t/lib_promote_world.h
@@ -18,6 +18,9 @@
 	static constexpr clk_ms STEP_MS = 10;
 	static constexpr clk_ms LATE_MAX_MS = 12000; /* of the platform */
 	static constexpr clk_ms ANNOUNCE_MS = 400;
+	/* From a member's announcement until it receives; control can't pause
+	 * one before (promote.h). */
+	static constexpr clk_ms JOIN_MS = 100;
 
 	struct Member {
 		std::string id;
@@ -30,6 +33,7 @@
 		bool paused = false;
 		int64_t term = 1;
 		int64_t incarnation = 0;
+		clk_ms receives_at = 0; /* once it has joined */
 		std::vector<int> log; /* numbers of commits, rising */
 
 		bool runs() const
@@ -93,6 +97,26 @@
 		events.push_back({now + ms, std::move(f)});
 	}
 
+	/* Prints all members if TRACE is set. */
+	void trace(const std::string &event)
+	{
+		static const bool on = getenv("TRACE");
+
+		if (!on)
+			return;
+		fprintf(stderr, "%lld %s, %zu acknowledged\n", (long long)now,
+			event.c_str(), acknowledged.size());
+		for (const Member &m : members)
+			fprintf(stderr, "  %s end=%lld.%lld%s%s%s%s%s%s%s\n",
+				m.id.c_str(), (long long)end_of(m).term,
+				(long long)end_of(m).number,
+				m.leads ? " leads" : "", m.dark ? " dark" : "",
+				m.cut ? " cut" : "", m.deaf ? " deaf" : "",
+				m.paused ? " paused" : "",
+				m.leaving ? " leaving" : "",
+				m.ended ? " ended" : "");
+	}
+
 	/* Carries out a call of the promoter; returns the HTTP status. */
 	int promote(const std::string &id, int64_t token)
 	{
@@ -105,6 +129,7 @@
 		if (m.leads)
 			return 200;
 		promotions++;
+		trace("promote " + id);
 		EXPECT_TRUE(std::includes(m.log.begin(), m.log.end(),
 					  acknowledged.begin(),
 					  acknowledged.end()))
@@ -163,6 +188,9 @@
 
 		if (!m.runs() || !is_current(a.member))
 			return;
+		if (a.type != PRO_GET_STATUS)
+			trace("order " + std::to_string(a.type) + " to " +
+			      a.member);
 		if (a.type == PRO_PAUSE && !m.leads && a.term > m.term)
 			m.paused = true;
 		if (a.type == PRO_RESUME)
@@ -226,6 +254,9 @@
 			case PRO_RECORD_CHANGE:
 				record_change(a);
 				break;
+			case PRO_RECORD_ENDED:
+				record_ended(a);
+				break;
 			default:
 				call_member(a);
 			}
@@ -279,7 +310,7 @@
 			commit(*p);
 		for (Member &m : members)
 			if (&m != p && m.runs() && !m.paused && !m.deaf &&
-			    pick(4))
+			    now >= m.receives_at && pick(4))
 				receive(m, *p);
 	}
 
@@ -341,6 +372,27 @@
 		EXPECT_GT(promotions, 0);
 	}
 
+	/* The member exits; it says so if it can be heard. */
+	void end(Member &m)
+	{
+		if (!m.dark && !m.cut)
+			remove_member(m.id.c_str(), true);
+		m.ended = true;
+		m.leads = false;
+		trace("end of " + m.id);
+	}
+
+	/* Its successor starts at its address, with its log. */
+	void succeed(Member &m)
+	{
+		m.ended = m.leaving = m.paused = false;
+		m.incarnation++;
+		m.receives_at = now + JOIN_MS;
+		m.id = m.id.substr(0, 1) + std::to_string(m.incarnation);
+		trace("start of " + m.id);
+		announce(m);
+	}
+
 	void run_for(clk_ms ms)
 	{
 		for (clk_ms end = now + ms; now < end && !HasFailure();)
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -547,6 +547,161 @@
 	EXPECT_STREQ("a", calls[0].member);
 }
 
+/* "c" leaves, has ended, and its successor has not registered yet (review/7).
+ */
+struct PromoteEnded : PromoteSync {
+	void SetUp() override
+	{
+		PromoteSync::SetUp();
+		announce_member("c", false, true);
+		run(100);
+		remove_member("c", true);
+	}
+
+	/* Answers what control asks of the primary and of "b". */
+	void answer_all(clk_ms ms, int64_t held, int64_t held_b)
+	{
+		for (clk_ms end = now + ms; now < end; run(20))
+			for (const char *id : {"a", "b"})
+				if (requests.count(id))
+					answer(id, id[0] == 'a',
+					       id[0] == 'a' ? held : held_b);
+	}
+
+	/* "a" is silent from now on; "b" and members at the place of "c"
+	 * answer. */
+	void lose_the_primary(clk_ms ms, int64_t held_b, int64_t held_c)
+	{
+		for (clk_ms end = now + ms; now < end && calls.empty();
+		     run(20)) {
+			suspect(6, "a");
+			for (const char *id : {"b", "c2", "d"})
+				if (requests.count(id))
+					answer(id, false,
+					       id[0] == 'b' ? held_b : held_c);
+		}
+	}
+};
+
+/* Guards against the loss of commits that only the ended member has received:
+ * its successor, which has its log, is waited for. */
+TEST_F(PromoteEnded, ItsSuccessorIsWaitedFor)
+{
+	lose_the_primary(10000, 12, 0);
+	EXPECT_TRUE(calls.empty());
+	announce_member("c2", false, false, 1);
+	lose_the_primary(2000, 12, 20);
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("c2", calls[0].member);
+}
+
+/* The same where its successor has registered before it is removed. */
+TEST_F(PromoteSync, ASuccessorThatIsThereAlreadyHasTheLog)
+{
+	announce_member("c", false, true);
+	announce_member("c2", false, false, 1);
+	lose_primary(12);
+	answer("c2", false, 20);
+	run(100);
+	remove_member("c", true);
+	for (int i = 0; i < 100 && calls.empty(); i++) {
+		suspect(6, "a");
+		run(20);
+		for (const char *id : {"b", "c2"})
+			if (requests.count(id))
+				answer(id, false, id[0] == 'b' ? 12 : 20);
+	}
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("c2", calls[0].member);
+}
+
+/* A later control leader must know of the log, too. */
+TEST_F(PromoteEnded, ANewLeaderWaitsForItsSuccessor)
+{
+	pro_start_leading(pro, 8, now);
+	lose_the_primary(10000, 12, 0);
+	EXPECT_TRUE(calls.empty());
+}
+
+/* Another member is no successor: it does not have the log. */
+TEST_F(PromoteEnded, AMemberAtAnotherAddressHasNotItsLog)
+{
+	announce_member("d", false, false, 1);
+	lose_the_primary(10000, 12, 11);
+	EXPECT_TRUE(calls.empty());
+}
+
+/* Guards against a service without a primary for good: the successor never
+ * comes, but the other replica has received what the primary held after the
+ * member had ended. */
+TEST_F(PromoteEnded, ACoveredLogIsNotWaitedForLong)
+{
+	answer_all(PRO_ENDED_MS + 1000, 20, 20);
+	lose_the_primary(PRO_SUCCESSOR_WAIT_MS, 22, 0);
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("b", calls[0].member);
+}
+
+/* Guards against covering it too early: commits that the member received while
+ * it was ending are not held by the other replica. */
+TEST_F(PromoteEnded, ALogIsNotCoveredByAReplicaThatReceivesNothing)
+{
+	answer_all(PRO_ENDED_MS + 4000, 20, 15);
+	lose_the_primary(10000, 15, 0);
+	EXPECT_TRUE(calls.empty());
+}
+
+/* Guards against a log that was covered before its member had really ended. */
+TEST_F(PromoteEnded, WhatThePrimaryHeldBeforeTheEndIsNotEnough)
+{
+	answer_all(PRO_ENDED_MS - 300, 15, 15);
+	lose_the_primary(10000, 15, 0);
+	EXPECT_TRUE(calls.empty());
+}
+
+/* A member that was removed for its silence may go on for a while. */
+TEST_F(PromoteSync, ASilentMemberMayStillReceive)
+{
+	announce_member("c", false, true);
+	run(100);
+	remove_member("c", true, true);
+	for (clk_ms end = now + 10000; now < end; run(20))
+		for (const char *id : {"a", "b"})
+			if (requests.count(id))
+				answer(id, id[0] == 'a', 20);
+	size_t n;
+	const struct ended_log *l = state_ended_logs(state, &n);
+	ASSERT_EQ(1u, n);
+	EXPECT_FALSE(l[0].covered);
+}
+
+/* Guards against commits that a successor receives while the other replica is
+ * paused: it has started, but control had not heard of it when it paused. */
+TEST_F(PromoteEnded, ASuccessorThatStartsDuringThePauseIsPausedToo)
+{
+	answer_all(PRO_ENDED_MS + PRO_SUCCESSOR_WAIT_MS + 1000, 20, 20);
+	lose_primary(22);
+	ASSERT_EQ(PRO_PAUSE, requests["b"].type);
+	announce_member("c2", false, false, 1);
+	answer("b", false, 22);
+	run(40);
+	EXPECT_TRUE(calls.empty());
+	lose_the_primary(2000, 22, 24);
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("c2", calls[0].member);
+}
+
+/* Without synchronous replicas nothing is waited for, nor kept. */
+TEST_F(Promote, EndedLogsAreForgottenWithoutSynchronousReplicas)
+{
+	run(300);
+	remove_member("c", true);
+	run(100);
+	size_t n;
+	state_ended_logs(state, &n);
+	EXPECT_EQ(0u, n);
+}
+
 /* Guards against replicas that stay paused after a change was abandoned because
  * the primary answered. */
 TEST_F(PromoteSync, ResumesReplicasWhenThePrimaryAnswers)
--- a/t/unit_promote_troubles.cc
+++ b/t/unit_promote_troubles.cc
@@ -7,6 +7,8 @@
  */
 struct PromoteTroubles : PromoteWorld {
 	static constexpr int ROUNDS = 12;
+	/* On the platform an address is not used again before. */
+	static constexpr clk_ms ADDR_REUSE_MS = 2000;
 
 	PromoteTroubles()
 	{
@@ -31,6 +33,19 @@
 			lose_the_primary();
 	}
 
+	/* The member leaves, ends, and its successor starts with its log. */
+	void replace(Member &m, clk_ms ends_after, clk_ms starts_after)
+	{
+		if (m.leaving || m.ended)
+			return;
+		m.leaving = true;
+		announce(m);
+		after(ends_after, [this, &m, starts_after] {
+			end(m);
+			after(starts_after, [this, &m] { succeed(m); });
+		});
+	}
+
 	void change_control_leader()
 	{
 		if (pick(4) == 0)
@@ -83,5 +98,16 @@
 	});
 }
 
+/* Guards against an ended member whose log is forgotten, and against a
+ * successor that receives while the other replica is paused (review/7). */
+TEST_P(PromoteTroubles, SuccessorsAtTheirAddress)
+{
+	play([&] {
+		disturb(any_replica(), &Member::deaf, 1000 + pick(6000));
+		replace(members[(size_t)pick(3)], 1000 + pick(6000),
+			ADDR_REUSE_MS + pick(4000));
+	});
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PromoteTroubles,
 			 testing::Range(1, 1 + promote_seeds()));
--- a/t/unit_seeded.cc
+++ b/t/unit_seeded.cc
@@ -27,6 +27,7 @@
 	bool cut[INSTANCES] = {};
 	clk_ms now = 1000;
 	int64_t last_ticket = 0;
+	int64_t sync_replicas = 0; /* of group "g1" */
 	int64_t backend_records_sent = 0;
 	std::map<int64_t, enum res> results;
 
@@ -163,6 +164,7 @@
 		r->groups = (struct rt_group *)calloc(2, sizeof(*r->groups));
 		strcpy(r->groups[0].name, "g0");
 		strcpy(r->groups[1].name, "g1");
+		r->groups[1].sync_replicas = sync_replicas;
 		rt_encode(r, &packed, &p.unpacked_routes_size);
 		rt_unref(r);
 		p.config_text = {text.data(), text.size()};
@@ -614,6 +616,32 @@
 	EXPECT_TRUE(record("m1")->leaving);
 }
 
+/* Guards against the log of a member that has ended being forgotten with the
+ * control leader that was told of it (review/7). */
+TEST_F(Announced, TheLogOfAnEndedMemberOutlivesTheLeader)
+{
+	sync_replicas = 1;
+	EXPECT_EQ(RES_OK, publish(leader(), 2));
+	EXPECT_EQ(RES_OK, announce("m1", 10, 1));
+	EXPECT_EQ(RES_OK, announce("m1", 10, 2, true));
+	ctl_remove_backend(c[leader()], ++last_ticket, "m1", now);
+	handle_actions(leader());
+	run(100);
+	cut[leader()] = true;
+	ASSERT_TRUE(run_until(5000, [&] { return leader() >= 0; }));
+	run(200);
+	size_t n;
+	const struct ended_log *l =
+		state_ended_logs(ctl_state(c[leader()]), &n);
+	ASSERT_EQ(1u, n);
+	EXPECT_STREQ("m1", l[0].id);
+	EXPECT_TRUE(l[0].moves);
+	EXPECT_FALSE(l[0].silent);
+	EXPECT_EQ(RES_OK, announce("m2", 20, 1));
+	state_ended_logs(ctl_state(c[leader()]), &n);
+	EXPECT_EQ(0u, n);
+}
+
 /* A member "m1" that announces itself every HEARTBEAT_MS, and entries of
  * another writer that look like its own. */
 struct OddEntries : Announced {
--- a/t/unit_state.cc
+++ b/t/unit_state.cc
@@ -80,6 +80,34 @@
 		state_cmd_backend(&b, &x);
 		apply_command(&b);
 	}
+	/* A backend at an address; with removed, it has ended as planned. */
+	void record_start(const char *id, const char *addr, int64_t start,
+			  bool removed = false)
+	{
+		struct backend_info x = {};
+		struct buf b = BUF_INIT;
+
+		strcpy(x.id, id);
+		strcpy(x.group, "orders");
+		strcpy(x.addr, removed ? "" : addr);
+		x.incarnation = start;
+		x.leaving = removed;
+		state_cmd_backend(&b, &x);
+		apply_command(&b);
+	}
+	size_t ended_logs()
+	{
+		size_t n;
+
+		state_ended_logs(s, &n);
+		return n;
+	}
+	struct ended_log first_ended_log()
+	{
+		size_t n;
+
+		return *state_ended_logs(s, &n);
+	}
 	void record_proxy(const char *id, const char *addr)
 	{
 		struct proxy_info x = {};
@@ -101,6 +129,58 @@
 	}
 };
 
+/* Guards against a log that nobody knows of any more, after its backend was
+ * removed and a snapshot was taken (review/7). */
+TEST_F(State, TheLogOfARemovedBackendIsKept)
+{
+	record_start("b1", "10.0.0.1:1", 10);
+	record_start("b1", "", 10, true);
+	ASSERT_EQ(1u, ended_logs());
+	EXPECT_TRUE(first_ended_log().moves);
+	EXPECT_STREQ("10.0.0.1:1", first_ended_log().addr);
+	std::string text = encoded(s);
+	struct blob in = {text.data(), text.size()};
+	ASSERT_EQ(RES_OK, state_decode(s, &in, nullptr));
+	EXPECT_EQ(1u, ended_logs());
+	EXPECT_EQ(nullptr, state_backend(s, "b1"));
+}
+
+/* It goes to the next backend of the group at its address, whether that
+ * registers before or after the removal. */
+TEST_F(State, TheLogGoesToTheSuccessorAtItsAddress)
+{
+	record_start("b1", "10.0.0.1:1", 10);
+	record_start("b1", "", 10, true);
+	record_start("b2", "10.0.0.2:1", 20);
+	EXPECT_EQ(1u, ended_logs());
+	record_start("b3", "10.0.0.1:1", 20);
+	EXPECT_EQ(0u, ended_logs());
+	record_start("b4", "10.0.0.2:1", 30);
+	record_start("b2", "", 20, true);
+	EXPECT_EQ(0u, ended_logs());
+}
+
+/* A backend that was removed for its silence, and had not said that it leaves,
+ * has no successor. */
+TEST_F(State, TheLogOfASilentBackendDoesNotMove)
+{
+	record_backend("b1", "10.0.0.1:1", true);
+	record_backend("b1", "", true);
+	record_start("b3", "10.0.0.1:1", 20);
+	ASSERT_EQ(1u, ended_logs());
+	EXPECT_TRUE(first_ended_log().silent);
+	struct ended_log l = first_ended_log();
+	struct buf b = BUF_INIT;
+	l.covered = true;
+	state_cmd_ended_log(&b, &l);
+	apply_command(&b);
+	EXPECT_TRUE(first_ended_log().covered);
+	l.addr[0] = '\0';
+	state_cmd_ended_log(&b, &l);
+	apply_command(&b);
+	EXPECT_EQ(0u, ended_logs());
+}
+
 /* Guards against accepting two configurations with the same base version, and
  * against deciding a resent request a second time. */
 TEST_F(State, OneOfTwoWithEqualBaseIsAccepted)
