promote: look at a group whose recorded primary says it is a replica

Control looked at a group only if its primary leaves, another member claims to lead, replicas may be paused or proxies report the primary, and none of that happens if all members answer that they are replicas. The announced role of the recorded primary counts now, too.

Promote.ARecordedPrimaryThatSaysItIsAReplicaIsReplaced fails without the change.

--- a/promote.c
+++ b/promote.c
@@ -657,8 +657,8 @@
 	} else if (pro_claimant(p, g)) {
 		return true;
 	}
-	if (primary->leaving || g->primary_succeeded || g->maybe_paused ||
-	    g->uncovered)
+	if (primary->leaving || !primary->announced_primary ||
+	    g->primary_succeeded || g->maybe_paused || g->uncovered)
 		return true;
 	return g->nreports > 0 && !strcmp(g->suspected_member, primary->id);
 }
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -150,6 +150,23 @@
 	EXPECT_EQ(recorded.back(), "b");
 }
 
+/* Guards against a group without a primary for good: the recorded one has
+ * stepped down, the change was given up, and since nobody leads no proxy
+ * reports anything (review/9). */
+TEST_F(Promote, ARecordedPrimaryThatSaysItIsAReplicaIsReplaced)
+{
+	run(300);
+	announce_member("a", false);
+	pro_start_leading(pro, 8, now);
+	run(40);
+	answer("a", false, 10);
+	answer("b", false, 10);
+	answer("c", false, 9);
+	run(40);
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("b", calls[0].member);
+}
+
 /* Guards against trusting an announcement that a deposed primary sent before a
  * partition and that arrives after it. For a second, proxies on the primary's
  * side of the partition sent their writes to it (Threlfall trouble-1 at
