--- a/ctl_registry.c
+++ b/ctl_registry.c
@@ -264,6 +264,23 @@
 	ctl_propose_backend(c, b, &want, now);
 }
 
+/* Where control changes primaries itself, a majority of the members answers for
+ * the logs of those that were removed, so their records are not needed. */
+static void ctl_forget_ended_log(struct ctl *c)
+{
+	size_t n;
+	const struct ended_log *l = state_ended_logs(c->state, &n);
+	struct ended_log gone;
+	struct buf cmd = BUF_INIT;
+
+	if (!n || c->settings->controls_from_seeds)
+		return;
+	gone = l[0];
+	gone.addr[0] = '\0';
+	state_cmd_ended_log(&cmd, &gone);
+	ctl_propose(c, &cmd);
+}
+
 void ctl_registry_tick(struct ctl *c, clk_ms now)
 {
 	const struct backend_info *b;
@@ -279,4 +296,5 @@
 	b = state_backends(c->state, &n);
 	for (size_t i = 0; i < n; i++)
 		ctl_check_backend(c, &b[i], now);
+	ctl_forget_ended_log(c);
 }
--- a/t/unit_ctl.cc
+++ b/t/unit_ctl.cc
@@ -257,6 +257,34 @@
 		state_backend(ctl_state(c[at]), "m0")->announcements_stopped);
 }
 
+/* Guards against records of ended members' logs that pile up where nobody reads
+ * them. */
+TEST_F(Ctl, EndedLogsAreNotKeptWhereControlChangesPrimaries)
+{
+	int at = elect(3000);
+	struct backend_info gone = {};
+	struct buf b = BUF_INIT;
+	size_t n;
+
+	ASSERT_GE(at, 0);
+	ask(at, true);
+	for (int i = 0; i < 20; i++)
+		step();
+	ASSERT_NE(nullptr, state_backend(ctl_state(c[at]), "m0"));
+	strcpy(gone.id, "m0");
+	gone.leaving = true;
+	state_cmd_backend(&b, &gone);
+	raft_propose(ctl_raft(c[at]), buf_data(&b), buf_len(&b));
+	raft_send_proposals(ctl_raft(c[at]), now);
+	buf_free(&b);
+	execute_actions(at);
+	for (int i = 0; i < 50; i++)
+		step();
+	EXPECT_EQ(nullptr, state_backend(ctl_state(c[at]), "m0"));
+	state_ended_logs(ctl_state(c[at]), &n);
+	EXPECT_EQ(0u, n);
+}
+
 /* The same where members come from seeds and a promoter does not depose the
  * primary that it replaces. */
 struct CtlSeeded : Ctl {
