platform soak: a synchronous replica, members that are succeeded, late orders

Nothing that runs processes knew synchronous replicas: no fault in who may be promoted could show but in the module tests.

The stand-in answers a commit once the replica holds it, knows PAUSE and RESUME, and keeps what a crashed primary did not send with it.

--- a/t/helper/platform/main.c
+++ b/t/helper/platform/main.c
@@ -32,6 +32,12 @@
  *                        promotion of another member, so that it stays at the
  *                        position of its own log; ends that, and rolls back
  *                        what a promotion has discarded in the meantime
+ *   end M, succeed M     the member says that it has ended, and stops; a member
+ *                        with a new id starts at its address, with its log.
+ *                        Commands call it M, too
+ *   sync N               a commit is answered once N replicas hold it
+ *   late M N MS          leaves the next N orders to the member unanswered and
+ *                        carries them out MS milliseconds later
  *   lose M N             runs the next N statements, but sends no answers
  *   cut M                runs the next statement, then closes its connection
  *                        without an answer
@@ -83,6 +89,7 @@
 	DEFAULT_SLOTS = 5, /* announced if the number of slots isn't limited */
 	MAX_WAITING = 16, /* statements of a member that wait for a slot */
 	MAX_PROMOTIONS = 1000,
+	MAX_LATE_ORDERS = 100,
 	WORD_LEN = 96
 };
 
@@ -100,13 +107,19 @@
 };
 
 struct member {
-	char id[8];
+	char name[8]; /* in commands */
+	char id[16]; /* differs from the name after "succeed" */
+	unsigned char successors; /* members at its address before it */
 	const char *addr;
 	const char *announced_addr;
 	struct net_listener *listener;
 	bool running;
 	bool unresponsive;
 	bool leaving;
+	bool ended; /* until its successor starts */
+	bool paused; /* receives nothing, by an order */
+	int late_orders; /* orders that are carried out late */
+	clk_ms late_ms;
 	int answers_to_suppress; /* statements whose answers are not sent */
 	int busy_answers_left; /* statements that are refused with BUSY */
 	bool crash_after_busy; /* crash when none of these are left */
@@ -146,6 +159,11 @@
 	int64_t term; /* in which the transaction began */
 	struct commit writes[16];
 	int nwrites;
+	/* Commit whose answer waits for replicas; 0 if there is none. */
+	int awaited;
+	int64_t awaited_serial;
+	int64_t awaited_term;
+	char awaited_id[WORD_LEN];
 	struct prepared prepared[MAX_PREPARED];
 	int nprepared;
 };
@@ -180,6 +198,16 @@
 static clk_ms promote_at;
 static struct conn *conns;
 static int64_t runs;
+static int sync_replicas;
+
+struct late_order {
+	struct member *member;
+	char text[WORD_LEN];
+	clk_ms at;
+};
+
+static struct late_order late_orders[MAX_LATE_ORDERS];
+static int nlate_orders;
 
 /* Whether the member leads, or goes on as if it did. */
 static bool is_primary(const struct member *m)
@@ -274,6 +302,34 @@
 	m->applied = ++ncommits;
 }
 
+/* Answers a commit, or lets it wait for the replicas. */
+static void answer_commit(struct conn *c, const char *id)
+{
+	if (!sync_replicas || c->member->own_term) {
+		send_complete(c, id);
+		return;
+	}
+	c->awaited = ncommits;
+	c->awaited_serial = commits[ncommits - 1].serial;
+	c->awaited_term = term;
+	snprintf(c->awaited_id, WORD_LEN, "%s", id);
+}
+
+static bool holds(const struct member *m, int number, int64_t serial)
+{
+	return m->applied >= number && log_of(m)[number - 1].serial == serial;
+}
+
+static bool is_replicated(const struct conn *c)
+{
+	int holders = 0;
+
+	for (int i = 0; i < nmembers; i++)
+		holders += &members[i] != c->member && members[i].running &&
+			   holds(&members[i], c->awaited, c->awaited_serial);
+	return holders >= sync_replicas;
+}
+
 static void do_write(struct conn *c, const char *id, const char *item,
 		     const char *data)
 {
@@ -286,11 +342,13 @@
 		send_error(c, "READONLY");
 		return;
 	}
-	if (c->txn == 'T' && c->nwrites < 16)
+	if (c->txn == 'T' && c->nwrites < 16) {
 		c->writes[c->nwrites++] = w;
-	else
-		commit_one(c->member, &w);
-	send_complete(c, id);
+		send_complete(c, id);
+		return;
+	}
+	commit_one(c->member, &w);
+	answer_commit(c, id);
 }
 
 static void do_read(struct conn *c, const char *id, const char *item)
@@ -327,7 +385,10 @@
 	} else {
 		for (int i = 0; i < c->nwrites; i++)
 			commit_one(c->member, &c->writes[i]);
-		send_complete(c, id);
+		if (c->nwrites)
+			answer_commit(c, id);
+		else
+			send_complete(c, id);
 	}
 	c->txn = 'I';
 	c->nwrites = 0;
@@ -365,6 +426,47 @@
 	send_line(c, "COMPLETE -");
 }
 
+/* PAUSE, RESUME or STEPDOWN. */
+static void carry_out(struct member *m, const char *text)
+{
+	if (!strncmp(text, "PAUSE ", 6))
+		m->paused |= !is_primary(m) && atoll(text + 6) > term_of(m);
+	else if (!strncmp(text, "RESUME", 6))
+		m->paused = false;
+	else if (m->own_term)
+		m->own_term = 0;
+	else if (is_primary(m))
+		primary_index = nmembers; /* no primary */
+}
+
+static void do_order(struct conn *c, const char *verb, const char *rest)
+{
+	struct member *m = c->member;
+	struct late_order o = {.member = m, .at = clk_now() + m->late_ms};
+
+	snprintf(o.text, WORD_LEN, "%s %s", verb, rest ? rest : "");
+	if (m->late_orders && nlate_orders < MAX_LATE_ORDERS) {
+		m->late_orders--;
+		late_orders[nlate_orders++] = o;
+		c->suppress_answer = true;
+		return;
+	}
+	carry_out(m, o.text);
+	send_status(c);
+}
+
+static void run_late_orders(clk_ms now)
+{
+	int kept = 0;
+
+	for (int i = 0; i < nlate_orders; i++)
+		if (now < late_orders[i].at)
+			late_orders[kept++] = late_orders[i];
+		else if (late_orders[i].member->running)
+			carry_out(late_orders[i].member, late_orders[i].text);
+	nlate_orders = kept;
+}
+
 static void run_statement(struct conn *c, const char *id, char *text);
 static void crash_member(struct member *m, struct conn *last);
 
@@ -441,15 +543,11 @@
 		send_line(c, "COMPLETE -");
 	} else if (!strcmp(verb, "SET")) {
 		send_line(c, "COMPLETE -");
-	} else if (!strcmp(verb, "STATUS") || !strcmp(verb, "PAUSE") ||
-		   !strcmp(verb, "RESUME")) {
-		send_status(c);
-	} else if (!strcmp(verb, "STEPDOWN")) {
-		if (c->member->own_term)
-			c->member->own_term = 0;
-		else if (is_primary(c->member))
-			primary_index = nmembers; /* no primary */
+	} else if (!strcmp(verb, "STATUS")) {
 		send_status(c);
+	} else if (!strcmp(verb, "PAUSE") || !strcmp(verb, "RESUME") ||
+		   !strcmp(verb, "STEPDOWN")) {
+		do_order(c, verb, save);
 	} else {
 		send_error(c, "MALFORMED");
 	}
@@ -570,6 +668,8 @@
 		conn_free(c);
 		return false;
 	}
+	if (c->awaited)
+		return true;
 	send_ready(c);
 	c->suppress_answer = false;
 	if (c->member->crash_after_busy && !c->member->busy_answers_left) {
@@ -585,7 +685,7 @@
 	struct buf *in = net_input(c->net);
 	char *end;
 
-	while (!c->pending_line && buf_len(in) &&
+	while (!c->pending_line && !c->awaited && buf_len(in) &&
 	       (end = memchr(buf_data(in), '\n', buf_len(in)))) {
 		size_t used = (size_t)(end - buf_data(in)) + 1;
 
@@ -602,6 +702,30 @@
 	}
 }
 
+/* Answers commits that replicas have received. Connections whose member has
+ * lost the lead meanwhile are closed, since their commits may be discarded. */
+static void answer_replicated_commits(void)
+{
+	struct conn *next;
+
+	for (struct conn *c = conns; c; c = next) {
+		next = c->next;
+		if (!c->awaited)
+			continue;
+		if (c->member != &members[primary_index] ||
+		    term != c->awaited_term) {
+			conn_free(c);
+		} else if (is_replicated(c)) {
+			c->awaited = 0;
+			send_complete(c, c->awaited_id);
+			send_ready(c);
+			c->suppress_answer = false;
+			on_read(c);
+			return; /* it may have freed other connections */
+		}
+	}
+}
+
 /* Returns the connection whose line has waited longest for a slot. */
 static struct conn *next_waiting(const struct member *m)
 {
@@ -675,7 +799,10 @@
 {
 	struct err e = ERR_INIT;
 
+	if (m->running || m->ended)
+		return;
 	m->running = true;
+	m->paused = false;
 	m->started_at = clk_wall();
 	m->sequence = 0;
 	if (net_listen(&m->listener, loop, m->addr, on_accept, m, &e)) {
@@ -757,6 +884,44 @@
 	buf_free(&text);
 }
 
+static void on_removal_answer(void *arg, int status)
+{
+	(void)arg;
+	(void)status;
+}
+
+/* The member ends as planned. All instances are told, since only the leader
+ * takes it. */
+static void end_member(struct member *m)
+{
+	if (!m->running)
+		return;
+	m->ended = true;
+	for (int i = 0; i < ncontrols; i++) {
+		struct buf text = BUF_INIT;
+
+		buf_addf(&text,
+			 "DELETE /marjoramlatch/instances/%s HTTP/1.1\r\n"
+			 "Content-Length: 0\r\nConnection: close\r\n\r\n",
+			 m->id);
+		http_client_send(loop, controls[i], &text, 1000,
+				 on_removal_answer, NULL);
+		buf_free(&text);
+	}
+	crash_member(m, NULL);
+}
+
+static void succeed_member(struct member *m)
+{
+	m->leaving = false;
+	if (!m->ended)
+		return;
+	m->ended = false;
+	m->successors = (m->successors + 1) % 100;
+	snprintf(m->id, sizeof(m->id), "%s-%u", m->name, m->successors);
+	start_member(m);
+}
+
 static void announce_now(struct member *m, clk_ms now)
 {
 	struct announce *a = calloc(1, sizeof(*a));
@@ -828,8 +993,10 @@
 		(struct promotion){.term = term, .after = ncommits};
 	m->deaf_term = term;
 	for (int i = 0; i < nmembers; i++)
-		if (!members[i].deaf || &members[i] == m)
+		if (!members[i].deaf || &members[i] == m) {
+			members[i].paused = false;
 			roll_back(&members[i]);
+		}
 }
 
 static void promote(clk_ms now)
@@ -846,6 +1013,14 @@
 	announce_now(m, now);
 }
 
+/* With synchronous replicas, what a primary that has crashed did not send stays
+ * with it. */
+static bool primary_sends(void)
+{
+	return !sync_replicas || primary_index == nmembers ||
+	       members[primary_index].running;
+}
+
 static void on_tick(struct ev_loop *l, ev_timer *w, int events)
 {
 	clk_ms now = clk_now();
@@ -855,21 +1030,32 @@
 	(void)events;
 	if (promotion_index >= 0 && now >= promote_at)
 		promote(now);
+	run_late_orders(now);
 	for (int i = 0; i < nmembers; i++) {
 		struct member *m = &members[i];
 
 		if (slots)
 			run_statements(m, now);
 		while (m->applied < ncommits && m->running && !m->own_term &&
-		       !m->deaf && now - commits[m->applied].at >= lag_ms)
+		       !m->deaf && !m->paused && primary_sends() &&
+		       now - commits[m->applied].at >= lag_ms)
 			m->applied++;
 		if (m->running && !m->unresponsive &&
 		    now - m->announced_at >= ANNOUNCE_MS)
 			announce_now(m, now);
 	}
+	answer_replicated_commits();
 }
 
 static struct member *member_named(const char *id)
+{
+	for (int i = 0; id && i < nmembers; i++)
+		if (!strcmp(members[i].name, id))
+			return &members[i];
+	return NULL;
+}
+
+static struct member *member_with_id(const char *id)
 {
 	for (int i = 0; id && i < nmembers; i++)
 		if (!strcmp(members[i].id, id))
@@ -892,7 +1078,7 @@
 
 	(void)arg;
 	if (o && json_object_object_get_ex(o, "id", &id))
-		m = member_named(json_object_get_string(id));
+		m = member_with_id(json_object_get_string(id));
 	if (m && m->running && !fence) {
 		status = 200;
 		if (m != &members[primary_index]) {
@@ -936,6 +1122,15 @@
 		end_deafness(m);
 	else if (m && !strcmp(verb, "leave"))
 		m->leaving = true;
+	else if (m && !strcmp(verb, "end"))
+		end_member(m);
+	else if (m && !strcmp(verb, "succeed"))
+		succeed_member(m);
+	else if (m && !strcmp(verb, "late")) {
+		m->late_orders = atoi(strtok_r(NULL, " ", &save));
+		m->late_ms = atoi(save);
+	} else if (arg && !strcmp(verb, "sync"))
+		sync_replicas = atoi(arg);
 	else if (m && !strcmp(verb, "lose"))
 		m->answers_to_suppress = atoi(save);
 	else if (m && !strcmp(verb, "cut"))
@@ -959,7 +1154,7 @@
 		promotion_deposes = atoi(arg);
 	if (!strcmp(verb, "primary"))
 		buf_addf(out, "%s\n",
-			 primary_index < nmembers ? members[primary_index].id
+			 primary_index < nmembers ? members[primary_index].name
 						  : "none");
 	else if (!strcmp(verb, "commits"))
 		buf_addf(out, "%d\n", ncommits);
@@ -1051,7 +1246,8 @@
 	     a = strtok_r(NULL, ",", &save)) {
 		struct member *m = &members[nmembers];
 
-		snprintf(m->id, sizeof(m->id), "m%d", nmembers++);
+		snprintf(m->name, sizeof(m->name), "m%d", nmembers++);
+		memcpy(m->id, m->name, sizeof(m->name));
 		m->addr = a;
 		m->announced_addr = a;
 		if (strchr(a, '=')) {
--- a/t/lib_platform.cc
+++ b/t/lib_platform.cc
@@ -326,6 +326,7 @@
 	       routes + more + "]," + tenants_json(has_tenants_, tenants_) +
 	       "\"services\":[{\"name\":\"g1\",\"max_conns\":" +
 	       std::to_string(connections_) +
+	       ",\"sync_replicas\":" + std::to_string(sync_replicas_) +
 	       "}],"
 	       "\"limits\":{\"txn_idle_ms\":1500}}";
 }
@@ -407,6 +408,11 @@
 			   settings((int)i, false));
 }
 
+void Deployment::use_synchronous_replica()
+{
+	sync_replicas_ = 1;
+}
+
 void Deployment::let_replaced_primaries_go_on()
 {
 	promoter_deposes_ = false;
@@ -502,6 +508,8 @@
 		send_platform_command("limit " + std::to_string(connections_));
 	if (!promoter_deposes_)
 		send_platform_command("depose 0");
+	if (sync_replicas_)
+		send_platform_command("sync " + std::to_string(sync_replicas_));
 	if (publish_config(config_document(1)).status != 200)
 		return false;
 	for (size_t i = 0; i < proxies_.size(); i++)
--- a/t/lib_platform.h
+++ b/t/lib_platform.h
@@ -96,6 +96,10 @@
 	 * on until it is told to step down. Must be called before start(). */
 	void let_replaced_primaries_go_on();
 
+	/* To be called before start(): a commit is answered once one replica
+	 * holds it. */
+	void use_synchronous_replica();
+
 	/* Gives the configuration tenants, and the public database "news"; API
 	 * keys need a lease of key_lease_ms. The first key of the first tenant
 	 * is used to see whether the proxies serve. Must be called before
@@ -193,6 +197,7 @@
 	std::vector<std::string> metrics_addrs_;
 	std::string link_port_;
 	int connections_ = 30; /* of each member */
+	int sync_replicas_ = 0;
 	bool limit_connections_ = false; /* see limit_member_connections() */
 	bool promoter_deposes_ = true;
 	bool has_tenants_ = false; /* see use_tenants() */
