promote: a new leader waits for orders to receive only

A control leader that was elected in the middle of a change of primary waited 13 s, since orders might be under way. Nearly always these are orders to pause, which lose no commit when they are carried out late. The record tells them from orders to receive now. Orders that have to be recorded first are given as soon as they are, not after another probe.

PromoteSync.ANewLeaderNeedNotWaitForPauses fails without the change.

--- a/cluster.h
+++ b/cluster.h
@@ -79,7 +79,8 @@
 enum orders_stage {
 	ORDERS_UNKNOWN, /* none is under way; some replicas may be paused */
 	ORDERS_UNDER_WAY, /* some may still be carried out */
-	ORDERS_SETTLED /* none is under way, and all replicas receive */
+	ORDERS_SETTLED, /* none is under way, and all replicas receive */
+	ORDERS_PAUSING /* only orders to pause may still be carried out */
 };
 
 struct group_orders {
--- a/promote.c
+++ b/promote.c
@@ -98,7 +98,6 @@
 void pro_set_sync_replicas(struct pro *p, const char *group, int64_t replicas)
 {
 	struct pro_group *g = pro_get_group(p, group);
-
 	bool first = replicas > 0 && !g->sync_replicas;
 
 	g->sync_replicas = replicas;
@@ -287,6 +286,7 @@
 	snprintf(g->old_primary, ID_LEN, "%s", primary ? primary->id : "");
 	g->planned = primary && primary->leaving;
 	g->primary_kept = false;
+	g->resume_wanted = false;
 	g->unanswered_calls = 0;
 	pro_load_members(p, g);
 	for (int i = 0; i < g->nmembers; i++)
@@ -571,7 +571,7 @@
 static void pro_tick_recording_orders(struct pro *p, struct pro_group *g,
 				      clk_ms now)
 {
-	if (pro_may_order(p, g, now))
+	if (pro_may_order_pauses(p, g, now))
 		pro_pause(p, g, now);
 	else if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
 		pro_back_off(g, now, "the pause was not recorded");
--- a/promote_change.c
+++ b/promote_change.c
@@ -78,7 +78,7 @@
 	int64_t term = g->newest_term + 1;
 
 	g->maybe_paused = true;
-	if (!pro_may_order(p, g, now)) {
+	if (!pro_may_order_pauses(p, g, now)) {
 		pro_set_phase(g, PRO_RECORDING_ORDERS, now);
 		return;
 	}
--- a/promote_orders.c
+++ b/promote_orders.c
@@ -34,6 +34,14 @@
 	return pro_reach_stage(p, g, ORDERS_UNDER_WAY, now);
 }
 
+bool pro_may_order_pauses(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	if (!g->stage_pending &&
+	    state_orders(p->state, g->name) == ORDERS_UNDER_WAY)
+		return true;
+	return pro_reach_stage(p, g, ORDERS_PAUSING, now);
+}
+
 static void pro_extend(clk_ms *until, clk_ms to)
 {
 	if (to > *until)
@@ -89,7 +97,8 @@
 bool pro_may_resume_late(const struct pro_group *g, const struct pro_member *m,
 			 clk_ms now)
 {
-	return now < m->late_resume_until || now < g->inherited_until;
+	return now < m->late_resume_until ||
+	       (g->inherited_resumes && now < g->inherited_until);
 }
 
 bool pro_resume(struct pro *p, struct pro_group *g, clk_ms now)
@@ -101,7 +110,8 @@
 			  !g->members[i].receives;
 	if (!g->maybe_paused)
 		return true;
-	if (needed && !pro_may_order(p, g, now))
+	g->resume_wanted = needed && !pro_may_order(p, g, now);
+	if (g->resume_wanted)
 		return false;
 	for (int i = 0; i < g->nmembers; i++) {
 		struct pro_member *m = &g->members[i];
@@ -137,8 +147,10 @@
 
 	/* An earlier leader may have left replicas paused. */
 	g->maybe_paused = g->sync_replicas > 0 && stage != ORDERS_SETTLED;
-	g->inherited_until =
-		stage == ORDERS_UNDER_WAY ? now + PRO_LATE_CALL_MS : 0;
+	g->inherited_resumes = stage == ORDERS_UNDER_WAY;
+	g->inherited_until = g->inherited_resumes || stage == ORDERS_PAUSING
+				     ? now + PRO_LATE_CALL_MS
+				     : 0;
 }
 
 static bool pro_orders_are_over(const struct pro_group *g, clk_ms now)
@@ -158,10 +170,12 @@
 {
 	enum orders_stage stage = state_orders(p->state, g->name);
 
+	if (g->resume_wanted)
+		pro_resume(p, g, now);
 	if (!pro_orders_are_over(g, now))
 		return;
 	if (!g->maybe_paused)
 		pro_reach_stage(p, g, ORDERS_SETTLED, now);
-	else if (g->primary_kept && stage == ORDERS_UNDER_WAY)
+	else if (g->primary_kept && stage != ORDERS_UNKNOWN)
 		pro_reach_stage(p, g, ORDERS_UNKNOWN, now);
 }
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -103,7 +103,9 @@
 	bool maybe_paused; /* some replicas may be paused */
 	clk_ms orders_until; /* no order can be carried out later */
 	clk_ms inherited_until; /* the same for those of earlier leaders */
+	bool inherited_resumes; /* some of these are orders to receive */
 	clk_ms newcomers_until; /* for those whose answer is not waited for */
+	bool resume_wanted; /* once orders may be given */
 	enum orders_stage proposed_stage; /* of the last proposal */
 	bool stage_pending; /* that is not recorded yet */
 	clk_ms stage_proposed_at;
@@ -268,8 +270,10 @@
  * can't be told yet. */
 bool pro_resume(struct pro *p, struct pro_group *g, clk_ms now);
 
-/* True once orders may be given; else this is proposed to be recorded. */
+/* True once any orders, or those to pause, may be given; else this is proposed
+ * to be recorded. */
 bool pro_may_order(struct pro *p, struct pro_group *g, clk_ms now);
+bool pro_may_order_pauses(struct pro *p, struct pro_group *g, clk_ms now);
 
 /* To be called before the member's last request is forgotten: it got no answer
  * if it still waits for one. */
@@ -290,7 +294,8 @@
 /* What this leader knows of its group's orders when it begins. */
 void pro_start_orders(const struct pro *p, struct pro_group *g, clk_ms now);
 
-/* Records that no order is under way any more, once that is true. */
+/* Gives orders that had to be recorded first, and records that none is under
+ * way any more, once that is true. */
 void pro_tick_orders(struct pro *p, struct pro_group *g, clk_ms now);
 
 /* promote_late.c */
--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -850,6 +850,22 @@
 	EXPECT_GE(now - since, PRO_LATE_CALL_MS);
 }
 
+/* Guards against a wait after a change of the leader in the middle of a change
+ * of primary: an order to pause that is carried out late loses no commit. */
+TEST_F(PromoteSync, ANewLeaderNeedNotWaitForPauses)
+{
+	lose_primary(10, 12);
+	EXPECT_EQ(ORDERS_PAUSING, state_orders(state, "orders"));
+	pro_start_leading(pro, 8, now);
+	requests.clear();
+	lose_primary(10, 12);
+	ASSERT_EQ(PRO_PAUSE, requests["b"].type);
+	answer("b", false, 14);
+	answer("c", false, 12);
+	run(40);
+	EXPECT_EQ(1u, calls.size());
+}
+
 /* Guards against a wait that nothing calls for: no order is under way. */
 TEST_F(PromoteSync, ANewLeaderOfASettledGroupDoesNotWait)
 {
