--- a/cover.h
+++ b/cover.h
@@ -45,7 +45,7 @@
 	bool known; /* its position was read, and it does not lead */
 	bool held; /* neither leads nor receives until a member is promoted */
 	bool may_lead; /* can be promoted */
-	int last_resort; /* among equals, a lower number is promoted first */
+	int last_resort; /* of those that qualify, the lowest is promoted */
 };
 
 struct cov_group {
--- a/promote.c
+++ b/promote.c
@@ -684,7 +684,7 @@
 		return true;
 	}
 	if (primary->leaving || !primary->announced_primary ||
-	    g->primary_succeeded || g->maybe_paused || g->uncovered)
+	    g->primary_succeeded || g->maybe_paused || g->has_uncovered_logs)
 		return true;
 	return g->nreports > 0 && !strcmp(g->suspected_member, primary->id);
 }
--- a/promote.h
+++ b/promote.h
@@ -58,9 +58,9 @@
  * receive nothing more. The rule on discarded logs does not apply: a member
  * that is known to hold all acknowledged commits may lead, whatever else it
  * holds. If none is known, the group waits for the members that don't answer,
- * and the log names them (event=waits_for). Nothing less is safe:
- * each of them may hold the only copy of a commit beside the primary's. The
- * wait ends when one of them, or the old primary, answers.
+ * and the log names them (event=waits_for). Nothing less is safe: each of them
+ * may hold the only copy of a commit beside the primary's. The wait ends when
+ * one of them, or the old primary, answers.
  *
  * The log of a member that has ended is one of these until its successor has
  * registered at its address, which has the log, or until it is covered: control
@@ -70,9 +70,11 @@
  * member that left for good, or a successor that never comes, matters only if
  * the primary fails within about a second of its end. A covered log still
  * counts for PRO_SUCCESSOR_WAIT_MS, in which its successor may start to receive
- * unnoticed. A new member that control has not heard of yet can't be paused:
- * one that starts within the half second of a promotion, and is no successor,
- * is not guarded against.
+ * unnoticed.
+ *
+ * A member that registers while others are paused is paused, too, at once. What
+ * it receives until then is not guarded against, nor if that order gets no
+ * answer, in which case it is told again after about a second.
  *
  * A call to the promoter that got no answer may be carried out later, when the
  * change was given up because the old primary answers again. The member must
--- a/promote_ended.c
+++ b/promote_ended.c
@@ -57,7 +57,7 @@
 	const struct ended_log *l = state_ended_logs(p->state, &n);
 
 	for (size_t i = 0; i < p->ngroups; i++)
-		p->groups[i].uncovered = false;
+		p->groups[i].has_uncovered_logs = false;
 	if (p->nended)
 		pro_forget_ended(p);
 	for (size_t i = 0; i < n; i++) {
@@ -70,7 +70,7 @@
 		    (l[i].covered && now - e->seen_at >= PRO_SUCCESSOR_WAIT_MS))
 			pro_propose_ended(p, g, e, &gone, now);
 		else if (!l[i].covered)
-			g->uncovered = true;
+			g->has_uncovered_logs = true;
 	}
 }
 
@@ -100,7 +100,7 @@
 	size_t n;
 	const struct ended_log *l = state_ended_logs(p->state, &n);
 
-	if (!g->uncovered || !pro_is_primary(primary))
+	if (!g->has_uncovered_logs || !pro_is_primary(primary))
 		return;
 	for (size_t i = 0; i < n; i++) {
 		struct pro_ended *e =
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -100,6 +100,9 @@
 	int unanswered_calls; /* consecutive calls without an answer */
 	bool planned;
 	int64_t sync_replicas; /* replicas that must hold a commit */
+	bool has_uncovered_logs; /* of ended members, see promote_ended.c */
+
+	/* Orders to replicas, see promote_orders.c: */
 	bool maybe_paused; /* some replicas may be paused */
 	clk_ms orders_until; /* no order can be carried out later */
 	clk_ms inherited_until; /* the same for those of earlier leaders */
@@ -112,7 +115,6 @@
 	/* The last probe found that the primary leads on, and the replicas
 	 * were told to receive, if needed. */
 	bool primary_kept;
-	bool uncovered; /* it has ended logs that are not covered yet */
 
 	/* Kept where pro_tracks_late_calls(): */
 	char called_member[ID_LEN]; /* of the last call without an answer */
@@ -225,7 +227,8 @@
 
 /* promote_ended.c */
 
-/* Follows the logs of ended members; sets uncovered of their groups. */
+/* Follows the logs of ended members; sets has_uncovered_logs of their groups.
+ */
 void pro_tick_ended(struct pro *p, clk_ms now);
 
 /* Finds out whether ended logs are covered. To be called when the members of
