--- a/promote.c
+++ b/promote.c
@@ -298,74 +298,6 @@
 		 g->name, g->old_primary, g->planned, g->nreports, g->nmembers);
 }
 
-void pro_on_suspicion(struct pro *p, const char *group, const char *backend,
-		      const char *proxy, clk_ms now)
-{
-	struct pro_group *g = pro_get_group(p, group);
-	struct pro_report *r = NULL;
-
-	if (strcmp(g->suspected_member, backend) != 0) {
-		snprintf(g->suspected_member, ID_LEN, "%s", backend);
-		g->nreports = 0;
-	}
-	for (int i = 0; i < g->nreports; i++)
-		if (!strcmp(g->reports[i].proxy, proxy))
-			r = &g->reports[i];
-	if (!r) {
-		if (g->nreports == PRO_MAX_REPORTS)
-			return;
-		r = &g->reports[g->nreports++];
-		snprintf(r->proxy, ID_LEN, "%s", proxy);
-		r->first_at = now;
-	}
-	r->last_at = now;
-}
-
-void pro_on_primary_answer(struct pro *p, const char *group, clk_ms at)
-{
-	struct pro_group *g = pro_get_group(p, group);
-
-	if (at > g->primary_heard_at)
-		g->primary_heard_at = at;
-}
-
-static void pro_expire_reports(struct pro_group *g, clk_ms now)
-{
-	int kept = 0;
-
-	for (int i = 0; i < g->nreports; i++)
-		if (now - g->reports[i].last_at < PRO_REPORT_VALID_MS)
-			g->reports[kept++] = g->reports[i];
-	g->nreports = kept;
-}
-
-static int pro_live_proxies(const struct pro *p)
-{
-	size_t n;
-	const struct proxy_info *list = state_proxies(p->state, &n);
-	int live = 0;
-
-	for (size_t i = 0; i < n; i++)
-		live += list[i].alive;
-	return live;
-}
-
-/*
- * True if at least a third of the live proxies have reported the primary for
- * long_ms: fewer may be cut off themselves. If there are several proxies, one
- * report is not enough, since that proxy may just wait for a lost answer.
- */
-bool pro_many_suspect(const struct pro *p, const struct pro_group *g,
-		      clk_ms long_ms, clk_ms now)
-{
-	int live = pro_live_proxies(p);
-	int n = 0;
-
-	for (int i = 0; i < g->nreports; i++)
-		n += now - g->reports[i].first_at >= long_ms;
-	return 3 * n >= live && (n > 1 || (n == 1 && live == 1));
-}
-
 bool pro_is_primary(const struct pro_member *m)
 {
 	return m && !m->awaiting_reply && m->reply == PRO_OK &&
@@ -420,18 +352,6 @@
 	}
 }
 
-bool pro_primary_failed(struct pro *p, struct pro_group *g, clk_ms now)
-{
-	/* A new leader is told only some 100 ms later what proxies heard. */
-	clk_ms heard_at = g->primary_heard_at > p->leading_since
-				  ? g->primary_heard_at
-				  : p->leading_since;
-	bool unheard =
-		g->nreports > 0 && now - heard_at >= PRO_NO_PROXY_ANSWER_MS;
-
-	return unheard || pro_many_suspect(p, g, 0, now);
-}
-
 /* The primary leads, and no change is wanted. */
 static void pro_keep_primary(struct pro *p, struct pro_group *g, clk_ms now)
 {
@@ -499,9 +419,7 @@
 	}
 }
 
-/* Whether an answer may still come. After the first PRO_STATUS_TIMEOUT_MS of
- * probing, the primary's answer is not waited for. */
-static bool pro_awaits_replies(const struct pro_group *g, clk_ms now)
+bool pro_awaits_replies(const struct pro_group *g, clk_ms now)
 {
 	bool watched = g->phase == PRO_PROBING &&
 		       now - g->phase_since >= PRO_STATUS_TIMEOUT_MS;
@@ -517,133 +435,6 @@
 	return false;
 }
 
-static struct pro_member *pro_choose(struct pro *p, struct pro_group *g,
-				     clk_ms now)
-{
-	return p->use_leases ? pro_next_candidate(p, g, now)
-			     : pro_safe_candidate(p, g, now);
-}
-
-static void pro_tick_drain(struct pro *p, struct pro_group *g, clk_ms now)
-{
-	struct pro_member *best = pro_choose(p, g, now);
-
-	/* Without synchronous replicas, commits that no replica has received in
-	 * time may be lost. */
-	if (best &&
-	    (pos_cmp(best->status.received_pos, g->drain_position) >= 0 ||
-	     (!g->sync_replicas &&
-	      now - g->phase_since >= PRO_DRAIN_TIMEOUT_MS))) {
-		pro_promote(p, g, best, now);
-		return;
-	}
-	if (now - g->phase_since >= PRO_DRAIN_TIMEOUT_MS) {
-		pro_back_off(g, now, "no replica caught up in time");
-		return;
-	}
-	for (int i = 0; i < g->nmembers; i++) {
-		struct pro_member *m = &g->members[i];
-
-		if (strcmp(m->id, g->old_primary) != 0 &&
-		    now - m->request_sent_at >= (m->awaiting_reply
-							 ? PRO_STATUS_TIMEOUT_MS
-							 : PRO_DRAIN_POLL_MS))
-			pro_request_status(p, g, m, now);
-	}
-}
-
-static void pro_tick_pause(struct pro *p, struct pro_group *g, clk_ms now)
-{
-	struct pro_member *best;
-
-	if (pro_awaits_replies(g, now))
-		return;
-	best = pro_choose(p, g, now);
-	if (pro_logs_changed(p, g))
-		pro_back_off(g, now, "members have come or gone");
-	else if (best)
-		pro_promote(p, g, best, now);
-	else if (now - g->phase_since >= PRO_DRAIN_TIMEOUT_MS ||
-		 !pro_poll_late_receivers(p, g, now))
-		pro_back_off(g, now, "too few replicas were paused");
-}
-
-static void pro_tick_recording_orders(struct pro *p, struct pro_group *g,
-				      clk_ms now)
-{
-	if (pro_may_order_pauses(p, g, now))
-		pro_pause(p, g, now);
-	else if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
-		pro_back_off(g, now, "the pause was not recorded");
-}
-
-static void pro_tick_step_down(struct pro *p, struct pro_group *g, clk_ms now)
-{
-	struct pro_member *primary = pro_find_member(g, g->old_primary);
-	struct pro_member *best;
-
-	if (primary && primary->awaiting_reply &&
-	    now - primary->request_sent_at < PRO_STATUS_TIMEOUT_MS)
-		return;
-	if (primary && primary->reply == PRO_OK && !primary->awaiting_reply) {
-		g->drain_position = primary->status.received_pos;
-		pro_set_phase(g, PRO_DRAINING, now);
-		pro_tick_drain(p, g, now);
-		return;
-	}
-	/* Control has no answer either, and proxies have reported the primary
-	 * for a long time. */
-	best = pro_best_candidate(p, g, now);
-	if (!g->planned && best &&
-	    pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now))
-		pro_start_promotion(p, g, best, now);
-	else
-		pro_back_off(g, now, "step down was not answered");
-}
-
-bool pro_claims_to_lead(const struct pro *p, const char *member)
-{
-	const struct backend_info *b = state_backend(p->state, member);
-
-	return b && b->announced_primary;
-}
-
-/* Records the target as the primary if it leads; returns true if it does. The
- * announcement of an earlier lead, which the member has lost without hearing of
- * it, is no proof: then it is asked for its term. */
-static bool pro_check_target(struct pro *p, struct pro_group *g, clk_ms now)
-{
-	struct pro_member *m = pro_find_member(g, g->target);
-
-	if (p->use_leases)
-		return pro_check_leased_target(p, g, now);
-	if (!pro_claims_to_lead(p, g->target)) {
-		g->target_claimed = false;
-		return false;
-	}
-	if (!g->target_claimed) {
-		pro_record_primary(p, g, g->target, 0, now);
-		return true;
-	}
-	if (pro_is_primary(m) && m->status.term > g->target_term) {
-		pro_record_primary(p, g, g->target, m->status.term, now);
-		return true;
-	}
-	if (m && now - m->request_sent_at >= (m->awaiting_reply
-						      ? PRO_STATUS_TIMEOUT_MS
-						      : PRO_DRAIN_POLL_MS))
-		pro_request_status(p, g, m, now);
-	return false;
-}
-
-static void pro_tick_settle(struct pro *p, struct pro_group *g, clk_ms now)
-{
-	if (!pro_check_target(p, g, now) &&
-	    now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
-		pro_back_off(g, now,
-			     "the new primary has not announced itself");
-}
-
 /* Handles a group without a recorded primary: records a member that claims to
  * lead, or else returns true once the members must be probed. Members of a new
  * group first get time for their first announcements. */
--- a/promote.h
+++ b/promote.h
@@ -18,6 +18,7 @@
  *             answer is asked again until enough proxies report it
  *   draining  a reachable primary that leaves, or that many proxies can't
  *             reach, steps down, and a replica receives the rest of its log
+ *   recording it is being recorded that replicas may be paused, see below
  *   pausing   replicas are told to stop receiving, see below
  *   waiting   only with leases: proxies may still use the old primary
  *   naming    only with leases: the candidate is being recorded
--- a/promote_change.c
+++ b/promote_change.c
@@ -110,3 +110,126 @@
 	else
 		pro_call_promoter(p, g, best, now);
 }
+
+static struct pro_member *pro_choose(struct pro *p, struct pro_group *g,
+				     clk_ms now)
+{
+	return p->use_leases ? pro_next_candidate(p, g, now)
+			     : pro_safe_candidate(p, g, now);
+}
+
+void pro_tick_drain(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	struct pro_member *best = pro_choose(p, g, now);
+
+	/* Without synchronous replicas, commits that no replica has received in
+	 * time may be lost. */
+	if (best &&
+	    (pos_cmp(best->status.received_pos, g->drain_position) >= 0 ||
+	     (!g->sync_replicas &&
+	      now - g->phase_since >= PRO_DRAIN_TIMEOUT_MS))) {
+		pro_promote(p, g, best, now);
+		return;
+	}
+	if (now - g->phase_since >= PRO_DRAIN_TIMEOUT_MS) {
+		pro_back_off(g, now, "no replica caught up in time");
+		return;
+	}
+	for (int i = 0; i < g->nmembers; i++) {
+		struct pro_member *m = &g->members[i];
+
+		if (strcmp(m->id, g->old_primary) != 0 &&
+		    now - m->request_sent_at >= (m->awaiting_reply
+							 ? PRO_STATUS_TIMEOUT_MS
+							 : PRO_DRAIN_POLL_MS))
+			pro_request_status(p, g, m, now);
+	}
+}
+
+void pro_tick_pause(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	struct pro_member *best;
+
+	if (pro_awaits_replies(g, now))
+		return;
+	best = pro_choose(p, g, now);
+	if (pro_logs_changed(p, g))
+		pro_back_off(g, now, "members have come or gone");
+	else if (best)
+		pro_promote(p, g, best, now);
+	else if (now - g->phase_since >= PRO_DRAIN_TIMEOUT_MS ||
+		 !pro_poll_late_receivers(p, g, now))
+		pro_back_off(g, now, "too few replicas were paused");
+}
+
+void pro_tick_recording_orders(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	if (pro_may_order_pauses(p, g, now))
+		pro_pause(p, g, now);
+	else if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
+		pro_back_off(g, now, "the pause was not recorded");
+}
+
+void pro_tick_step_down(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	struct pro_member *primary = pro_find_member(g, g->old_primary);
+	struct pro_member *best;
+
+	if (primary && primary->awaiting_reply &&
+	    now - primary->request_sent_at < PRO_STATUS_TIMEOUT_MS)
+		return;
+	if (primary && primary->reply == PRO_OK && !primary->awaiting_reply) {
+		g->drain_position = primary->status.received_pos;
+		pro_set_phase(g, PRO_DRAINING, now);
+		pro_tick_drain(p, g, now);
+		return;
+	}
+	/* Control has no answer either, and proxies have reported the primary
+	 * for a long time. */
+	best = pro_best_candidate(p, g, now);
+	if (!g->planned && best &&
+	    pro_many_suspect(p, g, PRO_LASTING_REPORTS_MS, now))
+		pro_start_promotion(p, g, best, now);
+	else
+		pro_back_off(g, now, "step down was not answered");
+}
+
+bool pro_claims_to_lead(const struct pro *p, const char *member)
+{
+	const struct backend_info *b = state_backend(p->state, member);
+
+	return b && b->announced_primary;
+}
+
+bool pro_check_target(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	struct pro_member *m = pro_find_member(g, g->target);
+
+	if (p->use_leases)
+		return pro_check_leased_target(p, g, now);
+	if (!pro_claims_to_lead(p, g->target)) {
+		g->target_claimed = false;
+		return false;
+	}
+	if (!g->target_claimed) {
+		pro_record_primary(p, g, g->target, 0, now);
+		return true;
+	}
+	if (pro_is_primary(m) && m->status.term > g->target_term) {
+		pro_record_primary(p, g, g->target, m->status.term, now);
+		return true;
+	}
+	if (m && now - m->request_sent_at >= (m->awaiting_reply
+						      ? PRO_STATUS_TIMEOUT_MS
+						      : PRO_DRAIN_POLL_MS))
+		pro_request_status(p, g, m, now);
+	return false;
+}
+
+void pro_tick_settle(struct pro *p, struct pro_group *g, clk_ms now)
+{
+	if (!pro_check_target(p, g, now) &&
+	    now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
+		pro_back_off(g, now,
+			     "the new primary has not announced itself");
+}
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -4,6 +4,7 @@
 /*
  * What the files of promote.h share:
  *   promote.c            watches the groups and decides on changes
+ *   promote_reports.c    what proxies report of the primaries
  *   promote_change.c     the steps of a change
  *   promote_candidate.c  which member is promoted
  *   promote_ended.c      logs of members that have ended
@@ -159,9 +160,6 @@
 			struct pro_member *m, clk_ms now);
 void pro_load_members(struct pro *p, struct pro_group *g);
 
-/* True if the member's last announcement says that it is the primary. */
-bool pro_claims_to_lead(const struct pro *p, const char *member);
-
 /* Proposes the record of a primary; returns its term. late_call is the member
  * for which a call may still be carried out, or empty. pro_record_primary()
  * also ends the change. */
@@ -173,12 +171,11 @@
 bool pro_is_primary(const struct pro_member *m);
 /* True if the member answered and says that it does not lead. */
 bool pro_is_replica(const struct pro_member *m);
-bool pro_many_suspect(const struct pro *p, const struct pro_group *g,
-		      clk_ms long_ms, clk_ms now);
 
-/* True if the proxies' reports show that the primary, which does not answer
- * control, has failed. */
-bool pro_primary_failed(struct pro *p, struct pro_group *g, clk_ms now);
+/* Whether an answer may still come. After the first PRO_STATUS_TIMEOUT_MS of
+ * probing, the primary's answer is not waited for. */
+bool pro_awaits_replies(const struct pro_group *g, clk_ms now);
+
 /* Gives up the change, since no member can be promoted. */
 void pro_rest_without_candidate(struct pro *p, struct pro_group *g, clk_ms now);
 void pro_keep_probing(struct pro *p, struct pro_group *g, clk_ms now);
@@ -189,6 +186,19 @@
 void pro_set_phase(struct pro_group *g, enum pro_phase phase, clk_ms now);
 void pro_back_off(struct pro_group *g, clk_ms now, const char *why);
 
+/* promote_reports.c */
+void pro_expire_reports(struct pro_group *g, clk_ms now);
+
+/* True if at least a third of the live proxies have reported the primary for
+ * long_ms: fewer may be cut off themselves. If there are several proxies, one
+ * report is not enough, since that proxy may just wait for a lost answer. */
+bool pro_many_suspect(const struct pro *p, const struct pro_group *g,
+		      clk_ms long_ms, clk_ms now);
+
+/* True if the proxies' reports show that the primary, which does not answer
+ * control, has failed. */
+bool pro_primary_failed(struct pro *p, struct pro_group *g, clk_ms now);
+
 /* promote_candidate.c */
 
 /* The member to promote. With synchronous replicas one that holds every
@@ -261,6 +271,22 @@
 		 clk_ms now);
 void pro_call_promoter(struct pro *p, struct pro_group *g, struct pro_member *m,
 		       clk_ms now);
+
+/* True if the member's last announcement says that it is the primary. */
+bool pro_claims_to_lead(const struct pro *p, const char *member);
+
+/* Records the target as the primary if it leads; returns true if it does. The
+ * announcement of an earlier lead, which the member has lost without hearing of
+ * it, is no proof: then it is asked for its term. */
+bool pro_check_target(struct pro *p, struct pro_group *g, clk_ms now);
+
+/* One for each phase. */
+void pro_tick_step_down(struct pro *p, struct pro_group *g, clk_ms now);
+void pro_tick_drain(struct pro *p, struct pro_group *g, clk_ms now);
+void pro_tick_recording_orders(struct pro *p, struct pro_group *g, clk_ms now);
+void pro_tick_pause(struct pro *p, struct pro_group *g, clk_ms now);
+void pro_tick_settle(struct pro *p, struct pro_group *g, clk_ms now);
+
 void pro_start_promotion(struct pro *p, struct pro_group *g,
 			 struct pro_member *best, clk_ms now);
 void pro_send_command(struct pro *p, struct pro_group *g, struct pro_member *m,
