promote: test that a member that was succeeded is not waited for

A member whose DELETE never came is none any more once its successor has registered at its address. No test failed without that rule; PromoteSync.AMemberThatWasSucceededIsNotWaitedFor does.

--- a/t/unit_promote.cc
+++ b/t/unit_promote.cc
@@ -648,6 +648,22 @@
 	EXPECT_STREQ("c2", calls[0].member);
 }
 
+/* Guards against waiting for a member whose DELETE never came, though its
+ * successor, which has its log, has registered at its address. */
+TEST_F(PromoteSync, AMemberThatWasSucceededIsNotWaitedFor)
+{
+	announce_member("c2", false, false, 1);
+	for (int i = 0; i < 200 && calls.empty(); i++) {
+		suspect(6, "a");
+		run(20);
+		for (const char *id : {"b", "c2"})
+			if (requests.count(id))
+				answer(id, false, id[0] == 'b' ? 12 : 20);
+	}
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("c2", calls[0].member);
+}
+
 /* A later control leader must know of the log, too. */
 TEST_F(PromoteEnded, ANewLeaderWaitsForItsSuccessor)
 {
