--- a/promote_ended.c
+++ b/promote_ended.c
@@ -8,8 +8,6 @@
 
 /* The logs of members that have ended, see promote.h. */
 
-enum { PRO_REPROPOSE_MS = 1000 /* until a record is proposed again */ };
-
 static struct pro_ended *pro_find_or_add_ended(struct pro *p, const char *id,
 					       clk_ms now)
 {
--- a/promote_orders.c
+++ b/promote_orders.c
@@ -6,8 +6,6 @@
 
 /* Orders to replicas that may still be carried out, see promote.h. */
 
-enum { PRO_ORDERS_REPROPOSE_MS = 1000 /* until a stage is proposed again */ };
-
 /* True once the stage is recorded; else it is proposed. A later proposal waits
  * until the one before is recorded, so that what is recorded then is true. */
 static bool pro_reach_stage(struct pro *p, struct pro_group *g,
@@ -21,7 +19,7 @@
 		return true;
 	if (!g->stage_pending)
 		g->proposed_stage = stage;
-	else if (now - g->stage_proposed_at < PRO_ORDERS_REPROPOSE_MS)
+	else if (now - g->stage_proposed_at < PRO_REPROPOSE_MS)
 		return false;
 	g->stage_pending = true;
 	g->stage_proposed_at = now;
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -20,6 +20,7 @@
 enum {
 	PRO_TOKEN_BITS = 20, /* low bits of a token: its number within a term */
 	PRO_MAX_MEMBERS = 16, /* of a group */
+	PRO_REPROPOSE_MS = 1000, /* until a record is proposed again */
 	PRO_MAX_REPORTS = 64 /* of a group: a third of up to 192 proxies */
 };
 
