--- a/review/15/case.c
+++ b/review/15/case.c
@@ -1,104 +1,234 @@
 /*
- * Both replicas of a service have crashed, so that no other member can lead.
- * The primary announces that it drains. A proxy is restarted some seconds
- * later; it counts the time for which it may use the draining primary from its
- * own start.
+ * Case 15. A primary is cut off from 2 of 5 proxies, and is replaced. Consumers
+ * at a proxy that is not cut off have transactions open on it meanwhile. They
+ * set a session value in the transaction, go on, are told that it is aborted,
+ * roll back and send reads. A read names the value that was acknowledged; the
+ * member compares it with the one that the connection has.
  *
- * TROUBLE=replicas: without the restart.
+ * Others execute statements in the transaction that they prepared before it,
+ * and execute the last one again afterwards, in read transactions.
+ *
+ * TROUBLE=same: no value is changed and nothing is executed in the transaction.
  */
-#include "world.h"
+#include "../lib-2/world.h"
 
-#include <signal.h>
-#include <stdio.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
+extern int w_wrong_values;
+extern int w_right_values;
+
 enum {
-	RESTART_MS = 3700, /* after the draining was acknowledged */
-	LONGER_MS = 4000 /* "a little longer (at times many seconds)" */
+	SESSIONS = 5,
+	SETTING = 3, /* so many change values, the others execute */
+	PROXY = 3, /* in the zone of the primary */
+	STEPS = 5, /* of a transaction */
+	PAUSE_MS = 400,
+	STAGGER_MS = 450,
+	READS = 8, /* after the transaction */
+	CUT_MS = 2000,
+	CUT_FOR_MS = 5000,
+	END_MS = 15000
 };
 
-static struct group members;
+static bool over;
+static int aborted;
+static int unknown; /* answers NOSTMT */
 
-int main(int argc, char **argv)
+/* The value that was acknowledged is the item of each read. */
+static char read_tag(struct w_session *s, const char *tag, char *code)
 {
-	const char *mode = getenv("TROUBLE");
-	bool restarts;
-	struct session s[MAX_PROXIES] = {0};
-	struct member *m;
-	int64_t restarted = 0;
-	int64_t began;
-	char text[160];
-	char row[128];
-	char rcpt[128];
-	int served = 0;
-	int late = 0;
-
-	world_start(argc > 1 ? argv[1] : "record.txt", 2, &members);
-	restarts = trouble && !(mode && !strcmp(mode, "replicas"));
-	m = members.members[0];
-	sleep_ms(STABLE_WINDOW_MS);
-	if (trouble) {
-		member_crash(members.members[1]);
-		member_crash(members.members[2]);
-		sleep_ms(1000);
-	}
-	pthread_mutex_lock(&lock);
-	m->draining = true;
-	m->beat_now = true;
-	pthread_mutex_unlock(&lock);
-	rec("member %s: drains", m->id);
-	began = now_ms();
-	while (!m->draining_acked && now_ms() - began < 5000)
-		sleep_ms(5);
-	if (!m->draining_acked)
-		finish(2, "the draining was not acknowledged");
-	for (int n = 0; now_ms() < m->draining_acked + DRAIN_MS + LONGER_MS;
-	     n++) {
-		/* Proxy 0 holds each request until it refuses it. */
-		int p = restarted ? 1 : n % nproxies;
-		int64_t sent;
-
-		if (restarts && !restarted &&
-		    now_ms() >= m->draining_acked + RESTART_MS) {
-			rec("proxy 1 is killed and started again");
-			stop_process(&proxies[1], SIGKILL);
-			session_close(&s[1]);
-			start_process(&proxies[1]);
-			restarted = now_ms();
+	char text[W_TEXT + 8];
+	char id[64];
+
+	snprintf(text, sizeof(text), "READ %s", tag);
+	return w_query(s, text, id, code, NULL, 1200);
+}
+
+static bool set_tag(struct w_session *s, const char *tag)
+{
+	char text[W_TEXT + 16];
+	char id[64];
+	char code[64];
+
+	snprintf(text, sizeof(text), "SET tag %s", tag);
+	return w_query(s, text, id, code, NULL, 1200) == 'C';
+}
+
+static bool changes(void)
+{
+	const char *t = getenv("TROUBLE");
+
+	return !t || strcmp(t, "same") != 0;
+}
+
+/* A transaction in which the value is changed before each read, then single
+ * reads. Returns false if the session is to be closed. */
+static bool operation(struct w_session *s, char *tag, int who, int n)
+{
+	char code[64];
+	char id[64];
+	char r;
+
+	if (w_query(s, "BEGIN", id, code, NULL, 1200) != 'C')
+		return false;
+	r = read_tag(s, tag, code);
+	for (int i = 0; i < STEPS && r == 'C'; i++) {
+		w_sleep_until(w_now() + PAUSE_MS);
+		if (changes()) {
+			snprintf(tag, W_TEXT, "tag-%d.%d.%d", who, n, i);
+			if (!set_tag(s, tag))
+				return false;
+		}
+		r = read_tag(s, tag, code);
+		if (r == 'E') {
+			w_lock();
+			aborted++;
+			w_unlock();
 		}
-		sleep_ms(20);
-		if (!s[p].fd && !session_open(&s[p], p, "shop"))
+	}
+	if (r == 'X' || w_query(s, "ROLLBACK", id, code, NULL, 1200) != 'C')
+		return false;
+	for (int i = 0; i < READS; i++) {
+		w_sleep_until(w_now() + 30);
+		if (read_tag(s, tag, code) == 'X')
+			return false;
+	}
+	return true;
+}
+
+/* Counts answers that say that the prepared name is unknown. */
+static void note_unknown(char result, const char *code)
+{
+	w_lock();
+	unknown += result == 'E' && !strcmp(code, "NOSTMT");
+	w_unlock();
+}
+
+/* A transaction that executes statements which were prepared before it, then
+ * read transactions that execute the last one. */
+static bool execute(struct w_session *s, int who, int n)
+{
+	char text[W_TEXT];
+	char code[64];
+	char id[64];
+	char r;
+	int last = 0;
+
+	for (int i = 0; i < STEPS; i++) {
+		snprintf(text, sizeof(text), "PREPARE q%d READ shape-%d.%d.%d",
+			 i, who, n, i);
+		if (w_query(s, text, id, code, NULL, 1200) != 'C')
+			return false;
+	}
+	if (w_query(s, "BEGIN", id, code, NULL, 1200) != 'C')
+		return false;
+	r = w_query(s, "READ stock", id, code, NULL, 1200);
+	for (int i = 0; i < STEPS && r == 'C'; i++) {
+		w_sleep_until(w_now() + PAUSE_MS);
+		if (!changes())
 			continue;
-		snprintf(text, sizeof(text), "WRITE order%d paid", n);
-		sent = now_ms();
-		if (strcmp(session_query(&s[p], text, 2000, row, rcpt),
-			   "COMPLETE") != 0) {
-			session_close(&s[p]);
+		last = i;
+		snprintf(text, sizeof(text), "EXECUTE q%d stock", i);
+		r = w_query(s, text, id, code, NULL, 1200);
+		note_unknown(r, code);
+	}
+	if (r == 'X' || w_query(s, "ROLLBACK", id, code, NULL, 1200) != 'C')
+		return false;
+	for (int i = 0; i < 3 && changes(); i++) {
+		w_sleep_until(w_now() + 30);
+		if (w_query(s, "BEGIN READ", id, code, NULL, 1200) != 'C' ||
+		    w_query(s, "READ stock", id, code, NULL, 1200) == 'X')
+			return false;
+		snprintf(text, sizeof(text), "EXECUTE q%d stock", last);
+		r = w_query(s, text, id, code, NULL, 1200);
+		note_unknown(r, code);
+		if (r == 'X' ||
+		    w_query(s, "ROLLBACK", id, code, NULL, 1200) != 'C')
+			return false;
+	}
+	return true;
+}
+
+static void *consumer(void *arg)
+{
+	int who = *(int *)arg;
+	struct w_session s;
+	char tag[W_TEXT];
+	int n = 0;
+
+	w_sleep_until(w_now() + who * STAGGER_MS);
+	while (!over) {
+		if (!w_open(&s, PROXY, "tickets")) {
+			w_close(&s);
+			w_sleep_until(w_now() + 50);
 			continue;
 		}
-		served++;
-		/* Proxy 1 is in touch again once it has run for as long. */
-		if (!strncmp(rcpt, "i-m0.", 5) &&
-		    sent > m->draining_acked + DRAIN_MS &&
-		    (p != 1 || !restarted ||
-		     sent > restarted + STABLE_WINDOW_MS)) {
-			late++;
-			rec("WRONG: sent and run at %s %lld ms after its "
-			    "draining was acknowledged, by proxy %d",
-			    m->id, (long long)(sent - m->draining_acked), p);
-		}
+		snprintf(tag, sizeof(tag), "tag-%d.%d", who, n++);
+		if (set_tag(&s, tag))
+			while (!over &&
+			       (who < SETTING ? operation(&s, tag, who, n++)
+					      : execute(&s, who, n++)))
+				;
+		w_close(&s);
+	}
+	return NULL;
+}
+
+/* Writes at a proxy that is cut off from the primary, so that it is missed. */
+static void *writer(void *arg)
+{
+	int proxy = *(int *)arg;
+	struct w_session s;
+	char id[64];
+	char code[64];
+
+	while (!over) {
+		w_open(&s, proxy, "orders");
+		while (!over && w_query(&s, "WRITE stock v", id, code, NULL,
+					1200) == 'C')
+			w_sleep_until(w_now() + 50);
+		w_close(&s);
+		w_sleep_until(w_now() + 20);
+	}
+	return NULL;
+}
+
+int main(int argc, char **argv)
+{
+	int who[SESSIONS];
+	pthread_t t;
+	int64_t begin;
+
+	if (argc != 2)
+		return 2;
+	w.proxies = 5;
+	w_start(argv[1]);
+	begin = w_now();
+	for (int i = 0; i < SESSIONS; i++) {
+		who[i] = i;
+		if (pthread_create(&t, NULL, consumer, &who[i]))
+			w_end(2);
 	}
-	member_crash(m);
-	control_call("DELETE", "/marjoramlatch/instances/i-m0", "");
-	if (!served)
-		finish(2, "nothing was served");
-	if (late)
-		finish(1,
-		       "DRAIN: %d requests were sent and run at a member later "
-		       "than %d ms after its draining was acknowledged (%d "
-		       "served)",
-		       late, DRAIN_MS, served);
-	finish(0, "%d served; none at the member later than %d ms", served,
-	       DRAIN_MS);
+	for (int i = 0; i < 2; i++)
+		if (pthread_create(&t, NULL, writer, &who[i]))
+			w_end(2);
+	w_sleep_until(begin + CUT_MS);
+	if (w_trouble())
+		w_cut(0, 2, false);
+	w_sleep_until(begin + CUT_MS + CUT_FOR_MS);
+	if (w_trouble())
+		w_heal(0);
+	w_sleep_until(begin + END_MS);
+	over = true;
+	w_lock();
+	w_log("%d transactions of those that change values were aborted; %d "
+	      "statements ran with other values than acknowledged, %d with the "
+	      "same; %d times a prepared name was unknown",
+	      aborted, w_wrong_values, w_right_values, unknown);
+	w_unlock();
+	if (w_right_values < 20)
+		w_end(2);
+	w_end(w_wrong_values || unknown ? 1 : 0);
 }
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,10 +6,12 @@
 mkdir -p target/review-3
 make -s OUT=target target/release/helper/relay >/dev/null
 for n in 11 12 13 14 15; do
-	world=review/lib-3/world.c
-	if [ -f review/$n/world.c ]; then
-		world=review/$n/world.c
-	fi
+	case $n in
+	13) world=review/13/world.c ;;
+	14) world=review/lib-2/world.c ;;
+	15) world=review/15/world.c ;;
+	*) world=review/lib-3/world.c ;;
+	esac
 	gcc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -pthread -Ireview/lib-3 \
 		-o target/review-3/case-$n review/$n/case.c $world
 done
