--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the third review's scripts. Needs gcc and the C
-# library only; the project's programs come from the build of the deploy file.
+# Builds the stand-ins of the third review's scripts: the case programs, which
+# need gcc and the C library only, and the project's relay, which case 12 starts.
+# The project's programs come from the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
