store: replay replaced entries as they were replaced

There is no rule on terms any more. What is replayed is what was stored last, so the files that the old code wrote can be read, too.

--- a/raft.c
+++ b/raft.c
@@ -131,12 +131,9 @@
 
 void raft_load_entry(struct raft *r, const struct raft_entry *entry)
 {
-	if (entry->index <= r->log.snapshot_last ||
-	    entry->index > rlog_last_index(&r->log) + 1 ||
-	    entry->term < r->log.snapshot_term)
-		return;
 	rlog_truncate(&r->log, entry->index);
-	rlog_append(&r->log, entry->term, entry->kind, &entry->data);
+	if (entry->index == rlog_last_index(&r->log) + 1)
+		rlog_append(&r->log, entry->term, entry->kind, &entry->data);
 }
 
 bool raft_is_empty(const struct raft *r)
--- a/raft.h
+++ b/raft.h
@@ -109,6 +109,12 @@
 void raft_load_hard_state(struct raft *r, int64_t term, const char *vote);
 enum res raft_load_snapshot(struct raft *r, int64_t index, int64_t term,
 			    const struct blob *data, struct err *e);
+
+/*
+ * Loads one of the entries that were stored, in the order in which they were.
+ * It replaces all that were loaded from its index on, also if the snapshot
+ * covers it: what was stored after an index that was written again is void.
+ */
 void raft_load_entry(struct raft *r, const struct raft_entry *entry);
 
 /* True if nothing was ever stored: no term, no entry and no snapshot. */
--- a/store.c
+++ b/store.c
@@ -26,7 +26,9 @@
 /* A log file. */
 struct store_segment {
 	int64_t seq; /* N of its name log-N */
-	int64_t max_index; /* highest log index in it, as far as it was read */
+	/* Highest log index in it, also of records that were replaced: they are
+	 * skipped only together with the record that replaced them. */
+	int64_t max_index;
 };
 
 /* Content of the file "hard". */
@@ -300,8 +302,14 @@
 	return RES_OK;
 }
 
+/*
+ * Replays the records of a log file. *last is the index of the record before
+ * them. A gap is judged by the records alone: the log in memory has no entries
+ * of those that the snapshot covers.
+ */
 static enum res store_replay_segment(struct store *s, size_t seg, struct buf *b,
-				     struct raft *r, struct err *e)
+				     int64_t *last, struct raft *r,
+				     struct err *e)
 {
 	char name[STORE_NAME_LEN];
 	struct raft_entry entry;
@@ -315,11 +323,12 @@
 				&entry);
 		if (!n && seg + 1 == s->nsegments)
 			return store_truncate_log(s, name, b, at, e);
-		if (!n || entry.index > raft_last_index(r) + 1)
+		if (!n || entry.index > *last + 1)
 			return err_set(e, RES_CORRUPT,
 				       "%s has a %s at offset %zu", name,
 				       n ? "gap" : "bad record", at);
 		raft_load_entry(r, &entry);
+		*last = entry.index;
 		if (entry.index > s->segments[seg].max_index)
 			s->segments[seg].max_index = entry.index;
 		at += n;
@@ -330,6 +339,7 @@
 enum res store_recover(struct store *s, struct raft *r, struct err *e)
 {
 	enum res res = store_load_snapshot(s, r, e);
+	int64_t last = raft_last_index(r);
 
 	raft_load_hard_state(r, s->hard_state.term, s->hard_state.vote);
 	for (size_t i = 0; i < s->nsegments && !res; i++) {
@@ -339,7 +349,7 @@
 		store_log_name(name, s->segments[i].seq);
 		res = sfile_read(s->dir_fd, name, &b, e);
 		if (!res)
-			res = store_replay_segment(s, i, &b, r, e);
+			res = store_replay_segment(s, i, &b, &last, r, e);
 		buf_free(&b);
 	}
 	if (res)
