store: sync what a process reads back at its start

Cause: a process that is killed between the write of a batch and its sync leaves the batch in the page cache. The next process reads it and counts it as stored: it acknowledges the entries to the leader, which may commit them. A loss of power takes them away again. The same holds for a file that was renamed while its folder was not synced yet.

Evidence: StoreRandom.WhatIsReplayedIsWhatWasAcknowledged now also ends the process before a sync.

--- a/store.c
+++ b/store.c
@@ -338,9 +338,14 @@
 
 enum res store_recover(struct store *s, struct raft *r, struct err *e)
 {
-	enum res res = store_load_snapshot(s, r, e);
-	int64_t last = raft_last_index(r);
+	enum res res;
+	int64_t last;
 
+	/* The process before may have ended between a rename, or a write of the
+	 * last log file, and its sync. What is read counts as stored. */
+	sfile_sync(s->dir_fd, ".");
+	res = store_load_snapshot(s, r, e);
+	last = raft_last_index(r);
 	raft_load_hard_state(r, s->hard_state.term, s->hard_state.vote);
 	for (size_t i = 0; i < s->nsegments && !res; i++) {
 		char name[STORE_NAME_LEN];
@@ -357,6 +362,7 @@
 	if (!s->nsegments)
 		store_add_segment(s, 1);
 	store_open_last_segment(s);
+	sfile_sync(s->log_fd, "log");
 	return RES_OK;
 }
 
--- a/store.h
+++ b/store.h
@@ -39,7 +39,11 @@
 
 int64_t store_uuid(const struct store *s);
 
-/* Loads the stored hard state, snapshot and log into a new struct raft. */
+/*
+ * Loads the stored hard state, snapshot and log into a new struct raft. All
+ * that was loaded is durable on return, also what an earlier process wrote but
+ * did not sync.
+ */
 enum res store_recover(struct store *s, struct raft *r, struct err *e);
 
 /* Saves the hard state; it is durable on return. */
--- a/t/unit_store_random.cc
+++ b/t/unit_store_random.cc
@@ -297,6 +297,18 @@
 		return last;
 	}
 
+	/* The process ends in the middle of a sync: all was written, and the
+	 * next process reads it. */
+	void end_before_sync()
+	{
+		note("end-unsynced");
+		lose_syncs = true;
+		store_sync(s);
+		lose_syncs = false;
+		close_store();
+		restart();
+	}
+
 	/* The machine loses power: bytes that were not synced are cut off or
 	 * damaged. */
 	void lose_power(bool written)
@@ -355,6 +367,8 @@
 			vote++;
 			return store_save_hard_state(s, vote, "c1");
 		case 10:
+			if (pick(2))
+				return end_before_sync();
 			sync();
 			note("restart");
 			close_store();
