control: set damaged data aside and rejoin

With one more instance lost the cluster had no majority, though the other instances held everything.

Now the files are moved to damaged-N in the data folder, and the instance goes on like one that lost its disk: it has a new uuid, joins as a learner and takes the place of its former self, so nothing that it acknowledged before is counted on. The newest two folders are kept.

--- a/control.c
+++ b/control.c
@@ -453,18 +453,54 @@
 	control_schedule_drain(arg);
 }
 
-static enum res control_recover(struct control *c, struct err *e)
+static enum res control_load(struct control *c, struct err *e)
 {
-	uint64_t seed = (uint64_t)c->set->seed;
 	enum res r = store_open(&c->store, c->set->data, e);
 
 	if (r)
 		return r;
+	c->ctl = ctl_new(c->set, store_uuid(c->store), c->rng, clk_now());
+	return store_recover(c->store, ctl_raft(c->ctl), e);
+}
+
+/*
+ * Goes on with empty data after the old ones were found damaged. Ending the
+ * process at each start would leave the cluster without this instance until
+ * somebody emptied the folder; now it gets all from the other instances.
+ */
+static enum res control_replace_damaged(struct control *c, struct err *e)
+{
+	struct err cause = *e;
+	int64_t number;
+	enum res r;
+
+	ctl_free(c->ctl);
+	store_close(c->store);
+	c->ctl = NULL;
+	c->store = NULL;
+	r = store_set_aside(c->set->data, &number, e);
+	if (r)
+		return r;
+	cnt_add(CNT_data_damaged, 1);
+	log_error("control",
+		  "event=data_damaged error=\"%s\" moved_to=%s/damaged-%lld "
+		  "action=\"rejoins with a new uuid; needs a majority of the "
+		  "other control instances\"",
+		  cause.text, c->set->data, (long long)number);
+	return control_load(c, e);
+}
+
+static enum res control_recover(struct control *c, struct err *e)
+{
+	uint64_t seed = (uint64_t)c->set->seed;
+	enum res r;
+
 	if (!seed)
 		randombytes_buf(&seed, sizeof(seed));
 	c->rng = rng_new(seed);
-	c->ctl = ctl_new(c->set, store_uuid(c->store), c->rng, clk_now());
-	r = store_recover(c->store, ctl_raft(c->ctl), e);
+	r = control_load(c, e);
+	if (r == RES_CORRUPT)
+		r = control_replace_damaged(c, e);
 	if (r)
 		return r;
 	log_info("control", "event=recovered term=%lld last=%lld snapshot=%lld",
--- a/counter.h
+++ b/counter.h
@@ -26,7 +26,7 @@
 	X(retry_no_lease) X(retry_read_failed) X(retry_not_owner) \
 	X(retry_leaving) X(retry_slow) X(retry_unknown) X(retry_denied) \
 	X(elections) X(leader_changes) X(promotions) X(snapshots) \
-	X(log_synced) X(log_torn) X(cfg_conflicts) X(cfg_resends) \
+	X(log_synced) X(log_torn) X(data_damaged) X(cfg_conflicts) X(cfg_resends) \
 	X(backends_announced) X(backends_silenced) X(bad_input) \
 	X(http_evicted) X(held_up) X(slow_syncs) X(positions_contradicted) \
 	X(samples_ahead) X(key_expired_unsent) X(key_lease_ended) \
--- a/store.c
+++ b/store.c
@@ -20,7 +20,8 @@
 enum {
 	STORE_NAME_LEN = 32,
 	/* A log file that exceeds this size is followed by a new one. */
-	STORE_SEGMENT_MAX_BYTES = 8 << 20
+	STORE_SEGMENT_MAX_BYTES = 8 << 20,
+	STORE_MAX_ASIDE = 2 /* folders with damaged files that are kept */
 };
 
 /* A log file. */
@@ -123,6 +124,12 @@
 	buf_free(&b);
 }
 
+static int64_t store_new_uuid(void)
+{
+	return (int64_t)randombytes_random() << 31 |
+	       (int64_t)(randombytes_random() >> 1) | 1;
+}
+
 static enum res store_read_hard_state(struct store *s, struct err *e)
 {
 	struct buf b = BUF_INIT;
@@ -133,8 +140,7 @@
 			return err_set(e, RES_CORRUPT,
 				       "data folder has a log but no file "
 				       "\"hard\"");
-		s->hard_state.uuid = (int64_t)randombytes_random() << 31 |
-				     (int64_t)(randombytes_random() >> 1) | 1;
+		s->hard_state.uuid = store_new_uuid();
 		store_replace_hard_state(s);
 		return RES_OK;
 	}
@@ -203,6 +209,106 @@
 	free(s);
 }
 
+static bool store_is_data_file(const char *name)
+{
+	return !strncmp(name, "log-", 4) || !strncmp(name, "snap-", 5);
+}
+
+/* Removes a folder that was set aside, with its files. */
+static void store_remove_aside(int dir_fd, int64_t number)
+{
+	char name[STORE_NAME_LEN];
+	const struct dirent *f;
+	DIR *d;
+	int fd;
+
+	snprintf(name, sizeof(name), "damaged-%" PRId64, number);
+	fd = openat(dir_fd, name, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	d = fd < 0 ? NULL : fdopendir(fd);
+	while (d && (f = readdir(d)))
+		if (store_is_data_file(f->d_name) || !strcmp(f->d_name, "hard"))
+			unlinkat(dirfd(d), f->d_name, 0);
+	if (d)
+		closedir(d);
+	unlinkat(dir_fd, name, AT_REMOVEDIR);
+}
+
+/* Creates the next folder for damaged files and removes the oldest one. Returns
+ * its descriptor, or -1. */
+static int store_create_aside(int dir_fd, int64_t *number)
+{
+	DIR *d = fdopendir(openat(dir_fd, ".", O_RDONLY | O_CLOEXEC));
+	char name[STORE_NAME_LEN];
+	const struct dirent *f;
+	int64_t n;
+
+	*number = 1;
+	while (d && (f = readdir(d)))
+		if (sscanf(f->d_name, "damaged-%" SCNd64, &n) == 1 &&
+		    n >= *number)
+			*number = n + 1;
+	if (d)
+		closedir(d);
+	store_remove_aside(dir_fd, *number - STORE_MAX_ASIDE);
+	snprintf(name, sizeof(name), "damaged-%" PRId64, *number);
+	if (mkdirat(dir_fd, name, 0700))
+		return -1;
+	return openat(dir_fd, name, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+}
+
+static enum res store_move_data_files(int from, int to, struct err *e)
+{
+	DIR *d = fdopendir(openat(from, ".", O_RDONLY | O_CLOEXEC));
+	const struct dirent *f;
+	enum res r = RES_OK;
+
+	if (!d)
+		return err_errno(e, RES_IO, "data folder");
+	while (!r && (f = readdir(d)))
+		if (store_is_data_file(f->d_name) &&
+		    renameat(from, f->d_name, to, f->d_name))
+			r = err_errno(e, RES_IO, f->d_name);
+	closedir(d);
+	return r;
+}
+
+/* The new uuid is stored before any file is moved. */
+static enum res store_move_aside(struct store *s, int64_t *number,
+				 struct err *e)
+{
+	int to = store_create_aside(s->dir_fd, number);
+	enum res r;
+
+	if (to < 0)
+		return err_errno(e, RES_IO, "folder for damaged files");
+	if (linkat(s->dir_fd, "hard", to, "hard", 0) && errno != ENOENT) {
+		close(to);
+		return err_errno(e, RES_IO, "hard");
+	}
+	s->hard_state =
+		(struct store_hard_state){.uuid = store_new_uuid(), .term = 1};
+	store_replace_hard_state(s);
+	r = store_move_data_files(s->dir_fd, to, e);
+	sfile_sync(to, "damaged");
+	sfile_sync(s->dir_fd, ".");
+	close(to);
+	return r;
+}
+
+enum res store_set_aside(const char *folder, int64_t *number, struct err *e)
+{
+	struct store s = {.dir_fd = -1, .lock_fd = -1};
+	enum res r = store_open_folder(&s, folder, e);
+
+	if (!r)
+		r = store_move_aside(&s, number, e);
+	if (s.lock_fd >= 0)
+		close(s.lock_fd);
+	if (s.dir_fd >= 0)
+		close(s.dir_fd);
+	return r;
+}
+
 int64_t store_uuid(const struct store *s)
 {
 	return s->hard_state.uuid;
--- a/store.h
+++ b/store.h
@@ -20,7 +20,11 @@
  * the last log file is truncated at its first bad record if no record of a
  * later batch follows: the batch of the bad record was then never synced, so
  * nothing in it was acknowledged. Any other bad record makes recovery fail with
- * RES_CORRUPT.
+ * RES_CORRUPT. Such data must not be used, not even in part, since the instance
+ * has acknowledged what is missing. The other instances hold it, so the caller
+ * sets the data aside and goes on as an instance that lost its disk:
+ *
+ *   damaged-N  the files that were set aside; the newest two folders are kept
  *
  * A write or sync that fails ends the process, since it is then unknown what
  * the disk holds.
@@ -39,6 +43,16 @@
 
 int64_t store_uuid(const struct store *s);
 
+/*
+ * Moves the files of a data folder into its subfolder damaged-N and chooses a
+ * new uuid. Called after store_open() or store_recover() returned RES_CORRUPT,
+ * and after store_close(). The folder does not count as that of a new instance
+ * afterwards: it holds a term, so that the instance bootstraps no cluster. A
+ * call that is interrupted leaves an old folder with a new uuid, so nothing
+ * that the old uuid acknowledged is counted on. Returns N in *number.
+ */
+enum res store_set_aside(const char *folder, int64_t *number, struct err *e);
+
 /*
  * Loads the stored hard state, snapshot and log into a new struct raft. All
  * that was loaded is durable on return, also what an earlier process wrote but
--- a/t/unit_store.cc
+++ b/t/unit_store.cc
@@ -190,6 +190,45 @@
 	EXPECT_EQ(RES_CORRUPT, open());
 }
 
+/*
+ * Guards against damaged data that are used in part, lost, or piled up, and
+ * against an instance that counts as a new one after it set them aside.
+ */
+TEST_F(Store, DamagedDataAreSetAside)
+{
+	int64_t number;
+
+	for (int round = 1; round <= 4; round++) {
+		ASSERT_EQ(RES_OK, open()) << e.text;
+		int64_t uuid = store_uuid(s);
+		for (int i = 1; i <= 3; i++) {
+			write_entry(i, 1, "entry");
+			store_sync(s);
+		}
+		close_store();
+		std::string path = file("log-"), damaged = read_file(path);
+		damaged[damaged.size() / 2] ^= 1;
+		write_file(path, damaged);
+		ASSERT_EQ(RES_CORRUPT, open());
+		close_store();
+		ASSERT_EQ(RES_OK, store_set_aside(folder.c_str(), &number, &e))
+			<< e.text;
+		EXPECT_EQ(round, number);
+		ASSERT_EQ(RES_OK, open()) << e.text;
+		EXPECT_EQ(0, raft_last_index(r));
+		EXPECT_FALSE(raft_is_empty(r));
+		EXPECT_NE(uuid, store_uuid(s));
+		fs::path aside = folder + "/damaged-" + std::to_string(round);
+		EXPECT_EQ(damaged,
+			  read_file(aside / fs::path(path).filename()));
+		EXPECT_TRUE(fs::exists(aside / "hard"));
+		EXPECT_EQ(round > 1, fs::exists(folder + "/damaged-" +
+						std::to_string(round - 1)));
+		EXPECT_FALSE(fs::exists(folder + "/damaged-" +
+					std::to_string(round - 2)));
+	}
+}
+
 /* Guards against two processes that write to the same data folder. */
 TEST_F(Store, FolderInUseIsRefused)
 {
