db: a connection has the values that answers have confirmed

Cause: values and names were noted as those of the connection when they were sent. Of the errors that can come back, two undid the note. A refused RESET left the values of another session in place, and a member that takes back values at a rollback was not thought of.

Now the note is made by the answers, once all commands that were sent to change the context were answered without an error. After anything else it is unknown, whatever the code, and a RESET precedes what is sent next. What was changed in a transaction is unknown after its rollback.

--- a/db_conn.c
+++ b/db_conn.c
@@ -21,7 +21,7 @@
 	db_forget_conn(c);
 	net_free(c->net);
 	buf_free(&c->answer);
-	free(c->prepared_keys);
+	free(c->context.prepared_keys);
 	free(c);
 }
 
@@ -44,6 +44,7 @@
 	if (!c || !m->conns)
 		abort();
 	c->member = m;
+	c->context.known = true;
 	snprintf(c->tenant, ID_LEN, "%s", tenant);
 	c->net = net_connect(m->db->loop, m->info.addr, &h, &e);
 	if (!c->net) {
@@ -64,48 +65,86 @@
 	return c;
 }
 
-static bool db_has_prepared(const struct db_conn *c, uint64_t key)
+static bool db_has_prepared(const struct db_context *x, uint64_t key)
 {
-	for (size_t i = 0; i < c->nprepared; i++)
-		if (c->prepared_keys[i] == key)
+	for (size_t i = 0; i < x->nprepared; i++)
+		if (x->prepared_keys[i] == key)
 			return true;
 	return false;
 }
 
+static void db_forget_context(struct db_conn *c)
+{
+	c->context.known = false;
+	c->context.changed_in_txn = false;
+	c->context.nprepared = 0;
+}
+
+/* All that was sent to change the context was answered without an error. */
+static void db_confirm_context(struct db_conn *c)
+{
+	struct db_context *x = &c->context;
+
+	x->known = true;
+	x->values_hash = x->next_values_hash;
+	if (!x->next_is_prepared)
+		return;
+	x->prepared_keys =
+		realloc(x->prepared_keys,
+			(x->nprepared + 1) * sizeof(*x->prepared_keys));
+	if (!x->prepared_keys)
+		abort();
+	x->prepared_keys[x->nprepared++] = x->next_prepared_key;
+}
+
 /* The db_put functions return how many READY messages to expect. */
 static int db_put_values(struct db_conn *c, const struct sctx *ctx)
 {
 	struct buf *out = net_output(c->net);
+	struct db_context *x = &c->context;
 	int n = 0;
 
-	if (c->values_hash == ctx->session_values_hash)
+	x->next_values_hash = ctx->session_values_hash;
+	if (x->known && x->values_hash == ctx->session_values_hash)
 		return 0;
-	if (c->values_hash && c->txn == 'I') {
+	/* Inside a transaction the values are those of the same session, and
+	 * what is set replaces them. */
+	if (!x->known || (x->values_hash && c->txn == 'I')) {
 		line_put_reset(out);
-		c->nprepared = 0;
+		x->nprepared = 0;
 		n++;
 	}
 	for (size_t i = 0; i < ctx->nvalues; i++, n++)
 		line_put_set(out, ctx->values[i].name, ctx->values[i].value);
-	c->values_hash = ctx->session_values_hash;
 	return n;
 }
 
 static int db_put_prepared(struct db_conn *c, const struct sctx_prepared *p)
 {
-	if (!p || db_has_prepared(c, p->content_hash))
+	struct db_context *x = &c->context;
+
+	x->next_is_prepared = p && !db_has_prepared(x, p->content_hash);
+	if (!x->next_is_prepared)
 		return 0;
-	c->prepared_keys =
-		realloc(c->prepared_keys,
-			(c->nprepared + 1) * sizeof(*c->prepared_keys));
-	if (!c->prepared_keys)
-		abort();
-	c->prepared_keys[c->nprepared++] = p->content_hash;
+	x->next_prepared_key = p->content_hash;
 	line_put_prepare(net_output(c->net), p->backend_name, p->writes,
 			 p->statement_text);
 	return 1;
 }
 
+/* Sends what the connection lacks of a job's context. */
+static int db_put_context(struct db_conn *c, const struct db_job *j)
+{
+	struct db_context *x = &c->context;
+	int n = db_put_values(c, j->ctx);
+
+	n += db_put_prepared(c, j->prepared);
+	x->answers_expected = n;
+	x->known = x->known && !n;
+	x->changed_in_txn |= n && c->txn != 'I';
+	return n;
+}
+
 static int db_put_begin(struct db_conn *c, const struct db_job *j)
 {
 	struct pos none = {0};
@@ -207,8 +246,7 @@
 	db_statement_started(m, now);
 	buf_free(&c->answer);
 	db_phase(c, DB_PREPARING, now);
-	c->ready_expected = db_put_values(c, j->ctx);
-	c->ready_expected += db_put_prepared(c, j->prepared);
+	c->ready_expected = db_put_context(c, j);
 	c->ready_expected += db_put_begin(c, j);
 	if (c->ready_expected)
 		net_flush(c->net);
@@ -230,6 +268,8 @@
 
 static void db_roll_back(struct db_conn *c, clk_ms now)
 {
+	if (c->context.changed_in_txn)
+		db_forget_context(c);
 	line_put_rollback(net_output(c->net));
 	net_flush(c->net);
 	db_phase(c, DB_ENDING, now);
@@ -249,13 +289,18 @@
 	db_conn_free(c);
 }
 
-/* After a failed SET or PREPARE it is unknown which values and prepared
- * statements the connection has; they are sent again. */
-static void db_invalidate_context(struct db_conn *c)
+/* Handles what the outcome of a statement tells of the context. */
+static void db_check_context(struct db_conn *c, enum db_status status)
 {
-	c->nprepared = 0;
-	if (c->phase == DB_PREPARING)
-		c->values_hash = ~c->values_hash | 1;
+	if (status != DB_DONE &&
+	    (c->error == LINE_E_OTHER || c->error == LINE_E_NO_STATEMENT))
+		db_forget_context(c);
+	if (c->txn != 'I' || !c->context.changed_in_txn)
+		return;
+	/* Only a COMMIT ends a transaction with success. */
+	if (status != DB_DONE)
+		db_forget_context(c);
+	c->context.changed_in_txn = false;
 }
 
 /* Keeps the connection, rolls it back or frees it for the next job. Called
@@ -290,8 +335,7 @@
 		db_learn(c, j, now);
 	if (r.status == DB_DONE)
 		db_record_response_time(c->member, now - c->sent_at);
-	else if (c->error == LINE_E_OTHER || c->error == LINE_E_NO_STATEMENT)
-		db_invalidate_context(c);
+	db_check_context(c, r.status);
 	if (c->failed) {
 		memcpy(code, c->code, sizeof(code));
 		memcpy(text, c->text, sizeof(text));
@@ -410,6 +454,9 @@
 			c->member->pos = pos_max(c->member->pos, r->pos);
 		}
 		c->ready_expected--;
+		if (c->phase == DB_PREPARING && c->context.answers_expected &&
+		    !--c->context.answers_expected && !c->failed)
+			db_confirm_context(c);
 		break;
 	}
 	return true;
--- a/db_priv.h
+++ b/db_priv.h
@@ -17,6 +17,27 @@
 	DB_KEPT /* kept by a transaction, between two statements */
 };
 
+/*
+ * The session values and prepared statements that a connection has, as far as
+ * the backend's answers have confirmed them. After any other outcome they are
+ * unknown, and a RESET precedes whatever is sent next.
+ */
+struct db_context {
+	bool known;
+	/* They were changed in the open transaction, so a rollback may take
+	 * that back. */
+	bool changed_in_txn;
+	uint64_t values_hash; /* 0 if it has no values */
+	uint64_t *prepared_keys; /* content hashes */
+	size_t nprepared;
+
+	/* What it will have once these answers have come without an error: */
+	int answers_expected;
+	uint64_t next_values_hash;
+	bool next_is_prepared; /* also next_prepared_key */
+	uint64_t next_prepared_key;
+};
+
 struct db_conn {
 	struct db_member *member;
 	char tenant[ID_LEN]; /* as in struct db_job; never changes */
@@ -38,11 +59,7 @@
 	clk_ms sent_at;
 	int64_t priority; /* of the statement, also after its job was canceled
 			   */
-	/* hash of the session values set on the connection */
-	uint64_t values_hash;
-	/* content hashes of the prepared statements it has */
-	uint64_t *prepared_keys;
-	size_t nprepared;
+	struct db_context context;
 	void (*on_lost)(void *arg);
 	void *lost_arg;
 };
--- a/db_queue.c
+++ b/db_queue.c
@@ -143,8 +143,10 @@
 
 		if (c->phase != DB_IDLE)
 			continue;
-		if (c->values_hash != j->ctx->session_values_hash)
-			cost = c->values_hash ? 2 : 1;
+		if (!c->context.known)
+			cost = 2;
+		else if (c->context.values_hash != j->ctx->session_values_hash)
+			cost = c->context.values_hash ? 2 : 1;
 		/* Prefer the one used last, so that surplus connections stay
 		 * idle and are closed. */
 		if (!best || cost < best_cost ||
--- a/db_tenant.c
+++ b/db_tenant.c
@@ -32,9 +32,11 @@
 static enum cch_values tenant_values(const struct db_conn *c,
 				     const struct db_job *j)
 {
-	if (!j || c->values_hash == j->ctx->session_values_hash)
+	if (!j || (c->context.known &&
+		   c->context.values_hash == j->ctx->session_values_hash))
 		return CCH_VALUES_SAME;
-	return c->values_hash ? CCH_VALUES_OTHER : CCH_VALUES_NONE;
+	return c->context.known && !c->context.values_hash ? CCH_VALUES_NONE
+							   : CCH_VALUES_OTHER;
 }
 
 /* Returns the table of the member's connections, in their order, to be freed;
