soak: check with which session values statements run

The soak's callers set values and prepare names in and outside of transactions, go on with their session after a rollback, and count unknown names.

PlatformSoak.ValuesHoldWhilePrimariesAreReplaced has callers pause in transactions while the primary is cut off from two proxies and replaced.

--- a/t/helper/platform/main.c
+++ b/t/helper/platform/main.c
@@ -13,6 +13,10 @@
  * it for its own purposes. Faults that count statements count only those with
  * an id.
  *
+ * An item may be written as ITEM~TAG, where TAG is the value that the caller
+ * was told for the session value "tag", or "none". A statement that runs with
+ * another one on its connection is counted.
+ *
  * COMMANDS is the address that accepts these commands, one a line, and answers
  * each with "ok" or a value:
  *
@@ -51,6 +55,8 @@
  *   depose 0|1           0: a primary that is replaced goes on in its own term,
  *                        from its own log, until it is told to step down; 1
  *                        (the start): it is deposed by the promotion
+ *   wrong_values         prints how many statements ran with another session
+ *                        value than their caller was told
  *   strays ITEM          prints how many commits that wrote ITEM a primary made
  *                        after it was replaced
  *   primary              prints which member is the primary
@@ -166,12 +172,14 @@
 	char awaited_id[WORD_LEN];
 	struct prepared prepared[MAX_PREPARED];
 	int nprepared;
+	char tag[WORD_LEN]; /* session value; empty if it is not set */
 };
 
 static struct ev_loop *loop;
 static const char *group;
 static char *controls[MAX_MEMBERS];
 static int ncontrols;
+static int wrong_values;
 static struct member members[MAX_MEMBERS];
 static int nmembers;
 static struct commit *commits;
@@ -330,18 +338,39 @@
 	return holders >= sync_replicas;
 }
 
+/* True in a transaction that may write and whose member has lost the lead. */
+static bool is_deposed(const struct conn *c)
+{
+	return c->txn == 'T' && !c->read_only &&
+	       (!is_primary(c->member) || c->term != term_of(c->member));
+}
+
+/* Copies the item without its tag, which is compared with the value of the
+ * connection. */
+static void take_item(const struct conn *c, const char *word, char *item)
+{
+	const char *tag = strchr(word, '~');
+	const char *have = c->tag[0] ? c->tag : "none";
+
+	snprintf(item, WORD_LEN, "%.*s", (int)strcspn(word, "~"), word);
+	if (!tag || !strcmp(tag + 1, have))
+		return;
+	wrong_values++;
+	fprintf(stderr, "%s ran with tag %s at %s\n", word, have,
+		c->member->name);
+}
+
 static void do_write(struct conn *c, const char *id, const char *item,
 		     const char *data)
 {
 	struct commit w = {0};
 
-	snprintf(w.item, WORD_LEN, "%s", item);
-	snprintf(w.data, WORD_LEN, "%s", data);
-	if (!is_primary(c->member) ||
-	    (c->txn == 'T' && c->term != term_of(c->member))) {
+	if (!is_primary(c->member) || is_deposed(c)) {
 		send_error(c, "READONLY");
 		return;
 	}
+	take_item(c, item, w.item);
+	snprintf(w.data, WORD_LEN, "%s", data);
 	if (c->txn == 'T' && c->nwrites < 16) {
 		c->writes[c->nwrites++] = w;
 		send_complete(c, id);
@@ -351,13 +380,15 @@
 	answer_commit(c, id);
 }
 
-static void do_read(struct conn *c, const char *id, const char *item)
+static void do_read(struct conn *c, const char *id, const char *word)
 {
-	if (c->txn == 'T' && !c->read_only &&
-	    (!is_primary(c->member) || c->term != term_of(c->member))) {
+	char item[WORD_LEN];
+
+	if (is_deposed(c)) {
 		send_error(c, "READONLY");
 		return;
 	}
+	take_item(c, word, item);
 	send_line(c, "DATAROW %s", value_of(c->member, item));
 	send_complete(c, id);
 }
@@ -510,12 +541,39 @@
 	return true;
 }
 
+/* Changes what a session depends on. Returns false for other verbs. */
+static bool change_context(struct conn *c, const char *verb, char *rest)
+{
+	char *save;
+	bool prepare = !strcmp(verb, "PREPARE");
+	bool reset = !strcmp(verb, "RESET");
+
+	if (!prepare && !reset && strcmp(verb, "SET") != 0)
+		return false;
+	if (c->txn == 'E') {
+		send_error(c, "MALFORMED");
+	} else if (is_deposed(c)) {
+		send_error(c, "READONLY");
+	} else if (prepare) {
+		do_prepare(c, rest);
+	} else {
+		if (reset)
+			c->nprepared = 0;
+		if (reset)
+			c->tag[0] = '\0';
+		else if (!strcmp(strtok_r(rest, " ", &save), "tag"))
+			snprintf(c->tag, WORD_LEN, "%s", save);
+		send_line(c, "COMPLETE -");
+	}
+	return true;
+}
+
 static void run_statement(struct conn *c, const char *id, char *text)
 {
 	char *save;
 	char *verb = strtok_r(text, " ", &save);
 
-	if (refuse_if_busy(c, id, verb))
+	if (refuse_if_busy(c, id, verb) || change_context(c, verb, save))
 		return;
 	if (!strcmp(verb, "WAITPOS")) {
 		do_wait(c, id, save);
@@ -536,13 +594,6 @@
 		c->txn = 'I';
 		c->nwrites = 0;
 		send_line(c, "COMPLETE -");
-	} else if (!strcmp(verb, "PREPARE")) {
-		do_prepare(c, save);
-	} else if (!strcmp(verb, "RESET")) {
-		c->nprepared = 0;
-		send_line(c, "COMPLETE -");
-	} else if (!strcmp(verb, "SET")) {
-		send_line(c, "COMPLETE -");
 	} else if (!strcmp(verb, "STATUS")) {
 		send_status(c);
 	} else if (!strcmp(verb, "PAUSE") || !strcmp(verb, "RESUME") ||
@@ -1158,6 +1209,8 @@
 						  : "none");
 	else if (!strcmp(verb, "commits"))
 		buf_addf(out, "%d\n", ncommits);
+	else if (!strcmp(verb, "wrong_values"))
+		buf_addf(out, "%d\n", wrong_values);
 	else if (!strcmp(verb, "runs"))
 		buf_addf(out, "%" PRId64 "\n", runs);
 	else if (arg && !strcmp(verb, "statements"))
--- a/t/sys_platform_soak.cc
+++ b/t/sys_platform_soak.cc
@@ -26,11 +26,13 @@
  *   The configuration that is read back is not older than the last one
  *   acknowledged.
  *   With a synchronous replica, each promotion keeps the acknowledged writes.
- *   Service is restored within 7 s of the last fault; where orders to members
- *   were carried out late, within 7 s of the time when none can be any more.
- *   With tenants: nothing that was sent with an API key later than the bound
- *   after the key's withdrawal was acknowledged was committed, and a key that
- * is in force is not denied.
+ *   A statement runs with the session values that its caller was told, and no
+ *   name is unknown that it has prepared. Callers change values and prepare
+ * names in and outside of transactions. Service is restored within 7 s of the
+ * last fault; where orders to members were carried out late, within 7 s of the
+ * time when none can be any more. With tenants: nothing that was sent with an
+ * API key later than the bound after the key's withdrawal was acknowledged was
+ * committed, and a key that is in force is not denied.
  *
  * Two threads inject faults at the same time, so that their faults overlap:
  * one into the control instances and their disks, the other into proxies,
@@ -115,6 +117,8 @@
 	std::atomic<int> stale_reads{0};
 	std::atomic<int> aged_reads{0};
 	std::atomic<int> too_old_reads{0};
+	std::atomic<int> unknown_names{0};
+	std::atomic<int> changed_values{0};
 	/* Incremented around each fault of a member or its connections, since
 	 * a promotion that it causes may discard writes. */
 	std::atomic<int> possible_promotions{0};
@@ -122,6 +126,8 @@
 	int acknowledged_writes = 0;
 	bool with_tenants;
 	bool with_sync;
+	/* All writes are in transactions with pauses and changed values. */
+	bool long_txns = false;
 	std::mutex publish_lock;
 	int attempted_version = 1;
 	Keys keys{CALLERS};
@@ -165,31 +171,102 @@
 		}
 	}
 
+	/* A caller's session, with what it was told of its values and names.
+	 */
+	struct Values {
+		std::string tag = "none", name;
+		int next = 0;
+	};
+
+	/* Sometimes changes the session's value or prepares a name. Returns
+	 * false if that was refused. */
+	bool change_values(Session &s, Values &v, std::mt19937_64 &r)
+	{
+		std::string next = std::to_string(++v.next);
+		std::string a = "COMPLETE";
+
+		if (r() % (long_txns ? 2 : 4) == 0) {
+			a = s.query("SET tag t" + next);
+			v.tag = "t" + next;
+			changed_values++;
+		} else if (long_txns || r() % 8 == 0) {
+			a = s.query("PREPARE q" + next + " WRITE shape" + next);
+			v.name = "q" + next;
+		}
+		return a.rfind("COMPLETE", 0) == 0;
+	}
+
+	std::string write_one(Session &s, const Values &v,
+			      const std::string &item, std::mt19937_64 &r)
+	{
+		bool execute = !v.name.empty() && r() % 2;
+		std::string a =
+			s.query((execute ? "EXECUTE " + v.name : "WRITE") +
+				" " + item + "~" + v.tag + " " + item);
+
+		unknown_names += a.rfind("ERROR NOSTMT", 0) == 0;
+		return a;
+	}
+
+	/* Lets the transaction begin at a member, which may be replaced in the
+	 * pause. */
+	void pause_in_txn(Session &s, const Values &v, std::mt19937_64 &r)
+	{
+		s.query("READ values~" + v.tag);
+		usleep((useconds_t)(r() % 800) * 1000);
+	}
+
 	/* Writes one item, in a transaction or as a single statement. Sets when
 	 * the last statement was sent. */
-	std::string write(Session &s, const std::string &item, bool txn,
-			  int64_t *sent_at)
+	std::string write(Session &s, Values &v, const std::string &item,
+			  std::mt19937_64 &r, int64_t *sent_at)
 	{
+		bool txn = long_txns || r() % 3 == 0;
+
 		*sent_at = now_ms();
-		if (!txn)
-			return s.query("WRITE " + item + " " + item);
+		if (!txn) {
+			if (!change_values(s, v, r))
+				return "ERROR ABORTED";
+			*sent_at = now_ms();
+			return write_one(s, v, item, r);
+		}
 		std::string a = s.query("BEGIN");
 		if (a.rfind("COMPLETE", 0) != 0)
 			return a == "closed" ? "ERROR ABORTED" : a;
-		a = s.query("WRITE " + item + " " + item);
+		if (long_txns || r() % 3 == 0)
+			pause_in_txn(s, v, r);
+		if (!change_values(s, v, r))
+			return "ERROR ABORTED";
+		a = write_one(s, v, item, r);
 		if (a.rfind("COMPLETE", 0) != 0) {
 			/* Without a commit the write is not kept. */
-			s.query("ROLLBACK");
-			return "ERROR ABORTED";
+			bool rolled_back =
+				s.query("ROLLBACK").find("READY I") !=
+				std::string::npos;
+			if (!rolled_back)
+				return "ERROR ABORTED";
+			read_values(s, v);
+			return "ERROR ABORTED READY I";
 		}
 		*sent_at = now_ms();
 		return s.query("COMMIT");
 	}
 
+	/* Reads of the same session after its transaction was rolled back: they
+	 * often use the same connection. */
+	void read_values(Session &s, const Values &v)
+	{
+		for (int i = 0; i < 8; i++) {
+			s.query("READ values~" + v.tag);
+			usleep(long_txns ? 30000 : 0);
+		}
+	}
+
 	void run_caller(int caller, uint64_t seed)
 	{
 		std::mt19937_64 r(seed);
 		Session s;
+		Values values;
 		bool open = false;
 		std::string key = key_of(caller);
 		int64_t sent_at;
@@ -198,17 +275,19 @@
 			std::string item = "w" + std::to_string(caller) + "-" +
 					   std::to_string(i);
 
-			if (!open)
+			if (!open) {
+				values = Values();
 				open = s.open(
 					d.client_addr((int)(r() % QUIET_PROXY)),
 					"tickets", key);
+			}
 			if (with_tenants && !open && r() % 20 == 0)
 				key = key_of(caller);
 			if (!open) {
 				usleep(20000);
 				continue;
 			}
-			std::string a = write(s, item, r() % 3 == 0, &sent_at);
+			std::string a = write(s, values, item, r, &sent_at);
 			{
 				std::lock_guard<std::mutex> g(lock);
 				writes.push_back({item, outcome_of(a), now_ms(),
@@ -217,7 +296,7 @@
 					outcome_of(a) == ACKNOWLEDGED;
 			}
 			if (outcome_of(a) == ACKNOWLEDGED)
-				read_back(s, item);
+				read_back(s, values, item);
 			open = a != "closed" &&
 			       a.find("READY I") != std::string::npos;
 			/* A withdrawn key is tried for longer than the bound.
@@ -230,10 +309,10 @@
 
 	/* Counts a read that misses a committed write of its own session. A
 	 * write that a promotion discarded does not count. */
-	void read_back(Session &s, const std::string &item)
+	void read_back(Session &s, const Values &v, const std::string &item)
 	{
 		int before = possible_promotions;
-		std::string a = s.query("READ " + item);
+		std::string a = s.query("READ " + item + "~" + v.tag);
 
 		if (a.rfind("DATAROW none", 0) == 0 &&
 		    possible_promotions == before && is_kept(item))
@@ -438,6 +517,50 @@
 		possible_promotions++;
 	}
 
+	/* Two proxies of other zones can't reach the primary, so it is
+	 * replaced. Those of its zone have transactions open on it, and read
+	 * there when it is a replica. */
+	void cut_primary_from_some()
+	{
+		std::string m = d.send_platform_command("primary");
+		int zone = m[1] - '0';
+
+		possible_promotions++;
+		for (int i = 1; i < 3; i++)
+			d.send_relay_command("freeze p" +
+					     std::to_string((zone + i) % 3) +
+					     ">" + m);
+		usleep(ISOLATE_MS * 1000);
+		for (int i = 1; i < 3; i++)
+			d.send_relay_command("heal p" +
+					     std::to_string((zone + i) % 3) +
+					     ">" + m);
+		usleep(500000);
+		possible_promotions++;
+	}
+
+	/* Callers change values in transactions while primaries are replaced.
+	 */
+	void run_replaced_primaries(int rounds)
+	{
+		std::vector<std::thread> callers;
+
+		long_txns = true;
+		d.use_relay();
+		ASSERT_TRUE(d.start());
+		for (int i = 0; i < 4 * CALLERS; i++)
+			callers.emplace_back(
+				[this, i, n = rng()] { run_caller(i, n); });
+		std::string first = d.send_platform_command("primary");
+		bool replaced = false;
+		for (int i = 0; i < rounds; i++) {
+			cut_primary_from_some();
+			replaced |= d.send_platform_command("primary") != first;
+		}
+		EXPECT_TRUE(replaced);
+		check(callers);
+	}
+
 	/* A member leaves, ends, and is succeeded at its address. */
 	void replace_member(FaultThread &r)
 	{
@@ -682,6 +805,10 @@
 		check_writes();
 		if (with_tenants)
 			check_withdrawn_keys();
+		EXPECT_EQ("0", d.send_platform_command("wrong_values"))
+			<< "statements with other session values, of "
+			<< changed_values << " changes";
+		EXPECT_EQ(0, unknown_names);
 		EXPECT_EQ(0, stale_reads) << "own reads that missed a write";
 		EXPECT_EQ(0, too_old_reads) << "of " << aged_reads;
 		std::string doc = d.read_config().body;
@@ -724,3 +851,11 @@
 		}
 	}
 }
+
+/* Guards against statements that run with other session values than their
+ * caller was told, or unknown names, since a member that has lost the lead
+ * refused a SET or PREPARE (review/15). */
+TEST(PlatformSoak, ValuesHoldWhilePrimariesAreReplaced)
+{
+	Soak(number_from("SEED", 4)).run_replaced_primaries(3);
+}
