--- a/t/unit_document.cc
+++ b/t/unit_document.cc
@@ -164,7 +164,7 @@
 		 {"\"born\":1e400", "\"born\":-1", "\"born\":1.5",
 		  "\"born\":99999999999999999999999",
 		  "\"born\":9223372036854775807", "\"born\":{}",
-		  "\"born\":\"12\"", "\"born\":null"}},
+		  "\"born\":\"12\"", "\"born\":null", "\"x\":12"}},
 		{"\"seq\":4",
 		 {"\"seq\":1e400", "\"seq\":-1", "\"seq\":[]",
 		  "\"seq\":99999999999999999999999", "\"x\":4"}},
@@ -172,10 +172,11 @@
 		 {"\"slots\":0", "\"slots\":1000000", "\"slots\":-2",
 		  "\"slots\":\"2\"", "\"x\":2"}},
 		{"\"zone\":\"z\"", {"\"zone\":1", "\"x\":1"}},
-		{"\"version\":\"v1\"", {"\"version\":{}", "\"version\":1"}},
+		{"\"version\":\"v1\"",
+		 {"\"version\":{}", "\"version\":1", "\"x\":1"}},
 		{"\"cold_left_ms\":0",
 		 {"\"cold_left_ms\":\"0\"", "\"cold_left_ms\":[]",
-		  "\"cold_left_ms\":1e400"}},
+		  "\"cold_left_ms\":1e400", "\"x\":0"}},
 	};
 	for (const auto &[part, values] : odd)
 		for (const char *value : values) {
