promote: the former log of a restarted replica may be gone

Cause: control took the empty log for the one that the member had before. cover.h relies on a log never losing what it had.

A replica that announces a new start now leaves a record of its former log, like one that has ended, until it is covered.

The log of the recorded primary holds every acknowledged commit, so it is enough once it is known, unless another log ends later.

--- a/cluster.h
+++ b/cluster.h
@@ -63,8 +63,9 @@
 	bool announced_primary; /* announced that it is the primary */
 };
 
-/* The log of a backend that was removed. It may be the only one beside the
- * primary's that holds some acknowledged commit. */
+/* The log of a backend that was removed, or that has started again and may hold
+ * nothing of before. It may be the only one beside the primary's that holds
+ * some acknowledged commit. */
 struct ended_log {
 	char id[ID_LEN]; /* of the backend */
 	char group[ID_LEN];
--- a/cover.c
+++ b/cover.c
@@ -1,5 +1,19 @@
 #include "cover.h"
 
+/* A log that ends before another one was cut back, or is not the one that it
+ * was. */
+static bool cov_is_complete(const struct cov_group *g, int log)
+{
+	const struct cov_log *c = &g->logs[log];
+
+	if (!c->complete || !c->known)
+		return false;
+	for (int i = 0; i < g->n; i++)
+		if (g->logs[i].known && pos_cmp(g->logs[i].end, c->end) > 0)
+			return false;
+	return true;
+}
+
 bool cov_holds_all(const struct cov_group *g, int log)
 {
 	const struct cov_log *c = &g->logs[log];
@@ -7,6 +21,10 @@
 
 	if (!c->known)
 		return false;
+	for (int i = 0; i < g->n; i++)
+		if (cov_is_complete(g, i) &&
+		    pos_cmp(g->logs[i].end, c->end) <= 0)
+			return true;
 	for (int i = 0; i < g->n; i++)
 		covered += g->logs[i].known &&
 			   pos_cmp(g->logs[i].end, c->end) <= 0;
--- a/cover.h
+++ b/cover.h
@@ -24,6 +24,10 @@
  * No commit may be acknowledged between the time when the positions were read
  * and the promotion; see promote.h for what ensures it.
  *
+ * The log of the newest primary itself holds every acknowledged commit, and so
+ * does one that ends no earlier. Once it is known, no other log is needed,
+ * unless one ends later: then it is not the log that it was.
+ *
  * A log that is gone must be waited for until it is covered: until the primary
  * and as many others as there are synchronous replicas hold what it may have
  * had (cov_is_covered()). Then the invariant is true without it.
@@ -39,6 +43,9 @@
 struct cov_log {
 	struct pos end; /* position of its last commit, if known */
 	bool known; /* its position was read, and it does not lead */
+	/* That of the primary which acknowledged the newest commits: it holds
+	 * all of them, whatever else is known. */
+	bool complete;
 	bool may_lead; /* can be promoted */
 	int last_resort; /* of those that qualify, the lowest is promoted */
 };
--- a/promote.h
+++ b/promote.h
@@ -76,12 +76,14 @@
  * one of them, or the old primary, answers.
  *
  * The log of a member that has ended is one of these until its successor has
- * registered at its address, which has the log, or until it is covered: control
- * asks the primary what it holds once the member has ended for PRO_ENDED_MS,
- * and waits until as many replicas as a commit needs hold as much. The log is
- * recorded (struct ended_log), so that each later leader knows of it, until it
- * is covered. So a member that left for good, or a successor that never comes,
- * matters only if the primary fails within about a second of its end.
+ * registered at its address, which has the log, or until it is covered. So is
+ * the former log of a replica that has started again under its id, until it is
+ * covered: control asks the primary what it holds once the member has ended for
+ * PRO_ENDED_MS, and waits until as many replicas as a commit needs hold as
+ * much. The log is recorded (struct ended_log), so that each later leader knows
+ * of it, until it is covered. So a member that left for good, or a successor
+ * that never comes, matters only if the primary fails within about a second of
+ * its end.
  *
  * Control records which member is the primary. A member's own announcement
  * decides only in a group without a record, since it may arrive late, after its
--- a/promote_candidate.c
+++ b/promote_candidate.c
@@ -26,6 +26,7 @@
 		list[i] = (struct cov_log){
 			.end = m->status.received_pos,
 			.known = pro_is_replica(m),
+			.complete = old,
 			/* The old primary is not asked again while others
 			 * receive the rest of its log. */
 			.may_lead = pro_is_replica(m) &&
--- a/state.c
+++ b/state.c
@@ -316,7 +316,9 @@
 		return;
 	}
 	state_note_successor(s, in);
-	if (!b)
+	if (b)
+		state_note_restart(s, b, in);
+	else
 		b = id_array_insert((void **)&s->backends, &s->nbackends,
 				    sizeof(*b), in->id);
 	*b = *in;
--- a/state.h
+++ b/state.h
@@ -29,11 +29,12 @@
  *     orders    replaces the record of that group
  *   MSG_PUBLISH replaces the published configuration if its version is higher
  *
- * The log of a backend that is removed is kept as a record of its own, since it
- * may hold commits that others lack (cover.h). The record goes when the next
- * backend of the group registers at the address to which the log moves, or by a
- * command. In a command that removes a backend, "leaving" says that its log
- * moves to the next one, and "announcements_stopped" that it was silent.
+ * The log of a backend that is removed, or starts again, is kept as a record of
+ * its own, since it may hold commits that others lack (cover.h). The record
+ * goes when the next backend of the group registers at the address to which the
+ * log moves, or by a command. In a command that removes a backend, "leaving"
+ * says that its log moves to the next one, and "announcements_stopped" that it
+ * was silent.
  *
  * The view has a version, which each change raises. Each record holds the view
  * version of its last change, so that only newer records need to be sent.
--- a/state_logs.c
+++ b/state_logs.c
@@ -34,13 +34,12 @@
 	return false;
 }
 
-void state_note_end(struct state *s, const struct backend_info *have,
-		    const struct backend_info *in)
+static void state_add_ended_log(struct state *s,
+				const struct backend_info *have, bool moves,
+				bool silent)
 {
 	struct ended_log *l = state_find_ended_log(s, have->id);
 
-	if (in->leaving && state_has_successor(s, have))
-		return;
 	if (!l) {
 		if (s->nended_logs == STATE_MAX_ENDED_LOGS)
 			return;
@@ -49,11 +48,31 @@
 	}
 	memcpy(l->group, have->group, ID_LEN);
 	memcpy(l->addr, have->addr, ADDR_LEN);
-	l->moves = in->leaving;
-	l->silent = in->announcements_stopped;
+	l->moves = moves;
+	l->silent = silent;
 	l->covered = false;
 }
 
+void state_note_end(struct state *s, const struct backend_info *have,
+		    const struct backend_info *in)
+{
+	if (!in->leaving || !state_has_successor(s, have))
+		state_add_ended_log(s, have, in->leaving,
+				    in->announcements_stopped);
+}
+
+void state_note_restart(struct state *s, const struct backend_info *have,
+			const struct backend_info *in)
+{
+	const struct group_info *g = state_group(s, have->group);
+
+	if (have->incarnation == in->incarnation ||
+	    strcmp(have->group, in->group) != 0 ||
+	    (g && !strcmp(g->primary, have->id)))
+		return;
+	state_add_ended_log(s, have, false, false);
+}
+
 void state_note_successor(struct state *s, const struct backend_info *in)
 {
 	for (size_t i = 0; i < s->nended_logs; i++) {
--- a/state_priv.h
+++ b/state_priv.h
@@ -49,6 +49,10 @@
 void state_note_end(struct state *s, const struct backend_info *have,
 		    const struct backend_info *in);
 void state_note_successor(struct state *s, const struct backend_info *in);
+/* A backend that starts again may have nothing of its log, unless it is its
+ * group's primary, which comes back with it. */
+void state_note_restart(struct state *s, const struct backend_info *have,
+			const struct backend_info *in);
 void state_merge_orders(struct state *s, const struct group_orders *in);
 void state_merge_ended_log(struct state *s, const struct ended_log *in);
 
--- a/t/lib_promote_world.h
+++ b/t/lib_promote_world.h
@@ -477,6 +477,22 @@
 		after(m.registers_at - now, [this, &m] { announce(m); });
 	}
 
+	/* A replica that was dark starts again under its id, and holds nothing
+	 * of before. */
+	void start_again(Member &m)
+	{
+		m.dark = false;
+		if (m.leads || m.ended || source == &m)
+			return;
+		m.log.clear();
+		m.term = 1;
+		m.incarnation++;
+		m.registers_at = now + pick(REGISTER_MAX_MS);
+		trace("start again of " + m.id);
+		after(m.registers_at - now, [this, &m] { announce(m); });
+		disturb(&m, &Member::deaf, 1 + pick(2000));
+	}
+
 	/* A proxy that control does not hear, but that goes on. */
 	void cut_a_proxy(clk_ms ms)
 	{
--- a/t/unit_cover.cc
+++ b/t/unit_cover.cc
@@ -73,6 +73,36 @@
 	EXPECT_EQ(COV_NONE, choose());
 }
 
+/* Guards against a group that waits for logs although that of its primary,
+ * which holds all acknowledged commits, is known. */
+TEST_F(Cover, ThePrimarysLogIsEnough)
+{
+	add_silent();
+	add_silent();
+	add(1, 12);
+	add(1, 11);
+	logs[2].complete = true;
+	EXPECT_EQ(2, choose());
+	logs[2].may_lead = false;
+	EXPECT_EQ(COV_NONE, choose());
+	logs[3].end.number = 12;
+	EXPECT_EQ(3, choose());
+	logs[2].known = false;
+	EXPECT_EQ(COV_NONE, choose());
+}
+
+/* Guards against a primary that starts again with nothing, and whose log then
+ * counts as the whole one. */
+TEST_F(Cover, ThePrimarysLogIsNotEnoughIfAnotherEndsLater)
+{
+	add_silent();
+	add_silent();
+	add(1, 0);
+	add(1, 11);
+	logs[2].complete = true;
+	EXPECT_EQ(COV_NONE, choose());
+}
+
 /* Guards against a preference that costs commits (review/6). */
 TEST_F(Cover, AMemberOfLastResortLeadsIfOnlyItHoldsAll)
 {
--- a/t/unit_promote_sync.cc
+++ b/t/unit_promote_sync.cc
@@ -353,6 +353,62 @@
 	EXPECT_TRUE(calls.empty());
 }
 
+/* Guards against an empty log that is taken for one that holds all there was:
+ * "c" starts again under its id, with nothing of before, while only it and "a"
+ * held some commits (review/14). */
+TEST_F(PromoteSync, AMemberThatStartsAgainMayHoldNothing)
+{
+	announce_member("c", false, false, 1);
+	lose_a(10000, {{"b", 12}, {"c", 0}});
+	EXPECT_TRUE(calls.empty());
+	rest(1000, 20);
+	EXPECT_FALSE(changing());
+	EXPECT_STREQ("a", state_group(state, "orders")->primary);
+}
+
+/* The same where control hears of it during the change. */
+TEST_F(PromoteSync, AMemberThatStartsAgainDuringAChangeMayHoldNothing)
+{
+	lose_a(PRO_STATUS_TIMEOUT_MS + 200, {{"b", 12}, {"c", 0}});
+	ASSERT_TRUE(changing());
+	lose_a(PRO_JOIN_MS - 100, {{"b", 12}, {"c", 0}});
+	ASSERT_TRUE(calls.empty());
+	announce_member("c", false, false, 1);
+	lose_a(10000, {{"b", 12}, {"c", 0}});
+	EXPECT_TRUE(calls.empty());
+}
+
+/* Guards against a service without a primary for good: once it has received
+ * what the primary held after its start, its former log is not waited for. Nor
+ * is that of the primary, which comes back with its log. */
+TEST_F(PromoteSync, TheFormerLogOfAMemberIsCovered)
+{
+	announce_member("a", true, false, 1);
+	announce_member("c", false, false, 1);
+	rest(PRO_ENDED_MS + 1000, 20);
+	lose_a(5000, {{"b", 22}, {"c", 21}});
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("b", calls[0].member);
+}
+
+/* Guards against a group without a primary for good: both replicas start again
+ * when the primary has just stepped down. */
+TEST_F(PromoteSync, ThePrimaryLeadsAgainIfOnlyItsLogIsKnown)
+{
+	announce_member("a", false);
+	announce_member("b", false, false, 1);
+	announce_member("c", false, false, 1);
+	for (int i = 0; i < 400 && calls.empty(); i++) {
+		grant_leases(6);
+		run(20);
+		for (const char *id : {"a", "b", "c"})
+			if (requests.count(id))
+				answer(id, false, id[0] == 'a' ? 20 : 5);
+	}
+	ASSERT_EQ(1u, calls.size());
+	EXPECT_STREQ("a", calls[0].member);
+}
+
 /* A member that was removed for its silence may go on for a while. */
 TEST_F(PromoteSync, ASilentMemberMayStillReceive)
 {
--- a/t/unit_promote_troubles.cc
+++ b/t/unit_promote_troubles.cc
@@ -147,6 +147,24 @@
 	});
 }
 
+/* Guards against an empty log that counts as one that holds all there was:
+ * replicas start again under their ids, with nothing of before (review/14). */
+TEST_P(PromoteTroubles, ReplicasThatStartAgainWithNothing)
+{
+	play([&] {
+		hinder_a_replica();
+		run_for(pick(2000));
+		Member *m = any_replica();
+		clk_ms ms = 200 + pick(2000);
+
+		if (!m)
+			return;
+		m->dark = true;
+		after(ms, [this, m] { start_again(*m); });
+		run_for(pick(3000));
+	});
+}
+
 /* Guards against a change that relies on orders to members (review/8). */
 TEST_P(PromoteTroubles, OrdersCarriedOutLate)
 {
--- a/t/unit_state.cc
+++ b/t/unit_state.cc
@@ -145,6 +145,31 @@
 	EXPECT_EQ(nullptr, state_backend(s, "b1"));
 }
 
+/* Guards against the log of a backend that counts as the same one after it has
+ * started again with nothing (review/14). The primary comes back with its log.
+ */
+TEST_F(State, TheFormerLogOfARestartedBackendIsKept)
+{
+	struct group_info g = {};
+	struct buf b = BUF_INIT;
+
+	record_start("b1", "10.0.0.1:1", 10);
+	record_start("b2", "10.0.0.2:1", 10);
+	strcpy(g.name, state_backend(s, "b1")->group);
+	strcpy(g.primary, "b2");
+	g.term = 1;
+	state_cmd_group(&b, &g);
+	apply_command(&b);
+	record_start("b1", "10.0.0.1:1", 10);
+	EXPECT_EQ(0u, ended_logs());
+	record_start("b2", "10.0.0.2:1", 20);
+	EXPECT_EQ(0u, ended_logs());
+	record_start("b1", "10.0.0.1:1", 20);
+	ASSERT_EQ(1u, ended_logs());
+	EXPECT_STREQ("b1", first_ended_log().id);
+	EXPECT_FALSE(first_ended_log().moves);
+}
+
 /* It goes to the next backend of the group at its address, whether that
  * registers before or after the removal. */
 TEST_F(State, TheLogGoesToTheSuccessorAtItsAddress)
