--- a/cluster.h
+++ b/cluster.h
@@ -72,8 +72,8 @@
 	char addr[ADDR_LEN]; /* empty in a command that removes the record */
 	bool moves; /* the next backend at its address has the log */
 	bool silent; /* removed since it was silent; it may go on for a while */
-	/* Its acknowledged commits are also held by the primary and by as many
-	 * others as a commit needs. */
+	/* Enough others hold its commits. Earlier versions kept such records.
+	 */
 	bool covered;
 };
 
--- a/promote.h
+++ b/promote.h
@@ -29,17 +29,17 @@
  * Some promoters appoint the new primary and depose the old one in one step.
  * With others the old one goes on until it learns of the change, so that
  * proxies which reach it would go on, too. Then proxies use a primary only
- * under a lease (lease.h). Of a group with synchronous replicas they use it
- * freely under any promoter, but pass on its answer to a commit only under a
- * lease. Groups with leases (pro_has_leases()) are changed in these steps:
+ * under a lease (lease.h). In a group with synchronous replicas, whatever the
+ * promoter, they acknowledge commits only under a lease. In such groups and
+ * under such promoters (pro_has_leases()) a change takes these steps:
  *  - The record of the group says that its primary is being changed. From then
  *    on no lease covers the group.
  *  - The promoter is called once the old primary has confirmed that it stepped
  *    down, or no lease covers the group any more.
- *  - A call without an answer may be carried out later. Before the first call
- *    the member is recorded as the candidate, and a later leader calls it
- * again. Another candidate is chosen only once no call for this one can be
- * carried out any more.
+ *  - A call without an answer may be carried out later. Before the first
+ *    call the member is recorded as the candidate, so that a later leader
+ *    calls it again. Another candidate is chosen only once no call for this
+ *    one can be carried out any more.
  *  - The new primary is recorded when it says that it leads with a term above
  *    that of the old one. Its record ends the change.
  *  - A change is given up if the old primary leads on and no member was called.
@@ -73,17 +73,16 @@
  * holds. If none is known, the group waits for the members that don't answer,
  * and the log names them (event=waits_for). Nothing less is safe: each of them
  * may hold the only copy of a commit beside the primary's. The wait ends when
- * one of them, or the old primary, answers.
+ * one of them answers, or the old primary, whose log is enough.
  *
- * The log of a member that has ended is one of these until its successor has
- * registered at its address, which has the log, or until it is covered. So is
- * the former log of a replica that has started again under its id, until it is
- * covered: control asks the primary what it holds once the member has ended for
- * PRO_ENDED_MS, and waits until as many replicas as a commit needs hold as
- * much. The log is recorded (struct ended_log), so that each later leader knows
- * of it, until it is covered. So a member that left for good, or a successor
- * that never comes, matters only if the primary fails within about a second of
- * its end.
+ * Two kinds of logs are waited for, too, until they are covered: that of a
+ * member that has ended, unless its successor has registered at its address,
+ * which has the log; and the former log of a replica that has started again
+ * under its id. Control asks the primary what it holds PRO_ENDED_MS after the
+ * end, and the log is covered once as many replicas as a commit needs hold as
+ * much. Until then it is recorded (struct ended_log), so that each later leader
+ * knows of it. So a member that left for good, or a successor that never comes,
+ * matters only if the primary fails within about a second of its end.
  *
  * Control records which member is the primary. A member's own announcement
  * decides only in a group without a record, since it may arrive late, after its
