t: the stand-in's members send version and cold_left_ms

The valid announcement that unit_damaged.cc damages has them, too, so that it is accepted again before it is damaged.

--- a/t/helper/platform/main.c
+++ b/t/helper/platform/main.c
@@ -917,6 +917,7 @@
 		next++;
 	buf_addf(&body,
 		 "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"za\","
+		 "\"version\":\"v1\",\"cold_left_ms\":0,"
 		 "\"slots\":%d,\"state\":\"%s\",\"db_role\":\"%s\","
 		 "\"born\":%" PRId64 ",\"seq\":%" PRId64 "}",
 		 group, m->announced_addr, slots ? slots : DEFAULT_SLOTS,
--- a/t/unit_damaged.cc
+++ b/t/unit_damaged.cc
@@ -249,8 +249,9 @@
 	const unsigned char hash_key[AKEY_SECRET_LEN] = {};
 	std::string announcement =
 		"{\"service\":\"g1\",\"addr\":\"10.0.0.9:80\",\"zone\":"
-		"\"za\",\"slots\":2,\"state\":\"ready\",\"db_role\":"
-		"\"replica\",\"born\":17,\"seq\":4}";
+		"\"za\",\"version\":\"v1\",\"cold_left_ms\":0,\"slots\":2,"
+		"\"state\":\"ready\",\"db_role\":\"replica\",\"born\":17,"
+		"\"seq\":4}";
 
 	for (int i = 0; i < rounds; i++) {
 		std::string s = damage(config);
