promote: members that start again during a change

A candidate was called again after it had started again.

Now members are compared as soon as no proxy acknowledges commits, and what they answered counts once PRO_JOIN_MS has passed and none has registered. The wait is as long as before; it covers members that came earlier, and those that started again before they answered. The candidate is asked once more before each call, also before one that is repeated.

--- a/promote.c
+++ b/promote.c
@@ -542,7 +542,7 @@
 			pro_note_unanswered_call(g, now);
 		if (m && !status &&
 		    g->unanswered_calls < PRO_MAX_UNANSWERED_CALLS) {
-			pro_call_promoter(p, g, m, now);
+			pro_call_again(p, g, m, now);
 			return;
 		}
 		if (m && status == 409)
--- a/promote.h
+++ b/promote.h
@@ -63,10 +63,11 @@
  * all members: those that don't answer count as missing. Only proxies can tell
  * a caller that a commit is done. So once no lease covers the group, nothing is
  * acknowledged until the change ends, whoever leads or receives meanwhile, and
- * positions that members are asked for from then on cover all that was. The
- * members that are asked are those that have registered PRO_JOIN_MS later: one
- * that received before is among them. None of this needs an order to a member
- * that could get lost or be carried out late.
+ * positions that members are asked for from then on cover all that was. They
+ * count once PRO_JOIN_MS has passed and no member has registered: one that
+ * received before, or that answered after it had started again with nothing,
+ * has registered by then. None of this needs an order to a member that could
+ * get lost or be carried out late.
  *
  * The rule on discarded logs does not apply with synchronous replicas: a member
  * that is known to hold all acknowledged commits may lead, whatever else it
@@ -143,7 +144,7 @@
 	PRO_LATE_CALL_MS = 13000,
 	/* A member announces itself when it starts and about every second, each
 	 * time at another control instance if it got no answer. So one that
-	 * started earlier than this has registered. */
+	 * started or started again earlier than this has registered. */
 	PRO_JOIN_MS = 1200,
 	/* Between orders to replicas that earlier versions may have paused. */
 	PRO_RESUME_INTERVAL_MS = 1000,
--- a/promote_change.c
+++ b/promote_change.c
@@ -33,6 +33,17 @@
 		 g->planned, g->nreports, (long long)a->promoter_token);
 }
 
+void pro_call_again(struct pro *p, struct pro_group *g, struct pro_member *m,
+		    clk_ms now)
+{
+	if (!g->sync_replicas) {
+		pro_call_promoter(p, g, m, now);
+		return;
+	}
+	pro_request_status(p, g, m, now);
+	pro_set_phase(g, PRO_NAMING, now);
+}
+
 void pro_promote(struct pro *p, struct pro_group *g, struct pro_member *m,
 		 clk_ms now)
 {
@@ -71,6 +82,7 @@
 {
 	for (int i = 0; i < g->nmembers; i++)
 		pro_request_status(p, g, &g->members[i], now);
+	g->candidate_end = (struct pos){0};
 	pro_set_phase(g, PRO_COMPARING, now);
 }
 
@@ -127,13 +139,23 @@
 
 	if (pro_awaits_replies(g, now))
 		return;
-	best = pro_next_candidate(p, g, now);
-	if (pro_logs_changed(p, g))
+	if (pro_logs_changed(p, g)) {
 		pro_back_off(g, now, "members have come or gone");
-	else if (best)
-		pro_name_candidate(p, g, best, now);
-	else
+		return;
+	}
+	best = pro_next_candidate(p, g, now);
+	if (!best) {
 		pro_rest_without_candidate(p, g, now);
+	} else if (now < g->phase_since + PRO_STATUS_TIMEOUT_MS + PRO_JOIN_MS) {
+		return;
+	} else if (pos_is_none(g->candidate_end)) {
+		g->candidate_end = best->status.received_pos;
+		pro_request_status(p, g, best, now);
+	} else if (pos_cmp(best->status.received_pos, g->candidate_end) < 0) {
+		pro_back_off(g, now, "the candidate has started again");
+	} else {
+		pro_name_candidate(p, g, best, now);
+	}
 }
 
 void pro_tick_step_down(struct pro *p, struct pro_group *g, clk_ms now)
--- a/promote_lease.c
+++ b/promote_lease.c
@@ -120,10 +120,20 @@
 	if (strcmp(g->target, m->id) != 0)
 		g->fencing_token = 0;
 	memcpy(g->target, m->id, ID_LEN);
+	g->candidate_end = m->status.received_pos;
 	pro_record_change(p, g, m->id, now);
 	pro_set_phase(g, PRO_NAMING, now);
 }
 
+/* True if the candidate still holds what it was chosen for. */
+static bool pro_keeps_its_log(const struct pro_group *g,
+			      const struct pro_member *m)
+{
+	return !g->sync_replicas ||
+	       (m->reply == PRO_OK &&
+		pos_cmp(m->status.received_pos, g->candidate_end) >= 0);
+}
+
 void pro_tick_naming(struct pro *p, struct pro_group *g, clk_ms now)
 {
 	const struct group_info *info = pro_info(p, g);
@@ -133,7 +143,9 @@
 
 	if (g->sync_replicas && pro_logs_changed(p, g))
 		pro_back_off(g, now, "members have come or gone");
-	else if (m && named)
+	else if (m && named && !m->awaiting_reply && !pro_keeps_its_log(g, m))
+		pro_back_off(g, now, "the candidate does not hold its log");
+	else if (m && named && !(g->sync_replicas && m->awaiting_reply))
 		pro_call_promoter(p, g, m, now);
 	else if (now - g->phase_since >= PRO_SETTLE_TIMEOUT_MS)
 		pro_back_off(g, now, "the candidate was not recorded");
@@ -229,11 +241,7 @@
 	} else if (!(deposed && !g->sync_replicas) &&
 		   !pro_is_unused(p, g, now)) {
 		pro_poll_members(p, g, now);
-	} else if (!g->sync_replicas) {
-		pro_end_waiting(p, g, now);
-	} else if (pro_logs_changed(p, g)) {
-		pro_back_off(g, now, "members have come or gone");
-	} else if (now >= g->unused_since + PRO_JOIN_MS) {
+	} else {
 		pro_end_waiting(p, g, now);
 	}
 }
--- a/promote_priv.h
+++ b/promote_priv.h
@@ -89,6 +89,9 @@
 	int64_t confirmed_term;
 	struct pos drain_position; /* position that a replica must reach */
 	bool drain_failed; /* none did in time, in this change */
+	/* What the candidate held when it was chosen. It is asked once more
+	 * before it is called, since it may have started again with nothing. */
+	struct pos candidate_end;
 	/* What the primary held in the probe before this one, if it is to be
 	 * replaced. A replica that holds as much by now receives. */
 	struct pos primary_end;
@@ -261,6 +264,11 @@
 void pro_call_promoter(struct pro *p, struct pro_group *g, struct pro_member *m,
 		       clk_ms now);
 
+/* Repeats a call without an answer. With synchronous replicas the member is
+ * asked for its status first: it may have started again since. */
+void pro_call_again(struct pro *p, struct pro_group *g, struct pro_member *m,
+		    clk_ms now);
+
 /* True if the member's last announcement says that it is the primary. */
 bool pro_claims_to_lead(const struct pro *p, const char *member);
 
--- a/t/unit_promote_sync.cc
+++ b/t/unit_promote_sync.cc
@@ -530,6 +530,10 @@
 			pro_on_promoter_reply(pro, calls.back().action_id, 0,
 					      now);
 			take_actions();
+			if (i == PRO_MAX_UNANSWERED_CALLS)
+				break;
+			answer("b", false, 14);
+			run(20);
 		}
 		called_at = now;
 		run(PRO_REPORT_VALID_MS);
@@ -537,6 +541,23 @@
 	}
 };
 
+/* Guards against a call that is repeated for a member which has started again
+ * with nothing since the one before. */
+TEST_F(PromoteSync, ACandidateThatHasStartedAgainIsNotCalledAgain)
+{
+	lose_a(5000, {{"b", 14}, {"c", 12}});
+	ASSERT_EQ(1u, calls.size());
+	pro_on_promoter_reply(pro, calls[0].action_id, 0, now);
+	take_actions();
+	for (int i = 0; i < 100; i++) {
+		run(20);
+		for (const char *id : {"b", "c"})
+			if (requests.count(id))
+				answer(id, false, id[0] == 'b' ? 0 : 12);
+	}
+	EXPECT_EQ(1u, calls.size());
+}
+
 /* Guards against the loss of commits that are acknowledged after a call was
  * given up, and before it is carried out late. */
 TEST_F(PromoteLate, NothingIsAcknowledgedWhileACallMayBeCarriedOut)
